--- /dev/null
+++ b/verdict.go
@@ -0,0 +1,84 @@
+package berylspoke
+
+// This file defines the verdict on a request and the error that carries it.
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Verdict says whether a request may have been executed by a target.
+type Verdict uint8
+
+const (
+	// MayHaveRun means that a target may have executed the request.
+	MayHaveRun Verdict = iota
+	// NotRun means that no target executed the request or ever will.
+	NotRun
+	// Ran means that a target executed the request.
+	Ran
+)
+
+// String returns the verdict as written in answers and logs.
+func (verdict Verdict) String() string {
+	switch verdict {
+	case NotRun:
+		return "notRun"
+	case Ran:
+		return "ran"
+	default:
+		return "mayHaveRun"
+	}
+}
+
+// Reason is the machine-readable cause of a refusal.
+type Reason string
+
+// The reasons of refusals.
+const (
+	ReasonOverload      Reason = "overload"
+	ReasonOrganisation  Reason = "organisationLimit"
+	ReasonUnknown       Reason = "unknownService"
+	ReasonUnauthorised  Reason = "unauthorised"
+	ReasonMalformed     Reason = "malformed"
+	ReasonStarting      Reason = "starting"
+	ReasonDraining      Reason = "draining"
+	ReasonWitness       Reason = "witnessUnreachable"
+	ReasonClosed        Reason = "closed"
+	ReasonTicket        Reason = "ticketRequired"
+	ReasonForgotten     Reason = "outcomeForgotten"
+	ReasonTarget        Reason = "targetFailed"
+	ReasonNoTarget      Reason = "noTarget"
+	ReasonOwnerLost     Reason = "ownerUnreachable"
+	ReasonWaitedTooLong Reason = "waitedTooLong"
+)
+
+// Refusal is the final error of a request together with its verdict.
+type Refusal struct {
+	Verdict    Verdict
+	Reason     Reason
+	RetryAfter time.Duration
+	Cause      error
+}
+
+// Error implements error.
+func (refusal *Refusal) Error() string {
+	if refusal.Cause != nil {
+		return fmt.Sprintf("%s (%s): %v", refusal.Reason, refusal.Verdict, refusal.Cause)
+	}
+	return fmt.Sprintf("%s (%s)", refusal.Reason, refusal.Verdict)
+}
+
+// Unwrap returns the cause.
+func (refusal *Refusal) Unwrap() error { return refusal.Cause }
+
+// VerdictOf returns the verdict that err carries, and MayHaveRun for any other
+// error, since an unknown failure proves nothing.
+func VerdictOf(err error) Verdict {
+	var refusal *Refusal
+	if errors.As(err, &refusal) {
+		return refusal.Verdict
+	}
+	return MayHaveRun
+}
