--- /dev/null
+++ b/cmd/berylspoke/demo.go
@@ -0,0 +1,179 @@
+package main
+
+// This file defines the command that shows the main job on embedded stand-ins.
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/google/subcommands"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"berylspoke"
+	"berylspoke/core/berylconfig"
+	"berylspoke/io/berylcall"
+	"berylspoke/io/berylfleet"
+)
+
+// demoLimit bounds the demo without -stay.
+const demoLimit = 28 * time.Second
+
+type demoCommand struct {
+	deployment string
+	stay       bool
+}
+
+func (*demoCommand) Name() string     { return "demo" }
+func (*demoCommand) Synopsis() string { return "show the main job on embedded stand-ins" }
+func (*demoCommand) Usage() string {
+	return `demo [-deployment kitamine|parish] [-stay]
+
+Brings up a small fleet with stand-ins in this process, streams a draft, sends a
+filing twice that runs once, puts a patch into force everywhere and stops. With
+-stay the fleet stays up and curl lines to try are printed.
+
+`
+}
+
+func (command *demoCommand) SetFlags(flags *flag.FlagSet) {
+	flags.StringVar(&command.deployment, "deployment", "kitamine", "kitamine or parish")
+	flags.BoolVar(&command.stay, "stay", false, "keep the fleet up until interrupted")
+}
+
+func (command *demoCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	plan, known := berylfleet.Plans()[command.deployment]
+	if !known {
+		return fail(fmt.Errorf("deployment %q is neither kitamine nor parish", command.deployment))
+	}
+	if err := command.run(ctx, plan); err != nil {
+		return fail(err)
+	}
+	return subcommands.ExitSuccess
+}
+
+func (command *demoCommand) run(ctx context.Context, plan berylfleet.Plan) error {
+	base, err := berylfleet.FindBase(20)
+	if err != nil {
+		return err
+	}
+	plan.Base = base
+	began := time.Now()
+	fleet, err := berylfleet.StartEmbedded(plan, zap.NewNop(), nil)
+	if err != nil {
+		return err
+	}
+	defer fleet.Close()
+	limited, cancel := context.WithTimeout(ctx, demoLimit)
+	defer cancel()
+	if err := fleet.WaitReady(limited, 1); err != nil {
+		return err
+	}
+	fmt.Printf("%d daemons, %d engines and %d desks are up after %s\n\n", len(fleet.Daemons),
+		len(fleet.Engines), len(fleet.Desks), time.Since(began).Round(time.Millisecond))
+	for _, step := range []func(context.Context, *berylfleet.Embedded) error{showDraft, showFiling, showPatch} {
+		if err := step(limited, fleet); err != nil {
+			return err
+		}
+	}
+	if command.stay {
+		stay(ctx, fleet)
+	}
+	return nil
+}
+
+func demoClient(fleet *berylfleet.Embedded, organisation berylspoke.OrganisationID) *berylcall.Client {
+	var seeds []string
+	for _, vm := range fleet.Plan.VMs() {
+		seeds = append(seeds, vm.CallAddress)
+	}
+	return berylcall.New(berylcall.Options{Seeds: seeds, Key: fleet.Plan.Key(organisation)})
+}
+
+func showDraft(ctx context.Context, fleet *berylfleet.Embedded) error {
+	fmt.Println("A draft, streamed as it is written:")
+	began := time.Now()
+	var first time.Duration
+	tokens, err := demoClient(fleet, "small-1").Stream(ctx, berylcall.Draft{
+		Service: fleet.Plan.Model, Prompt: "A letter about unpaid overtime. [tokens=40]",
+	}, func(text string, _ berylspoke.Tokens) {
+		if first == 0 {
+			first = time.Since(began)
+		}
+		fmt.Print(text)
+	})
+	if err != nil {
+		return errors.Wrap(err, "draft")
+	}
+	fmt.Printf("\n%d tokens, the first after %s, all after %s\n\n", tokens,
+		first.Round(time.Millisecond), time.Since(began).Round(time.Millisecond))
+	return nil
+}
+
+func showFiling(ctx context.Context, fleet *berylfleet.Embedded) error {
+	client := demoClient(fleet, "small-2")
+	id, owner, err := client.NewID(ctx)
+	if err != nil {
+		return errors.Wrap(err, "filing")
+	}
+	fmt.Println("A filing, sent twice under one id:")
+	path := "/letters"
+	if fleet.Plan.Name == "parish" {
+		path = "/bookings"
+	}
+	for range 2 {
+		outcome := client.File(ctx, fleet.Plan.Desk, path, id, owner, "text/plain", []byte("a letter"))
+		if outcome.Err != nil {
+			return errors.Wrap(outcome.Err, "filing")
+		}
+		fmt.Printf("  %s: %s", outcome.Verdict, outcome.Body)
+	}
+	most, requests := fleet.Executions()
+	fmt.Printf("the desks executed %d request, %d time\n\n", requests, most)
+	if most != 1 || requests != 1 {
+		return fmt.Errorf("the filing ran %d times", most)
+	}
+	return nil
+}
+
+func showPatch(ctx context.Context, fleet *berylfleet.Embedded) error {
+	body, err := json.Marshal(&berylconfig.Patch{
+		Base: 1, Note: "demo",
+		Organisations: map[berylspoke.OrganisationID]*berylconfig.Organisation{"newcomer": {Weight: 2}},
+	})
+	if err != nil {
+		return err
+	}
+	published := time.Now()
+	fleet.Platform.Publish(body)
+	if err := fleet.WaitReady(ctx, 2); err != nil {
+		return errors.Wrap(err, "patch")
+	}
+	fmt.Printf("A patch against version 1 made version 2, in force at all %d daemons after %s\n",
+		len(fleet.Daemons), time.Since(published).Round(time.Millisecond))
+	return nil
+}
+
+func stay(ctx context.Context, fleet *berylfleet.Embedded) {
+	vm := fleet.Plan.VMs()[0]
+	key := fleet.Plan.Key("small-1")
+	fmt.Printf(`
+The fleet stays up; interrupt to stop. To try:
+
+  curl -s -H 'Authorization: Bearer %[1]s' http://%[2]s/v1/resolve
+  curl -sN -H 'Authorization: Bearer %[1]s' -d '{"prompt":"A short letter. [tokens=30]"}' http://%[2]s/v1/services/%[3]s/drafts
+  curl -s -H 'Authorization: Bearer %[4]s' http://%[5]s/state
+`, key, vm.CallAddress, fleet.Plan.Model, berylfleet.OperatorToken, fleet.Plan.Settings(vm).OperatorAddress)
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	select {
+	case <-signals:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/cmd/berylspoke/path_test.go
@@ -0,0 +1,53 @@
+package main
+
+// This file tests the whole path of a request through separate processes.
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"berylspoke"
+	"berylspoke/core/berylconfig"
+	"berylspoke/io/berylcall"
+	"berylspoke/io/berylfleet"
+	"berylspoke/io/berylserve"
+	"berylspoke/io/berylstand"
+)
+
+// A secretary streams a draft, books a mailing twice under one id and reads it
+// back; an operator's patch comes into force at every daemon.
+func TestWholePath(t *testing.T) {
+	fleet := startProcesses(t, berylfleet.Parish(), nil)
+	ctx := testContext(t)
+	client := fleet.client("small-1")
+
+	prompt := "An issue on the harvest. [tokens=30]"
+	var text strings.Builder
+	tokens, err := client.Stream(ctx, berylcall.Draft{Service: fleet.Plan.Model, Prompt: prompt}, func(piece string, _ berylspoke.Tokens) {
+		text.WriteString(piece)
+	})
+	require.NoError(t, err)
+	require.Equal(t, berylspoke.Tokens(30), tokens)
+	require.Equal(t, berylstand.Text(prompt, 0), text.String())
+
+	id, owner, err := client.NewID(ctx)
+	require.NoError(t, err)
+	first := client.File(ctx, fleet.Plan.Desk, "/bookings", id, owner, "text/plain", []byte("three hundred copies"))
+	second := client.File(ctx, fleet.Plan.Desk, "/bookings", id, owner, "text/plain", []byte("three hundred copies"))
+	require.NoError(t, first.Err)
+	require.Equal(t, first, second)
+	most, requests := fleet.Executions()
+	require.Equal(t, 1, most)
+	require.Equal(t, 1, requests)
+
+	status := client.Read(ctx, fleet.Plan.Desk, "/addresses/12")
+	require.NoError(t, status.Err)
+	require.Contains(t, string(status.Body), "filed")
+
+	fleet.publish(&berylconfig.Patch{Base: 1, Organisations: map[berylspoke.OrganisationID]*berylconfig.Organisation{"newcomer": {Weight: 1}}})
+	for _, vm := range fleet.Plan.VMs() {
+		fleet.waitState(vm.ID, func(state berylserve.Dump) bool { return state.Version == 2 })
+	}
+}
--- /dev/null
+++ b/cmd/berylspoke/serve.go
@@ -0,0 +1,87 @@
+package main
+
+// This file defines the command that runs a daemon.
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/google/subcommands"
+	"go.uber.org/zap"
+
+	"berylspoke/io/berylserve"
+	"berylspoke/io/berylsettings"
+)
+
+// drainLimit bounds a planned stop.
+const drainLimit = 10 * time.Minute
+
+type serveCommand struct{ settings string }
+
+func (*serveCommand) Name() string     { return "serve" }
+func (*serveCommand) Synopsis() string { return "run a daemon" }
+func (*serveCommand) Usage() string {
+	return `serve -settings FILE
+
+Runs one daemon until SIGTERM or SIGINT. The first signal drains it: it leaves
+the resolve answers, refuses new requests after a short notice and stops once
+the last request has ended. A second signal stops it at once.
+
+`
+}
+
+func (command *serveCommand) SetFlags(flags *flag.FlagSet) {
+	flags.StringVar(&command.settings, "settings", "", "settings `file` (JSON with comments; docs/SETTINGS.md)")
+}
+
+func (command *serveCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	settings, err := berylsettings.Load(command.settings)
+	if err != nil {
+		return fail(err)
+	}
+	log, err := newLog(settings.LogLevel)
+	if err != nil {
+		return fail(err)
+	}
+	defer func() { _ = log.Sync() }()
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	daemon, err := berylserve.Start(settings, log)
+	if err != nil {
+		return fail(err)
+	}
+	<-signals
+	ctx, cancel := context.WithTimeout(ctx, drainLimit)
+	defer cancel()
+	go func() {
+		<-signals
+		cancel()
+	}()
+	if err := daemon.Drain(ctx); err != nil {
+		log.Warn("stopped before the drain was complete", zap.Error(err))
+	}
+	daemon.Kill()
+	return subcommands.ExitSuccess
+}
+
+func newLog(level string) (*zap.Logger, error) {
+	config := zap.NewProductionConfig()
+	parsed, err := zap.ParseAtomicLevel(level)
+	if err != nil {
+		return nil, fmt.Errorf("logLevel: %w", err)
+	}
+	config.Level = parsed
+	config.Sampling = nil
+	return config.Build()
+}
+
+// fail prints an error and returns the exit status of a failure.
+func fail(err error) subcommands.ExitStatus {
+	fmt.Fprintln(os.Stderr, "berylspoke:", err)
+	return subcommands.ExitFailure
+}
--- /dev/null
+++ b/core/berylconfig/fold.go
@@ -0,0 +1,73 @@
+package berylconfig
+
+// This file defines the state in force and the rule that folds entries into it.
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+
+	"berylspoke"
+)
+
+// Hash chains the accepted patches of a version.
+type Hash [sha256.Size]byte
+
+// Short returns the first bytes of the hash for logs and messages.
+func (hash Hash) Short() string { return hex.EncodeToString(hash[:6]) }
+
+// State is the outcome of folding every entry up to Number.
+type State struct {
+	Number       berylspoke.EntryNumber
+	Version      berylspoke.ConfigVersion
+	Hash         Hash
+	Declarations *Declarations
+}
+
+// Empty returns the state before the first entry.
+func Empty() *State { return &State{Declarations: new(Declarations)} }
+
+// Outcome tells operators what became of one entry.
+type Outcome struct {
+	Number   berylspoke.EntryNumber   `json:"number"`
+	Accepted bool                     `json:"accepted"`
+	Version  berylspoke.ConfigVersion `json:"version"`
+	Problem  string                   `json:"problem,omitempty"`
+}
+
+// Fold returns the state after the entry, which must follow the last one
+// folded; a rejected entry only advances the number.
+func (state *State) Fold(entry berylspoke.Published) (*State, Outcome) {
+	next := *state
+	next.Number = entry.Number
+	outcome := Outcome{Number: entry.Number, Version: state.Version}
+	patch, err := ParsePatch(entry.Body)
+	if err != nil {
+		outcome.Problem = err.Error()
+		return &next, outcome
+	}
+	if patch.Base != state.Version {
+		// Two operators made a patch against the same version; the second one
+		// published would undo the first unseen. All readers see the same
+		// order, so all reject the same one.
+		outcome.Problem = fmt.Sprintf("patch was made against version %d, in force is %d", patch.Base, state.Version)
+		return &next, outcome
+	}
+	declarations := patch.Apply(state.Declarations)
+	if faults := declarations.Validate(); len(faults) > 0 {
+		outcome.Problem = fmt.Sprintf("%s (%d faults)", faults[0], len(faults))
+		return &next, outcome
+	}
+	next.Version++
+	next.Hash = chain(state.Hash, entry.Body)
+	next.Declarations = declarations
+	outcome.Accepted, outcome.Version = true, next.Version
+	return &next, outcome
+}
+
+func chain(previous Hash, body []byte) Hash {
+	digest := sha256.New()
+	digest.Write(previous[:])
+	digest.Write(body)
+	return Hash(digest.Sum(nil))
+}
--- /dev/null
+++ b/core/berylmember/rendezvous.go
@@ -0,0 +1,81 @@
+package berylmember
+
+// This file defines rendezvous hashing and the ring of heartbeat links.
+
+import (
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+
+	"berylspoke"
+)
+
+// Score ranks a VM for a key; the highest score holds the key.
+func Score(key string, vm berylspoke.VMID) uint64 {
+	digest := xxhash.New()
+	_, _ = digest.WriteString(key)
+	_, _ = digest.Write([]byte{0})
+	_, _ = digest.WriteString(string(vm))
+	return digest.Sum64()
+}
+
+// Holder returns the VM with the highest score for the key, or "" for none.
+func Holder(key string, vms []berylspoke.VMID) berylspoke.VMID {
+	var best berylspoke.VMID
+	var top uint64
+	for _, vm := range vms {
+		if score := Score(key, vm); best == "" || score > top {
+			best, top = vm, score
+		}
+	}
+	return best
+}
+
+// Ranked returns up to count VMs in falling score for the key.
+func Ranked(key string, vms []berylspoke.VMID, count int) []berylspoke.VMID {
+	ranked := append([]berylspoke.VMID(nil), vms...)
+	scores := make(map[berylspoke.VMID]uint64, len(vms))
+	for _, vm := range vms {
+		scores[vm] = Score(key, vm)
+	}
+	sort.Slice(ranked, func(i, j int) bool { return scores[ranked[i]] > scores[ranked[j]] })
+	return ranked[:min(count, len(ranked))]
+}
+
+// linkDistances are the ring distances at which a daemon sends heartbeats; the
+// two nearest are both kept so that one lost successor leaves a monitor.
+var linkDistances = []int{1, 2, 8, 32, 128, 512}
+
+// ring orders VMs by hash, so that neighbours on it are unlikely to share a
+// failure domain.
+func ring(vms []berylspoke.VMID) []berylspoke.VMID {
+	ordered := append([]berylspoke.VMID(nil), vms...)
+	sort.Slice(ordered, func(i, j int) bool {
+		left, right := xxhash.Sum64String(string(ordered[i])), xxhash.Sum64String(string(ordered[j]))
+		return left < right || left == right && ordered[i] < ordered[j]
+	})
+	return ordered
+}
+
+// links returns the VMs that self sends heartbeats to and those it monitors.
+func links(self berylspoke.VMID, vms []berylspoke.VMID) (out, in []berylspoke.VMID) {
+	ordered := ring(vms)
+	place := -1
+	for i, vm := range ordered {
+		if vm == self {
+			place = i
+		}
+	}
+	if place < 0 {
+		return nil, nil
+	}
+	count := len(ordered)
+	for _, distance := range linkDistances {
+		if distance >= count {
+			break
+		}
+		out = append(out, ordered[(place+distance)%count])
+		in = append(in, ordered[(place-distance+count)%count])
+	}
+	return out, in
+}
--- /dev/null
+++ b/core/berylmember/rumour.go
@@ -0,0 +1,62 @@
+package berylmember
+
+// This file defines heartbeats, rumours and the order between rumours.
+
+import (
+	"berylspoke"
+)
+
+// Status is what the fleet believes of one daemon.
+type Status uint8
+
+// The statuses in the order in which one overrides another of equal counter.
+const (
+	Alive Status = iota
+	Suspect
+	Dead
+)
+
+// String returns the status as dumped.
+func (status Status) String() string {
+	return [...]string{"alive", "suspect", "dead"}[status]
+}
+
+// Rumour is one belief about one daemon; a higher incarnation, then a higher
+// counter, then a higher status wins.
+type Rumour struct {
+	Process berylspoke.Process
+	Counter uint32
+	Status  Status
+	Leaving bool
+}
+
+func (rumour Rumour) overrides(old Rumour) bool {
+	if rumour.Process.Incarnation != old.Process.Incarnation {
+		return rumour.Process.Incarnation > old.Process.Incarnation
+	}
+	if rumour.Counter != old.Counter {
+		return rumour.Counter > old.Counter
+	}
+	return rumour.Status > old.Status
+}
+
+// ServiceTime is the virtual time of one service as a daemon knows it.
+type ServiceTime struct {
+	Service berylspoke.ServiceID
+	Time    berylspoke.Tag
+}
+
+// Heartbeat proves that its sender is alive and carries what spreads.
+type Heartbeat struct {
+	Self    Rumour
+	Number  berylspoke.EntryNumber
+	Serving bool
+	Sync    bool
+	Rumours []Rumour
+	Times   []ServiceTime
+}
+
+// PeerMessage implements berylspoke.Message.
+func (Heartbeat) PeerMessage() {}
+
+var _ berylspoke.Message = Heartbeat{}
--- /dev/null
+++ b/core/berylmember/table.go
@@ -0,0 +1,377 @@
+package berylmember
+
+// This file defines the membership table of one daemon.
+
+import (
+	"sort"
+	"time"
+
+	"berylspoke"
+)
+
+// Options are the times of failure detection.
+type Options struct {
+	// Interval is the time between two heartbeats on one link.
+	Interval time.Duration
+	// SuspectAfter is the silence after which a monitor suspects a daemon.
+	SuspectAfter time.Duration
+	// DeadAfter is the time a suspicion stands unrefuted before it counts.
+	DeadAfter time.Duration
+	// ReviveEvery is the time between two heartbeats to a dead neighbour.
+	ReviveEvery time.Duration
+}
+
+// DefaultOptions detects a lost daemon in about four seconds.
+func DefaultOptions() Options {
+	return Options{
+		Interval:     time.Second,
+		SuspectAfter: 2500 * time.Millisecond,
+		DeadAfter:    time.Second,
+		ReviveEvery:  4 * time.Second,
+	}
+}
+
+const (
+	// rumourRounds is how often one rumour goes out on each link; a repeat
+	// covers a lost datagram.
+	rumourRounds = 2
+	// rumoursPerBeat keeps a heartbeat within one datagram.
+	rumoursPerBeat = 16
+)
+
+// Member is one daemon as this one knows it.
+type Member struct {
+	VM      berylspoke.VM
+	Rumour  Rumour
+	Listed  bool
+	Heard   time.Time
+	Changed time.Time
+	// Number is the last configuration entry the member said it has.
+	Number  berylspoke.EntryNumber
+	Serving bool
+}
+
+// Table is the membership as one daemon knows it.
+type Table struct {
+	options  Options
+	self     *Member
+	members  map[berylspoke.VMID]*Member
+	pending  map[berylspoke.VMID]int
+	out, in  []berylspoke.VMID
+	watched  map[berylspoke.VMID]time.Time
+	lastBeat time.Time
+	revived  time.Time
+	urgent   bool
+	live     []berylspoke.VMID
+}
+
+// NewTable returns the table of a daemon that knows only itself.
+func NewTable(now time.Time, vm berylspoke.VM, incarnation berylspoke.Incarnation, options Options) *Table {
+	process := berylspoke.Process{VM: vm.ID, Incarnation: incarnation}
+	self := &Member{VM: vm, Rumour: Rumour{Process: process}, Listed: true, Heard: now, Serving: true}
+	table := &Table{
+		options: options,
+		self:    self,
+		members: map[berylspoke.VMID]*Member{vm.ID: self},
+		pending: map[berylspoke.VMID]int{vm.ID: rumourRounds},
+		watched: make(map[berylspoke.VMID]time.Time),
+	}
+	table.relink(now)
+	return table
+}
+
+// Self returns this daemon's process.
+func (table *Table) Self() berylspoke.Process { return table.self.Rumour.Process }
+
+// Leave announces that this daemon takes no new roles.
+func (table *Table) Leave(now time.Time) {
+	table.self.Rumour.Leaving = true
+	table.self.Rumour.Counter++
+	table.spread(table.self.VM.ID)
+	table.relink(now)
+}
+
+// SetListed takes the platform's list; a VM that is not on it holds no role.
+func (table *Table) SetListed(now time.Time, vms []berylspoke.VM) {
+	listed := make(map[berylspoke.VMID]bool, len(vms))
+	for _, vm := range vms {
+		listed[vm.ID] = true
+		member := table.member(vm.ID)
+		if vm.ID != table.self.VM.ID {
+			member.VM = vm
+		} else if vm.Leaving && !table.self.Rumour.Leaving {
+			table.Leave(now)
+		}
+		member.Listed = true
+		member.VM.Leaving = vm.Leaving
+	}
+	for id, member := range table.members {
+		if listed[id] || member == table.self {
+			continue
+		}
+		delete(table.members, id)
+		delete(table.pending, id)
+	}
+	table.relink(now)
+}
+
+func (table *Table) member(id berylspoke.VMID) *Member {
+	member := table.members[id]
+	if member == nil {
+		member = &Member{VM: berylspoke.VM{ID: id}, Rumour: Rumour{Process: berylspoke.Process{VM: id}}}
+		table.members[id] = member
+	}
+	return member
+}
+
+// Member returns what is known of a VM, or nil.
+func (table *Table) Member(id berylspoke.VMID) *Member { return table.members[id] }
+
+// Known returns the current incarnation of a VM, or zero.
+func (table *Table) Known(id berylspoke.VMID) berylspoke.Incarnation {
+	if member := table.members[id]; member != nil {
+		return member.Rumour.Process.Incarnation
+	}
+	return 0
+}
+
+// Live returns the listed VMs that are neither leaving nor dead, sorted by id.
+func (table *Table) Live() []berylspoke.VMID { return table.live }
+
+// Links returns the VMs this daemon exchanges heartbeats with.
+func (table *Table) Links() []berylspoke.VMID {
+	seen := make(map[berylspoke.VMID]bool)
+	var both []berylspoke.VMID
+	for _, id := range append(append([]berylspoke.VMID(nil), table.out...), table.in...) {
+		if !seen[id] {
+			seen[id] = true
+			both = append(both, id)
+		}
+	}
+	return both
+}
+
+// All returns every known VM sorted by id.
+func (table *Table) All() []*Member {
+	all := make([]*Member, 0, len(table.members))
+	for _, member := range table.members {
+		all = append(all, member)
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].VM.ID < all[j].VM.ID })
+	return all
+}
+
+// relink recomputes the live list and the links after a change.
+func (table *Table) relink(now time.Time) {
+	var live, linked []berylspoke.VMID
+	for id, member := range table.members {
+		if !member.Listed || member.Rumour.Status == Dead {
+			continue
+		}
+		linked = append(linked, id)
+		if !member.Rumour.Leaving && !member.VM.Leaving {
+			live = append(live, id)
+		}
+	}
+	sort.Slice(live, func(i, j int) bool { return live[i] < live[j] })
+	table.live = live
+	table.out, table.in = links(table.self.VM.ID, linked)
+	watched := make(map[berylspoke.VMID]time.Time, len(table.in))
+	for _, id := range table.in {
+		since, ok := table.watched[id]
+		if !ok {
+			since = now
+		}
+		watched[id] = since
+	}
+	table.watched = watched
+}
+
+func (table *Table) spread(id berylspoke.VMID) {
+	table.pending[id] = rumourRounds
+	table.urgent = true
+}
+
+// Hear takes a heartbeat and returns the reply to send, if any.
+func (table *Table) Hear(now time.Time, beat Heartbeat) *Heartbeat {
+	from := beat.Self.Process.VM
+	member := table.members[from]
+	if member == nil {
+		// A new VM may start before the platform lists it; it holds no role
+		// until listed, but its heartbeat must not be lost on us.
+		member = table.member(from)
+	}
+	if beat.Self.Process.Incarnation < member.Rumour.Process.Incarnation {
+		return nil
+	}
+	member.Heard, member.Number, member.Serving = now, beat.Number, beat.Serving
+	wronged := member.Rumour.Status != Alive && member.Rumour.Process == beat.Self.Process &&
+		member.Rumour.Counter >= beat.Self.Counter
+	table.accept(now, beat.Self)
+	for _, rumour := range beat.Rumours {
+		table.accept(now, rumour)
+	}
+	if beat.Sync {
+		reply := table.beat(table.rumours(len(table.members)))
+		return &reply
+	}
+	if wronged {
+		// A rejoined daemon learns here that it was declared dead, and
+		// refutes it with a higher counter.
+		reply := table.beat([]Rumour{member.Rumour})
+		return &reply
+	}
+	return nil
+}
+
+func (table *Table) accept(now time.Time, rumour Rumour) {
+	id := rumour.Process.VM
+	if id == table.self.VM.ID {
+		table.refute(rumour)
+		return
+	}
+	member := table.members[id]
+	if member == nil || !rumour.overrides(member.Rumour) {
+		return
+	}
+	member.Rumour, member.Changed = rumour, now
+	if rumour.Status == Alive {
+		member.Heard = now
+	}
+	table.spread(id)
+	table.relink(now)
+}
+
+// refute answers a rumour that wrongs this daemon: a monitor behind a cut link,
+// or a pause of ours, made the fleet believe us dead.
+func (table *Table) refute(rumour Rumour) {
+	if rumour.Process.Incarnation != table.self.Rumour.Process.Incarnation || rumour.Status == Alive {
+		return
+	}
+	if rumour.Counter >= table.self.Rumour.Counter {
+		table.self.Rumour.Counter = rumour.Counter + 1
+		table.spread(table.self.VM.ID)
+	}
+}
+
+// Due is a heartbeat and the VMs that get it.
+type Due struct {
+	To   []berylspoke.VMID
+	Beat Heartbeat
+}
+
+// Tick advances failure detection and returns the heartbeats due.
+func (table *Table) Tick(now time.Time) []Due {
+	table.detect(now)
+	periodic := now.Sub(table.lastBeat) >= table.options.Interval
+	if !periodic && !table.urgent {
+		return nil
+	}
+	var due []Due
+	rumours := table.take()
+	if len(rumours) > 0 {
+		due = append(due, Due{To: table.Links(), Beat: table.beat(rumours)})
+		table.lastBeat = now
+	} else if periodic {
+		due = append(due, Due{To: table.out, Beat: table.beat(nil)})
+		table.lastBeat = now
+	}
+	table.urgent = false
+	if now.Sub(table.revived) >= table.options.ReviveEvery {
+		table.revived = now
+		if dead := table.deadNeighbour(now); dead != "" {
+			due = append(due, Due{To: []berylspoke.VMID{dead}, Beat: table.beat(nil)})
+		}
+	}
+	return due
+}
+
+// detect suspects silent members and lets old suspicions count. A monitor that
+// was paused itself has heard nobody: the caller resets it by Resume.
+func (table *Table) detect(now time.Time) {
+	for id, since := range table.watched {
+		member := table.members[id]
+		if member == nil || member.Rumour.Status != Alive || member.Rumour.Process.Incarnation == 0 && !member.Listed {
+			continue
+		}
+		last := member.Heard
+		if since.After(last) {
+			last = since
+		}
+		if now.Sub(last) > table.options.SuspectAfter {
+			table.mark(now, member, Suspect)
+		}
+	}
+	for _, member := range table.members {
+		if member.Rumour.Status == Suspect && now.Sub(member.Changed) > table.options.DeadAfter {
+			table.mark(now, member, Dead)
+		}
+	}
+}
+
+func (table *Table) mark(now time.Time, member *Member, status Status) {
+	member.Rumour.Status, member.Changed = status, now
+	table.spread(member.VM.ID)
+	table.relink(now)
+}
+
+// Resume forgets silence that this daemon slept through: after a pause every
+// member looks silent although only we were.
+func (table *Table) Resume(now time.Time) {
+	for id := range table.watched {
+		table.watched[id] = now
+	}
+	for _, member := range table.members {
+		if member.Rumour.Status == Suspect {
+			member.Changed = now
+		}
+	}
+}
+
+// deadNeighbour picks, in turn, a listed dead VM to greet, so that the sides of
+// a healed partition find each other.
+func (table *Table) deadNeighbour(now time.Time) berylspoke.VMID {
+	var dead []berylspoke.VMID
+	for id, member := range table.members {
+		if member.Listed && member.Rumour.Status == Dead {
+			dead = append(dead, id)
+		}
+	}
+	if len(dead) == 0 {
+		return ""
+	}
+	sort.Slice(dead, func(i, j int) bool { return dead[i] < dead[j] })
+	return dead[int(now.UnixNano()/int64(table.options.ReviveEvery))%len(dead)]
+}
+
+// take removes the rumours that go out now; the rest waits for the next beat.
+func (table *Table) take() []Rumour {
+	var rumours []Rumour
+	for id := range table.pending {
+		if len(rumours) == rumoursPerBeat {
+			break
+		}
+		if member := table.members[id]; member != nil {
+			rumours = append(rumours, member.Rumour)
+		}
+		table.pending[id]--
+		if table.pending[id] <= 0 {
+			delete(table.pending, id)
+		}
+	}
+	return rumours
+}
+
+func (table *Table) rumours(limit int) []Rumour {
+	var rumours []Rumour
+	for _, member := range table.members {
+		if len(rumours) < limit && member != table.self && member.Rumour.Process.Incarnation != 0 {
+			rumours = append(rumours, member.Rumour)
+		}
+	}
+	return rumours
+}
+
+func (table *Table) beat(rumours []Rumour) Heartbeat {
+	return Heartbeat{Self: table.self.Rumour, Rumours: rumours}
+}
--- /dev/null
+++ b/core/berylslot/holder.go
@@ -0,0 +1,412 @@
+package berylslot
+
+// This file defines the entry's side of leases.
+
+import (
+	"sort"
+	"time"
+
+	"berylspoke"
+)
+
+const (
+	// LeaseLife is the time an entry starts requests on a lease after it sent
+	// the ask that the lease answers.
+	LeaseLife = 6 * time.Second
+	// refreshAfter is the time after which an entry in use renews its leases.
+	refreshAfter = 2 * time.Second
+	// repeatAfter is the time after which an entry without idle slots asks for
+	// some in advance.
+	repeatAfter = 250 * time.Millisecond
+	// overtakeAfter bounds how often a lower first tag is told.
+	overtakeAfter = 50 * time.Millisecond
+	// askTags is the number of waiting requests an ask describes.
+	askTags = 8
+	// activeFor is the time after its last request that an entry keeps leases.
+	activeFor = 10 * time.Second
+)
+
+// holding is what this entry holds and uses of one target.
+type holding struct {
+	held, used int
+	pace       time.Duration
+}
+
+// keeperView is one keeper as this entry knows it.
+type keeperView struct {
+	process   berylspoke.Process
+	sequence  uint32
+	applied   uint32
+	answered  uint32
+	sentAt    [8]time.Time
+	lastSent  time.Time
+	valid     time.Time
+	contended bool
+	threshold berylspoke.Tag
+	time      berylspoke.Tag
+	// started is the highest tag started on this keeper's targets.
+	started berylspoke.Tag
+	granted time.Time
+	targets map[berylspoke.TargetID]*holding
+	dirty   bool
+	// told and toldHead are what the last ask said of the queue.
+	told     int
+	toldHead berylspoke.Tag
+}
+
+// Holder holds the leases of one entry for one service.
+type Holder struct {
+	self    berylspoke.Process
+	service berylspoke.ServiceID
+	keepers map[berylspoke.VMID]*keeperView
+	active  time.Time
+}
+
+// NewHolder returns a holder without leases.
+func NewHolder(self berylspoke.Process, service berylspoke.ServiceID) *Holder {
+	return &Holder{self: self, service: service, keepers: make(map[berylspoke.VMID]*keeperView)}
+}
+
+func (holder *Holder) keeper(vm berylspoke.VMID) *keeperView {
+	view := holder.keepers[vm]
+	if view == nil {
+		view = &keeperView{targets: make(map[berylspoke.TargetID]*holding)}
+		holder.keepers[vm] = view
+	}
+	return view
+}
+
+// Take applies a lease; one overtaken by a newer one is dropped.
+func (holder *Holder) Take(lease Lease) {
+	view := holder.keepers[lease.From.VM]
+	if view == nil {
+		return
+	}
+	if view.process != lease.From {
+		if lease.From.Incarnation < view.process.Incarnation {
+			return
+		}
+		view.process, view.applied, view.answered = lease.From, 0, 0
+		view.valid = time.Time{}
+	}
+	if lease.Sequence <= view.applied {
+		return
+	}
+	view.applied = lease.Sequence
+	view.contended, view.threshold, view.time = lease.Contended, lease.Threshold, lease.Time
+	if lease.Answers > view.answered && lease.Answers <= view.sequence {
+		view.answered = lease.Answers
+		if view.sequence-lease.Answers < uint32(len(view.sentAt)) {
+			view.valid = view.sentAt[lease.Answers%uint32(len(view.sentAt))].Add(LeaseLife)
+		}
+	}
+	named := make(map[berylspoke.TargetID]bool, len(lease.Grants))
+	for _, grant := range lease.Grants {
+		named[grant.Target] = true
+		held := view.targets[grant.Target]
+		if held == nil {
+			held = new(holding)
+			view.targets[grant.Target] = held
+		}
+		if grant.Slots < held.held {
+			// A recall waits for this confirmation before others get the slot.
+			view.dirty = true
+		}
+		held.held = max(grant.Slots, held.used)
+	}
+	for target, held := range view.targets {
+		if !named[target] {
+			held.held = held.used
+		}
+	}
+}
+
+// Place is a target together with the keeper that leased it.
+type Place struct {
+	Keeper berylspoke.VMID
+	Target berylspoke.TargetID
+}
+
+// Free lists the places where a request of the given tag may start now, the
+// ones with the most idle slots first. The life of a lease counts from the
+// sending of the ask it answers: an entry that was paused wakes up with leases
+// that its keeper may have given to others, and must find them expired.
+func (holder *Holder) Free(now time.Time) []Place {
+	type candidate struct {
+		place Place
+		idle  int
+	}
+	var candidates []candidate
+	for vm, view := range holder.keepers {
+		if now.After(view.valid) {
+			continue
+		}
+		for target, held := range view.targets {
+			if held.held > held.used {
+				candidates = append(candidates, candidate{Place{vm, target}, held.held - held.used})
+			}
+		}
+	}
+	sort.Slice(candidates, func(i, j int) bool {
+		left, right := candidates[i], candidates[j]
+		return left.idle > right.idle || left.idle == right.idle && left.place.Target < right.place.Target
+	})
+	places := make([]Place, len(candidates))
+	for i, candidate := range candidates {
+		places[i] = candidate.place
+	}
+	return places
+}
+
+// Start uses a slot for a request of the given tag.
+func (holder *Holder) Start(now time.Time, place Place, tag berylspoke.Tag) {
+	view := holder.keepers[place.Keeper]
+	view.targets[place.Target].used++
+	view.granted = now
+	view.started = max(view.started, tag)
+	holder.active = now
+}
+
+// Finish ends the use of a slot. The slot is kept if nobody is waiting
+// elsewhere or if the next request here, of tag next, is within the threshold;
+// otherwise it goes back at once.
+func (holder *Holder) Finish(now time.Time, place Place, next berylspoke.Tag, waiting bool) {
+	holder.active = now
+	view, held := holder.find(place)
+	if held == nil {
+		return
+	}
+	held.used--
+	if held.held <= held.used {
+		return
+	}
+	if now.After(view.valid) || view.contended && !(waiting && next <= view.threshold) {
+		held.held = held.used
+		view.dirty = true
+	}
+}
+
+// find returns the slots of a place, which another keeper may have taken over
+// since the request started.
+func (holder *Holder) find(place Place) (*keeperView, *holding) {
+	if view := holder.keepers[place.Keeper]; view != nil && view.targets[place.Target] != nil {
+		return view, view.targets[place.Target]
+	}
+	for _, view := range holder.keepers {
+		if held := view.targets[place.Target]; held != nil {
+			return view, held
+		}
+	}
+	return nil, nil
+}
+
+// Move tells the new keeper of a target what still runs there: a keeper that
+// took the target over starts empty and would otherwise lease those slots again.
+func (holder *Holder) Move(target berylspoke.TargetID, to berylspoke.VMID) {
+	for vm, view := range holder.keepers {
+		held := view.targets[target]
+		if vm == to || held == nil {
+			continue
+		}
+		delete(view.targets, target)
+		view.dirty = true
+		if held.used == 0 || to == "" {
+			continue
+		}
+		next := holder.keeper(to)
+		if there := next.targets[target]; there != nil {
+			held.used += there.used
+		}
+		held.held = held.used
+		next.targets[target] = held
+		next.dirty = true
+	}
+}
+
+// Pace notes the time between tokens seen on a target.
+func (holder *Holder) Pace(place Place, pace time.Duration) {
+	_, held := holder.find(place)
+	if held == nil || pace <= 0 {
+		return
+	}
+	if held.pace == 0 {
+		held.pace = pace
+	}
+	held.pace += (pace - held.pace) / 8
+}
+
+// Release gives back idle slots of contended keepers that nothing here waits
+// for.
+func (holder *Holder) Release(waiting int) {
+	if waiting > 0 {
+		return
+	}
+	for _, view := range holder.keepers {
+		if !view.contended {
+			continue
+		}
+		for _, held := range view.targets {
+			if held.held > held.used {
+				held.held = held.used
+				view.dirty = true
+			}
+		}
+	}
+}
+
+// Drop forgets a keeper that died; requests running on its targets go on and
+// are told to the next keeper of the target.
+func (holder *Holder) Drop(vm berylspoke.VMID) {
+	if view := holder.keepers[vm]; view != nil {
+		view.valid = time.Time{}
+		view.applied, view.answered = 0, 0
+		view.process = berylspoke.Process{}
+	}
+}
+
+// Time returns the virtual time of the pool, the lowest among the given keepers
+// whose lease is valid, and whether there is one. Without a valid lease the time
+// known may be old.
+func (holder *Holder) Time(now time.Time, keepers []berylspoke.VMID) (berylspoke.Tag, bool) {
+	lowest, found := berylspoke.Tag(0), false
+	for _, vm := range keepers {
+		view := holder.keepers[vm]
+		if view == nil || now.After(view.valid) || view.time == 0 {
+			continue
+		}
+		if time := max(view.time, view.started); !found || time < lowest {
+			lowest, found = time, true
+		}
+	}
+	return lowest, found
+}
+
+// Need is what an entry wants of its keepers at one moment.
+type Need struct {
+	Waiting int
+	Tags    []berylspoke.Tag
+	Time    berylspoke.Tag
+}
+
+// Asks returns the asks due to the keepers; keepers not listed are asked only
+// while slots of theirs are in use.
+func (holder *Holder) Asks(now time.Time, keepers []berylspoke.VMID, need Need) []AddressedAsk {
+	asked := make(map[berylspoke.VMID]bool, len(keepers))
+	for _, vm := range keepers {
+		asked[vm] = true
+		holder.keeper(vm)
+	}
+	vms := make([]berylspoke.VMID, 0, len(holder.keepers))
+	for vm := range holder.keepers {
+		vms = append(vms, vm)
+	}
+	sort.Slice(vms, func(i, j int) bool { return vms[i] < vms[j] })
+	var asks []AddressedAsk
+	for _, vm := range vms {
+		view := holder.keepers[vm]
+		if !asked[vm] && view.used() == 0 {
+			delete(holder.keepers, vm)
+			continue
+		}
+		wanted := need
+		if !asked[vm] {
+			wanted = Need{Time: need.Time}
+		}
+		if holder.due(now, view, wanted) {
+			asks = append(asks, AddressedAsk{vm, holder.ask(now, view, wanted)})
+		}
+	}
+	return asks
+}
+
+// AddressedAsk is an ask and the VM of the keeper it is for.
+type AddressedAsk struct {
+	To  berylspoke.VMID
+	Ask Ask
+}
+
+func (view *keeperView) used() int {
+	used := 0
+	for _, held := range view.targets {
+		used += held.used
+	}
+	return used
+}
+
+func (view *keeperView) idle() int {
+	idle := 0
+	for _, held := range view.targets {
+		idle += held.held - held.used
+	}
+	return idle
+}
+
+// due says whether a keeper must hear from this entry now.
+func (holder *Holder) due(now time.Time, view *keeperView, need Need) bool {
+	silent := now.Sub(view.lastSent)
+	if view.dirty {
+		return true
+	}
+	if need.Waiting > 0 {
+		grew := need.Waiting > view.told && view.told < askTags
+		overtook := len(need.Tags) > 0 && need.Tags[0] < view.toldHead
+		return grew || overtook && silent >= overtakeAfter || silent >= refreshAfter
+	}
+	busy := view.used() > 0 || view.idle() > 0 && now.Sub(holder.active) < activeFor
+	if !busy {
+		return false
+	}
+	short := view.idle() == 0 && !view.contended && silent >= repeatAfter
+	return silent >= refreshAfter || short && now.Sub(holder.active) < time.Second
+}
+
+func (holder *Holder) ask(now time.Time, view *keeperView, need Need) Ask {
+	view.sequence++
+	view.sentAt[view.sequence%uint32(len(view.sentAt))] = now
+	view.lastSent = now
+	view.dirty = false
+	view.told = need.Waiting
+	view.toldHead = 0
+	if len(need.Tags) > 0 {
+		view.toldHead = need.Tags[0]
+	}
+	ask := Ask{
+		From: holder.self, Service: holder.service,
+		Sequence: view.sequence, Applied: view.applied,
+		Waiting: need.Waiting, Tags: need.Tags, Time: need.Time, Started: view.started,
+	}
+	for target, held := range view.targets {
+		if held.held == 0 && held.used == 0 {
+			delete(view.targets, target)
+			continue
+		}
+		ask.Holds = append(ask.Holds, Hold{target, held.held, held.used, held.pace})
+	}
+	sort.Slice(ask.Holds, func(i, j int) bool { return ask.Holds[i].Target < ask.Holds[j].Target })
+	return ask
+}
+
+// AskTags is the number of tags an ask describes.
+const AskTags = askTags
+
+// HeldSlot is the state of one target's slots for the dump.
+type HeldSlot struct {
+	Keeper berylspoke.VMID     `json:"keeper"`
+	Target berylspoke.TargetID `json:"target"`
+	Held   int                 `json:"held"`
+	Used   int                 `json:"used"`
+}
+
+// Held lists the slots held.
+func (holder *Holder) Held() []HeldSlot {
+	var list []HeldSlot
+	for vm, view := range holder.keepers {
+		for target, held := range view.targets {
+			list = append(list, HeldSlot{vm, target, held.held, held.used})
+		}
+	}
+	sort.Slice(list, func(i, j int) bool {
+		return list[i].Target < list[j].Target || list[i].Target == list[j].Target && list[i].Keeper < list[j].Keeper
+	})
+	return list
+}
--- /dev/null
+++ b/io/berylserve/callers.go
@@ -0,0 +1,196 @@
+package berylserve
+
+// This file defines the callers' server, its limits and the proof of who calls.
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/net/netutil"
+
+	"berylspoke"
+	"berylspoke/io/berylsettings"
+)
+
+const (
+	verdictHeader = "Berylspoke-Verdict"
+	idHeader      = "Berylspoke-Id"
+	// idleTimeout closes callers' connections that carry nothing.
+	idleTimeout = 60 * time.Second
+)
+
+type wireError struct {
+	Reason     string `json:"reason"`
+	Verdict    string `json:"verdict"`
+	RetryAfter int64  `json:"retryAfterMs,omitempty"`
+	Message    string `json:"message"`
+	Ticket     string `json:"ticket,omitempty"`
+}
+
+type wireFailure struct {
+	Error wireError `json:"error"`
+}
+
+type wireResolve struct {
+	Addresses []string `json:"addresses"`
+	KeepMs    int      `json:"keepMs"`
+	Ticket    string   `json:"ticket"`
+	Owner     string   `json:"owner"`
+	Calls     int      `json:"calls"`
+}
+
+// caller is the proven identity of a request's sender.
+type caller struct {
+	organisation berylspoke.OrganisationID
+}
+
+func (daemon *Daemon) serveCallers() (*http.Server, error) {
+	listener, err := net.Listen("tcp", daemon.settings.CallAddress)
+	if err != nil {
+		return nil, errors.Wrap(err, "callers' address cannot be opened")
+	}
+	listener = netutil.LimitListener(listener, daemon.settings.Callers.MaxConnections)
+	server := &http.Server{
+		Handler:           daemon.callerRoutes(),
+		ReadHeaderTimeout: berylsettings.Millis(daemon.settings.Callers.ReadMillis),
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    daemon.settings.Callers.MaxHeaderBytes,
+	}
+	go func() {
+		if tls := daemon.settings.CallTLS; tls != nil {
+			_ = server.ServeTLS(listener, tls.CertificateFile, tls.KeyFile)
+			return
+		}
+		_ = server.Serve(listener)
+	}()
+	return server, nil
+}
+
+func (daemon *Daemon) callerRoutes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/resolve", daemon.known(daemon.serveResolve))
+	mux.HandleFunc("POST /v1/services/{service}/drafts", daemon.known(daemon.serveDraft))
+	mux.HandleFunc("GET /v1/calls/{id}", daemon.known(daemon.serveOutcome))
+	mux.HandleFunc("/v1/services/{service}/calls/{path...}", daemon.known(daemon.serveCall))
+	mux.HandleFunc("/", func(writer http.ResponseWriter, _ *http.Request) {
+		daemon.refuse(writer, http.StatusNotFound, &berylspoke.Refusal{
+			Verdict: berylspoke.NotRun, Reason: berylspoke.ReasonMalformed, Cause: errors.New("no such path"),
+		})
+	})
+	return mux
+}
+
+// known serves a request whose key belongs to an organisation, within the
+// bounds of time and size.
+func (daemon *Daemon) known(serve func(http.ResponseWriter, *http.Request, caller)) http.HandlerFunc {
+	return func(writer http.ResponseWriter, request *http.Request) {
+		daemon.active.Add(1)
+		defer daemon.active.Add(-1)
+		key, _ := strings.CutPrefix(request.Header.Get("Authorization"), "Bearer ")
+		organisation, known := daemon.keys.Load().organisation(key)
+		if !known {
+			daemon.refuseUnknown(writer)
+			return
+		}
+		// A sender that trickles its body would hold a connection for good.
+		deadline := time.Now().Add(berylsettings.Millis(daemon.settings.Callers.ReadMillis))
+		_ = http.NewResponseController(writer).SetReadDeadline(deadline)
+		request.Body = http.MaxBytesReader(writer, request.Body, daemon.settings.Callers.MaxBodyBytes)
+		serve(writer, request, caller{organisation})
+	}
+}
+
+// refuseUnknown refuses a key that no organisation has; a daemon that has no
+// configuration yet cannot tell and says so.
+func (daemon *Daemon) refuseUnknown(writer http.ResponseWriter) {
+	if len(daemon.Declarations().Organisations) == 0 {
+		daemon.refuse(writer, 0, &berylspoke.Refusal{
+			Verdict: berylspoke.NotRun, Reason: berylspoke.ReasonStarting, RetryAfter: time.Second,
+		})
+		return
+	}
+	daemon.refuse(writer, 0, &berylspoke.Refusal{
+		Verdict: berylspoke.NotRun, Reason: berylspoke.ReasonUnauthorised,
+		Cause: errors.New("key belongs to no organisation"),
+	})
+}
+
+// statuses maps reasons to HTTP statuses.
+var statuses = map[berylspoke.Reason]int{
+	berylspoke.ReasonUnauthorised:  http.StatusUnauthorized,
+	berylspoke.ReasonMalformed:     http.StatusBadRequest,
+	berylspoke.ReasonTicket:        http.StatusPreconditionRequired,
+	berylspoke.ReasonUnknown:       http.StatusNotFound,
+	berylspoke.ReasonOrganisation:  http.StatusTooManyRequests,
+	berylspoke.ReasonOverload:      http.StatusServiceUnavailable,
+	berylspoke.ReasonStarting:      http.StatusServiceUnavailable,
+	berylspoke.ReasonDraining:      http.StatusServiceUnavailable,
+	berylspoke.ReasonNoTarget:      http.StatusServiceUnavailable,
+	berylspoke.ReasonWitness:       http.StatusServiceUnavailable,
+	berylspoke.ReasonWaitedTooLong: http.StatusServiceUnavailable,
+	berylspoke.ReasonClosed:        http.StatusConflict,
+	berylspoke.ReasonForgotten:     http.StatusGone,
+	berylspoke.ReasonOwnerLost:     http.StatusBadGateway,
+	berylspoke.ReasonTarget:        http.StatusBadGateway,
+}
+
+func failureOf(refusal *berylspoke.Refusal) wireFailure {
+	return wireFailure{Error: wireError{
+		Reason: string(refusal.Reason), Verdict: refusal.Verdict.String(),
+		RetryAfter: refusal.RetryAfter.Milliseconds(), Message: refusal.Error(),
+	}}
+}
+
+// refuse writes a refusal; a zero status means the one of the reason.
+func (daemon *Daemon) refuse(writer http.ResponseWriter, status int, refusal *berylspoke.Refusal) {
+	if status == 0 {
+		status = statuses[refusal.Reason]
+	}
+	if status == 0 {
+		status = http.StatusInternalServerError
+	}
+	if refusal.RetryAfter > 0 {
+		writer.Header().Set("Retry-After", fmt.Sprint(int(math.Ceil(refusal.RetryAfter.Seconds()))))
+	}
+	writer.Header().Set(verdictHeader, refusal.Verdict.String())
+	writer.Header().Set("Content-Type", "application/json")
+	writer.WriteHeader(status)
+	_ = json.NewEncoder(writer).Encode(failureOf(refusal))
+	daemon.countRefusal(refusal)
+}
+
+func malformed(format string, args ...any) *berylspoke.Refusal {
+	return &berylspoke.Refusal{
+		Verdict: berylspoke.NotRun, Reason: berylspoke.ReasonMalformed, Cause: errors.Errorf(format, args...),
+	}
+}
+
+// asRefusal makes any error a refusal; one of unknown origin may have run.
+func asRefusal(err error) *berylspoke.Refusal {
+	var refusal *berylspoke.Refusal
+	if errors.As(err, &refusal) {
+		return refusal
+	}
+	return &berylspoke.Refusal{Verdict: berylspoke.MayHaveRun, Reason: berylspoke.ReasonTarget, Cause: err}
+}
+
+func (daemon *Daemon) serveResolve(writer http.ResponseWriter, request *http.Request, from caller) {
+	reply := make(chan resolved, 1)
+	daemon.send(resolve{from.organisation, reply})
+	select {
+	case <-request.Context().Done():
+	case found := <-reply:
+		writer.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(writer).Encode(wireResolve{
+			Addresses: found.addresses, KeepMs: daemon.settings.Callers.KeepMillis,
+			Ticket: daemon.sealer.Format(from.organisation, found.ticket),
+			Owner:  daemon.settings.CallAddress, Calls: maxCallsPerTicket,
+		})
+	}
+}
--- /dev/null
+++ b/io/berylserve/operators.go
@@ -0,0 +1,92 @@
+package berylserve
+
+// This file defines the operators' server: dump, metrics, drain.
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"berylspoke/core/berylnode"
+)
+
+func (daemon *Daemon) serveOperators() (*http.Server, error) {
+	listener, err := net.Listen("tcp", daemon.settings.OperatorAddress)
+	if err != nil {
+		return nil, errors.Wrap(err, "operators' address cannot be opened")
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /state", daemon.serveState)
+	mux.HandleFunc("GET /metrics", func(writer http.ResponseWriter, _ *http.Request) { daemon.meters.WritePrometheus(writer) })
+	mux.HandleFunc("GET /ready", daemon.serveReady)
+	mux.HandleFunc("POST /drain", daemon.serveDrain)
+	server := &http.Server{Handler: daemon.operatorsOnly(mux), ReadHeaderTimeout: 5 * time.Second, IdleTimeout: idleTimeout}
+	go func() { _ = server.Serve(listener) }()
+	return server, nil
+}
+
+func (daemon *Daemon) operatorsOnly(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		token, _ := strings.CutPrefix(request.Header.Get("Authorization"), "Bearer ")
+		if !sameToken(token, daemon.settings.OperatorToken) {
+			http.Error(writer, "operator token is wrong", http.StatusUnauthorized)
+			return
+		}
+		next.ServeHTTP(writer, request)
+	})
+}
+
+// Dump is the state of a daemon's process.
+type Dump struct {
+	berylnode.State
+	Connections int               `json:"peerConnections"`
+	Control     map[string]uint64 `json:"controlBytesSent"`
+	Data        map[string]uint64 `json:"dataBytes"`
+	Active      int64             `json:"activeCallers"`
+}
+
+// State returns the dump.
+func (daemon *Daemon) State(ctx context.Context) (Dump, error) {
+	var dump Dump
+	err := daemon.look(ctx, func(now time.Time, node *berylnode.Node) { dump.State = node.State(now) })
+	dump.Connections = daemon.transport.Connections()
+	dump.Control, dump.Data = daemon.controlBytes(), daemon.data.totals()
+	dump.Active = daemon.active.Load()
+	return dump, err
+}
+
+func (daemon *Daemon) serveState(writer http.ResponseWriter, request *http.Request) {
+	dump, err := daemon.State(request.Context())
+	if err != nil {
+		http.Error(writer, "daemon is stopping", http.StatusServiceUnavailable)
+		return
+	}
+	writer.Header().Set("Content-Type", "application/json")
+	encoder := json.NewEncoder(writer)
+	encoder.SetIndent("", "  ")
+	_ = encoder.Encode(dump)
+}
+
+func (daemon *Daemon) serveReady(writer http.ResponseWriter, request *http.Request) {
+	ready := false
+	_ = daemon.look(request.Context(), func(_ time.Time, node *berylnode.Node) { ready = node.Ready() })
+	if !ready {
+		http.Error(writer, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = writer.Write([]byte("ready\n"))
+}
+
+// serveDrain starts a planned stop and answers once no request is left.
+func (daemon *Daemon) serveDrain(writer http.ResponseWriter, request *http.Request) {
+	if err := daemon.Drain(request.Context()); err != nil {
+		http.Error(writer, "drain was interrupted", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = writer.Write([]byte("drained\n"))
+}
--- /dev/null
+++ b/io/berylsettings/settings.go
@@ -0,0 +1,221 @@
+package berylsettings
+
+// This file defines the settings, their defaults and their validation.
+
+import (
+	"encoding/hex"
+	"fmt"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"berylspoke"
+	"berylspoke/core/berylnode"
+	"berylspoke/core/berylshare"
+)
+
+// Settings are what one daemon is told at its start.
+type Settings struct {
+	VM              berylspoke.VMID          `json:"vm"`
+	FailureDomain   berylspoke.FailureDomain `json:"failureDomain"`
+	PeerAddress     string                   `json:"peerAddress"`
+	CallAddress     string                   `json:"callAddress"`
+	OperatorAddress string                   `json:"operatorAddress"`
+	OperatorToken   string                   `json:"operatorToken"`
+	Platform        string                   `json:"platform"`
+	FleetKeys       []string                 `json:"fleetKeys"`
+	CallTLS         *TLS                     `json:"callTLS"`
+	Policy          berylshare.Policy        `json:"policy"`
+	LogLevel        string                   `json:"logLevel"`
+	Callers         Callers                  `json:"callers"`
+	Fairness        Fairness                 `json:"fairness"`
+	Regions         Regions                  `json:"regions"`
+	Targets         Targets                  `json:"targets"`
+}
+
+// TLS names the files of the callers' certificate.
+type TLS struct {
+	CertificateFile string `json:"certificateFile"`
+	KeyFile         string `json:"keyFile"`
+}
+
+// Callers bounds what callers may send.
+type Callers struct {
+	MaxBodyBytes    int64 `json:"maxBodyBytes"`
+	MaxHeaderBytes  int   `json:"maxHeaderBytes"`
+	MaxConnections  int   `json:"maxConnections"`
+	ReadMillis      int   `json:"readMillis"`
+	MaxWaitMillis   int   `json:"maxWaitMillis"`
+	HeartbeatMillis int   `json:"heartbeatMillis"`
+	KeepMillis      int   `json:"keepMillis"`
+}
+
+// Fairness holds the bounds of the service gap, in tokens at weight one.
+type Fairness struct {
+	CatchUpTokens berylspoke.Tokens `json:"catchUpTokens"`
+	LeadTokens    berylspoke.Tokens `json:"leadTokens"`
+	SlackTokens   berylspoke.Tokens `json:"slackTokens"`
+	QuantumTokens berylspoke.Tokens `json:"quantumTokens"`
+	ReportMillis  int               `json:"reportMillis"`
+}
+
+// Regions holds the bounds of work between regions.
+type Regions struct {
+	CrossAfterMillis    int `json:"crossAfterMillis"`
+	CrossBytesPerSecond int `json:"crossBytesPerSecond"`
+}
+
+// Targets holds the times within which targets must show progress.
+type Targets struct {
+	FirstTokenMillis int `json:"firstTokenMillis"`
+	ProgressMillis   int `json:"progressMillis"`
+	CallMillis       int `json:"callMillis"`
+	LoadMillis       int `json:"loadMillis"`
+	PaceMillis       int `json:"paceMillis"`
+}
+
+// Defaults returns the settings that a file starts from.
+func Defaults() Settings {
+	node := berylnode.DefaultOptions()
+	return Settings{
+		Policy:   berylshare.FleetFair,
+		LogLevel: "info",
+		Callers: Callers{
+			MaxBodyBytes: 4 << 20, MaxHeaderBytes: 16 << 10, MaxConnections: 4096,
+			ReadMillis: 10_000, MaxWaitMillis: 120_000, HeartbeatMillis: 2_000, KeepMillis: 30_000,
+		},
+		Fairness: Fairness{
+			CatchUpTokens: berylspoke.Tokens(node.Queue.CatchUp / berylspoke.TagScale),
+			LeadTokens:    berylspoke.Tokens(node.Queue.Lead / berylspoke.TagScale),
+			SlackTokens:   50,
+			QuantumTokens: node.Quantum,
+			ReportMillis:  int(node.ReportEvery.Milliseconds()),
+		},
+		Regions: Regions{
+			CrossAfterMillis:    int(node.CrossAfter.Milliseconds()),
+			CrossBytesPerSecond: int(node.CrossBytes),
+		},
+		Targets: Targets{FirstTokenMillis: 2_000, ProgressMillis: 1_000, CallMillis: 20_000, LoadMillis: 1_000, PaceMillis: 30},
+	}
+}
+
+// Load reads and validates a settings file.
+func Load(path string) (*Settings, error) {
+	body, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "settings cannot be read")
+	}
+	settings := Defaults()
+	if err := Decode(body, &settings); err != nil {
+		return nil, errors.Wrap(err, path)
+	}
+	if faults := settings.Validate(); len(faults) > 0 {
+		return nil, errors.Errorf("%s: %s", path, faults[0])
+	}
+	return &settings, nil
+}
+
+// Validate lists every fault of the settings.
+func (settings *Settings) Validate() []string {
+	var faults []string
+	report := func(field, format string, args ...any) {
+		faults = append(faults, field+": "+fmt.Sprintf(format, args...))
+	}
+	if settings.VM == "" {
+		report("vm", "is empty")
+	}
+	if settings.FailureDomain == "" {
+		report("failureDomain", "is empty")
+	}
+	addresses := []struct{ field, value string }{
+		{"peerAddress", settings.PeerAddress}, {"callAddress", settings.CallAddress},
+		{"operatorAddress", settings.OperatorAddress}, {"platform", settings.Platform},
+	}
+	for _, address := range addresses {
+		if _, err := netip.ParseAddrPort(address.value); err != nil {
+			report(address.field, "%q is not an IP number and a port", address.value)
+		}
+	}
+	if len(settings.OperatorToken) < minToken {
+		report("operatorToken", "is shorter than %d characters", minToken)
+	}
+	if len(settings.FleetKeys) == 0 {
+		report("fleetKeys", "is empty")
+	}
+	for i, key := range settings.FleetKeys {
+		if raw, err := hex.DecodeString(key); err != nil || len(raw) < minKey {
+			report(fmt.Sprintf("fleetKeys[%d]", i), "is not hexadecimal of at least %d bytes", minKey)
+		}
+	}
+	switch settings.Policy {
+	case berylshare.FleetFair, berylshare.LocalFair, berylshare.FirstCome:
+	default:
+		report("policy", "%q is none of fleetFair, localFair, firstCome", settings.Policy)
+	}
+	positives := []struct {
+		field string
+		value int64
+	}{
+		{"callers.maxBodyBytes", settings.Callers.MaxBodyBytes},
+		{"callers.maxHeaderBytes", int64(settings.Callers.MaxHeaderBytes)},
+		{"callers.maxConnections", int64(settings.Callers.MaxConnections)},
+		{"callers.readMillis", int64(settings.Callers.ReadMillis)},
+		{"callers.maxWaitMillis", int64(settings.Callers.MaxWaitMillis)},
+		{"callers.heartbeatMillis", int64(settings.Callers.HeartbeatMillis)},
+		{"callers.keepMillis", int64(settings.Callers.KeepMillis)},
+		{"fairness.catchUpTokens", int64(settings.Fairness.CatchUpTokens)},
+		{"fairness.leadTokens", int64(settings.Fairness.LeadTokens)},
+		{"fairness.quantumTokens", int64(settings.Fairness.QuantumTokens)},
+		{"fairness.reportMillis", int64(settings.Fairness.ReportMillis)},
+		{"targets.firstTokenMillis", int64(settings.Targets.FirstTokenMillis)},
+		{"targets.progressMillis", int64(settings.Targets.ProgressMillis)},
+		{"targets.callMillis", int64(settings.Targets.CallMillis)},
+		{"targets.loadMillis", int64(settings.Targets.LoadMillis)},
+		{"targets.paceMillis", int64(settings.Targets.PaceMillis)},
+	}
+	for _, positive := range positives {
+		if positive.value <= 0 {
+			report(positive.field, "%d is not positive", positive.value)
+		}
+	}
+	return faults
+}
+
+const (
+	minToken = 16
+	minKey   = 16
+)
+
+// Keys returns the fleet keys as bytes; the settings must be valid.
+func (settings *Settings) Keys() [][]byte {
+	keys := make([][]byte, len(settings.FleetKeys))
+	for i, key := range settings.FleetKeys {
+		keys[i], _ = hex.DecodeString(key)
+	}
+	return keys
+}
+
+// Node returns the options of the core.
+func (settings *Settings) Node(incarnation berylspoke.Incarnation) berylnode.Options {
+	options := berylnode.DefaultOptions()
+	options.VM = berylspoke.VM{
+		ID: settings.VM, FailureDomain: settings.FailureDomain,
+		PeerAddress: settings.PeerAddress, CallAddress: settings.CallAddress,
+	}
+	options.Incarnation = incarnation
+	options.Policy = settings.Policy
+	options.Queue.CatchUp = berylspoke.Weight(1).Normalise(settings.Fairness.CatchUpTokens)
+	options.Queue.Lead = berylspoke.Weight(1).Normalise(settings.Fairness.LeadTokens)
+	options.Keeper.Slack = berylspoke.Weight(1).Normalise(settings.Fairness.SlackTokens)
+	options.Keeper.Limiter.Pace = Millis(settings.Targets.PaceMillis)
+	options.Quantum = settings.Fairness.QuantumTokens
+	options.ReportEvery = Millis(settings.Fairness.ReportMillis)
+	options.CrossAfter = Millis(settings.Regions.CrossAfterMillis)
+	options.CrossBytes = float64(settings.Regions.CrossBytesPerSecond)
+	return options
+}
+
+// Millis returns a duration of whole milliseconds.
+func Millis(count int) time.Duration { return time.Duration(count) * time.Millisecond }
