--- a/core/berylnode/effects.go
+++ b/core/berylnode/effects.go
@@ -67,7 +67,7 @@
 	Policy      berylshare.Policy
 	Queue       berylshare.Options
 	Keeper      berylslot.KeeperOptions
-	// Quantum is the charge after which an idle organisation is reported.
+	// Quantum is the charge after which an organisation is reported.
 	Quantum berylspoke.Tokens
 	// ReportEvery is the shortest time between two reports to one ledger.
 	ReportEvery time.Duration
@@ -99,7 +99,7 @@
 			MaxPerOrganisation: 2_000,
 		},
 		Keeper:        berylslot.DefaultKeeperOptions(),
-		Quantum:       500,
+		Quantum:       100,
 		ReportEvery:   500 * time.Millisecond,
 		CrossAfter:    3 * time.Second,
 		CrossBytes:    400_000,
--- a/core/berylnode/ledgers.go
+++ b/core/berylnode/ledgers.go
@@ -27,7 +27,7 @@
 	}
 	byLedger := make(map[berylspoke.VMID][]due)
 	for _, service := range node.services {
-		for _, organisation := range service.queue.Due(node.options.Quantum) {
+		for _, organisation := range service.queue.Due(now, node.options.Quantum) {
 			ledger := berylroute.LedgerOf(organisation, node.table.Live())
 			byLedger[ledger] = append(byLedger[ledger], due{service, organisation})
 		}
@@ -43,9 +43,9 @@
 			dues = dues[len(batch):]
 			reports := berylshare.Reports{From: node.self}
 			for _, item := range batch {
-				reports.Reports = append(reports.Reports, item.service.queue.Report(item.service.id, item.organisation))
+				reports.Reports = append(reports.Reports, item.service.queue.Report(now, item.service.id, item.organisation))
 			}
-			node.send(ledger, reports)
+			node.later(now, ledger, reports)
 		}
 	}
 }
@@ -56,7 +56,7 @@
 	for _, report := range reports.Reports {
 		answer.Totals = append(answer.Totals, node.ledger.Report(now, reports.From, report))
 	}
-	node.send(reports.From.VM, answer)
+	node.later(now, reports.From.VM, answer)
 }
 
 func (node *Node) totals(totals berylshare.Totals) {
--- a/core/berylnode/node.go
+++ b/core/berylnode/node.go
@@ -72,6 +72,7 @@
 	swept    time.Time
 	closed   bool
 	inbox    []berylspoke.Message
+	lazy     map[berylspoke.VMID]*lazy
 	effects  Effects
 }
 
@@ -95,7 +96,7 @@
 		services: make(map[berylspoke.ServiceID]*service),
 		running:  make(map[berylspoke.RequestID]*running),
 		waiting:  make(map[berylspoke.RequestID]*Request),
-		ledger:   berylshare.NewLedger(options.Incarnation),
+		ledger:   berylshare.NewLedger(),
 		owner:    berylticket.NewOwner(self, options.Records),
 		witness:  berylticket.NewWitness(self, options.Records),
 		health:   berylroute.NewHealth(),
@@ -107,6 +108,7 @@
 		reported: make(map[berylspoke.VMID]time.Time),
 		ordered:  make(map[berylspoke.TargetID]orderState),
 		start:    startup{since: now, asked: make(map[berylspoke.VMID]*startupPeer)},
+		lazy:     make(map[berylspoke.VMID]*lazy),
 		ticked:   now,
 		swept:    now,
 	}
@@ -202,6 +204,55 @@
 	}
 }
 
+// laterAfter is how long a message that is not urgent waits for another one to
+// the same peer, whose packet it then shares.
+const laterAfter = 250 * time.Millisecond
+
+// lazy are messages to one peer that wait for company.
+type lazy struct {
+	messages []berylspoke.Message
+	since    time.Time
+}
+
+// later sends a message with the next one to the same peer, or after a while.
+// A packet costs more in headers and acknowledgements than most messages.
+func (node *Node) later(now time.Time, to berylspoke.VMID, message berylspoke.Message) {
+	if to == "" || to == node.self.VM {
+		node.send(to, message)
+		return
+	}
+	waiting := node.lazy[to]
+	if waiting == nil {
+		waiting = &lazy{since: now}
+		node.lazy[to] = waiting
+	}
+	waiting.messages = append(waiting.messages, message)
+}
+
+// sendLazy adds the lazy messages that found company or waited long enough.
+func (node *Node) sendLazy(now time.Time) {
+	if len(node.lazy) == 0 {
+		return
+	}
+	for _, send := range node.effects.Sends {
+		node.release(send.To)
+	}
+	for to, waiting := range node.lazy {
+		if now.Sub(waiting.since) >= laterAfter {
+			node.release(to)
+		}
+	}
+}
+
+func (node *Node) release(to berylspoke.VMID) {
+	if waiting := node.lazy[to]; waiting != nil {
+		delete(node.lazy, to)
+		for _, message := range waiting.messages {
+			node.send(to, message)
+		}
+	}
+}
+
 // Flush does the work worth coalescing; its effects join those of the inputs.
 func (node *Node) Flush(now time.Time) {
 	for range loopRounds {
@@ -217,6 +268,7 @@
 			node.Deliver(now, node.self.VM, message)
 		}
 	}
+	node.sendLazy(now)
 }
 
 // Take returns the effects since the last call.
@@ -233,7 +285,7 @@
 		}
 	}
 	node.dispatch(now, service)
-	service.holder.Release(service.queue.Waiting())
+	service.holder.Release(service.queue.Head())
 	if node.options.Policy == berylshare.FirstCome {
 		return
 	}
--- a/core/berylnode/requests.go
+++ b/core/berylnode/requests.go
@@ -116,8 +116,9 @@
 		return node.anywhere(now, service)
 	}
 	cross := node.mayCross(now, service)
+	tag, _ := service.queue.Head()
 	var usable []berylslot.Place
-	for _, place := range service.holder.Free(now) {
+	for _, place := range service.holder.Free(now, tag) {
 		// A leaving target has no keeper any more; the slots that were leased
 		// before it was declared leaving must not be used.
 		if service.keepers.Of[place.Target] == "" || !node.health.Usable(now, place.Target) {
--- a/core/berylshare/account.go
+++ b/core/berylshare/account.go
@@ -19,12 +19,16 @@
 	estimator    estimator
 
 	// counter is all that this process charged; synced is the part of it that
-	// total contains; total is the fleet's sum as the ledger last told it.
-	counter, synced, total berylspoke.Tokens
-	shift                  berylspoke.Tag
-	epoch                  uint64
-	sequence               uint32
-	reported               berylspoke.Tokens
+	// base contains. Base is the tag as the ledger last told it, floor the
+	// highest tag that a lift demanded.
+	counter, synced berylspoke.Tokens
+	base, floor     berylspoke.Tag
+	// clamp is not positive: it keeps an organisation that was served elsewhere
+	// within the lead bound here.
+	clamp    berylspoke.Tag
+	sequence uint32
+	reported berylspoke.Tokens
+	told     time.Time
 	// life tells this account from an earlier one of the same organisation
 	// that the queue forgot; its counter started from zero again.
 	life    uint32
@@ -33,22 +37,29 @@
 	place int
 }
 
-func (account *account) tag() berylspoke.Tag {
-	return account.weight.Normalise(account.total+account.counter-account.synced) + account.shift
+// fleet returns the tag in the whole fleet.
+func (account *account) fleet() berylspoke.Tag {
+	return account.base + account.weight.Normalise(account.counter-account.synced)
 }
 
+// tag returns the tag that counts at this entry.
+func (account *account) tag() berylspoke.Tag { return account.fleet() + account.clamp }
+
 // lift raises the tag to at least the floor.
 func (account *account) lift(floor berylspoke.Tag) {
-	if tag := account.tag(); tag < floor {
-		account.shift += floor - tag
+	missing := floor - account.tag()
+	if missing <= 0 {
+		return
 	}
+	unclamped := min(missing, -account.clamp)
+	account.clamp += unclamped
+	account.base += missing - unclamped
+	account.floor = max(account.floor, account.fleet())
 }
 
-// lower reduces the tag to at most the ceiling.
+// lower reduces the tag at this entry to at most the ceiling.
 func (account *account) lower(ceiling berylspoke.Tag) {
-	if tag := account.tag(); tag > ceiling {
-		account.shift -= tag - ceiling
-	}
+	account.clamp = min(0, ceiling-account.fleet())
 }
 
 // accountHeap orders the backlogged accounts by tag, then by id.
--- a/core/berylshare/ledger.go
+++ b/core/berylshare/ledger.go
@@ -9,7 +9,7 @@
 )
 
 // forgetAfter is the silence after which a ledger drops an organisation; the
-// next report starts a new epoch, which entries absorb.
+// next report brings its tag along.
 const forgetAfter = 2 * time.Minute
 
 type ledgerKey struct {
@@ -25,24 +25,18 @@
 }
 
 type ledgerAccount struct {
-	epoch         uint64
-	total         berylspoke.Tokens
+	tag           berylspoke.Tag
 	contributions map[berylspoke.VMID]*contribution
 	heard         time.Time
 }
 
 // Ledger sums the service of the organisations placed on one daemon.
 type Ledger struct {
-	seed     uint64
-	opened   uint64
 	accounts map[ledgerKey]*ledgerAccount
 }
 
-// NewLedger returns an empty ledger; the seed makes its epochs differ from
-// those of every other ledger.
-func NewLedger(incarnation berylspoke.Incarnation) *Ledger {
-	return &Ledger{seed: uint64(incarnation), accounts: make(map[ledgerKey]*ledgerAccount)}
-}
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger { return &Ledger{accounts: make(map[ledgerKey]*ledgerAccount)} }
 
 // Len returns the number of organisations held.
 func (ledger *Ledger) Len() int { return len(ledger.accounts) }
@@ -51,16 +45,13 @@
 //
 // Reports may be lost, doubled or overtaken: counters are cumulative, so only
 // the newest by sequence counts. An entry heard for the first time is taken at
-// its acknowledged counter, because an earlier ledger summed that part.
+// its acknowledged counter and the tag that went with it, because an earlier
+// ledger summed that part.
 func (ledger *Ledger) Report(now time.Time, from berylspoke.Process, report Report) Total {
 	key := ledgerKey{report.Service, report.Organisation}
 	account := ledger.accounts[key]
 	if account == nil {
-		ledger.opened++
-		account = &ledgerAccount{
-			epoch:         ledger.seed + ledger.opened,
-			contributions: make(map[berylspoke.VMID]*contribution),
-		}
+		account = &ledgerAccount{contributions: make(map[berylspoke.VMID]*contribution)}
 		ledger.accounts[key] = account
 	}
 	account.heard = now
@@ -68,12 +59,14 @@
 	if part == nil || part.incarnation != from.Incarnation || part.life < report.Life {
 		part = &contribution{incarnation: from.Incarnation, life: report.Life, counter: report.Acknowledged}
 		account.contributions[from.VM] = part
+		account.tag = max(account.tag, report.Base)
 	}
 	if report.Life == part.life && report.Sequence > part.sequence {
-		account.total += report.Counter - part.counter
+		account.tag += report.Weight.Normalise(report.Counter - part.counter)
 		part.sequence, part.counter = report.Sequence, report.Counter
 	}
-	return Total{report.Service, report.Organisation, account.epoch, part.counter, account.total}
+	account.tag = max(account.tag, report.Floor)
+	return Total{report.Service, report.Organisation, part.counter, account.tag}
 }
 
 // Forget drops the organisations that no entry reported for long.
--- a/core/berylshare/queue.go
+++ b/core/berylshare/queue.go
@@ -114,9 +114,9 @@
 // reweigh keeps the tag while the weight changes: past service was normalised
 // by the old weight and must not be valued anew.
 func (queue *Queue) reweigh(account *account, weight berylspoke.Weight) {
-	tag := account.tag()
+	fleet := account.fleet()
 	account.weight = weight
-	account.shift += tag - account.tag()
+	account.base += fleet - account.fleet()
 }
 
 // Push adds a request of an organisation that may have at most limit waiting.
--- a/core/berylshare/report.go
+++ b/core/berylshare/report.go
@@ -5,6 +5,7 @@
 import (
 	"container/heap"
 	"sort"
+	"time"
 
 	"berylspoke"
 )
@@ -15,18 +16,22 @@
 	Organisation berylspoke.OrganisationID
 	Life         uint32
 	Sequence     uint32
+	Weight       berylspoke.Weight
 	// Counter is all that the process charged; Acknowledged is the part that
-	// some ledger has already answered for.
+	// some ledger has already answered for, with the tag Base.
 	Counter, Acknowledged berylspoke.Tokens
+	Base                  berylspoke.Tag
+	// Floor is the highest tag to which the process lifted the organisation.
+	Floor berylspoke.Tag
 }
 
 // Total is a ledger's answer to a report.
 type Total struct {
 	Service      berylspoke.ServiceID
 	Organisation berylspoke.OrganisationID
-	Epoch        uint64
-	Counter      berylspoke.Tokens
-	Total        berylspoke.Tokens
+	// Counter is the reported counter that Tag contains.
+	Counter berylspoke.Tokens
+	Tag     berylspoke.Tag
 }
 
 // Reports carries the reports of one entry to one ledger.
@@ -51,19 +56,26 @@
 	_ berylspoke.Message = Totals{}
 )
 
-// Due lists the organisations whose report may matter: the backlogged ones,
-// since others may be charged elsewhere, and those charged by a quantum here.
-func (queue *Queue) Due(quantum berylspoke.Tokens) []berylspoke.OrganisationID {
+// refreshAfter is the age at which a backlogged organisation's tag is asked
+// for anew, since others may charge it.
+const refreshAfter = 2 * time.Second
+
+// Due lists the organisations to report: those charged by a quantum here since
+// the last report, and backlogged ones whose tag is old.
+func (queue *Queue) Due(now time.Time, quantum berylspoke.Tokens) []berylspoke.OrganisationID {
 	if queue.options.Policy != FleetFair {
 		return nil
 	}
 	var due []berylspoke.OrganisationID
 	for _, account := range queue.backlog {
-		due = append(due, account.organisation)
+		if now.Sub(account.told) >= refreshAfter {
+			due = append(due, account.organisation)
+		}
 	}
 	for id, account := range queue.dirty {
 		charged := account.counter - account.reported
-		if account.place < 0 && (charged >= quantum || -charged >= quantum) {
+		refreshed := account.place >= 0 && now.Sub(account.told) >= refreshAfter
+		if !refreshed && (charged >= quantum || -charged >= quantum) {
 			due = append(due, id)
 		}
 	}
@@ -72,33 +84,28 @@
 }
 
 // Report returns the report of one organisation.
-func (queue *Queue) Report(service berylspoke.ServiceID, id berylspoke.OrganisationID) Report {
+func (queue *Queue) Report(now time.Time, service berylspoke.ServiceID, id berylspoke.OrganisationID) Report {
 	account := queue.account(id, 0)
 	account.sequence++
 	account.reported = account.counter
+	account.told = now
 	delete(queue.dirty, id)
 	return Report{
 		Service: service, Organisation: id, Life: account.life, Sequence: account.sequence,
-		Counter: account.counter, Acknowledged: account.synced,
+		Weight: account.weight, Counter: account.counter, Acknowledged: account.synced,
+		Base: account.base, Floor: account.floor,
 	}
 }
 
-// Take merges a ledger's answer.
-//
-// A ledger that restarted, or another daemon that became the ledger, sums from
-// its own start, which shows itself as another epoch. The tag stays as it was
-// then, and only the sum's later growth counts.
+// Take merges a ledger's answer. An answer that left before the last lift
+// arrived at the ledger must not undo it, hence the floor.
 func (queue *Queue) Take(total Total) {
 	account := queue.accounts[total.Organisation]
 	if account == nil {
 		return
 	}
-	before := account.tag()
-	account.total, account.synced = total.Total, total.Counter
-	if total.Epoch != account.epoch {
-		account.epoch = total.Epoch
-		account.shift += before - account.tag()
-	}
+	account.base, account.synced = total.Tag, total.Counter
+	account.base += max(0, account.floor-account.fleet())
 	account.lower(queue.time + queue.options.Lead + account.weight.Normalise(max(account.reserved, 0)))
 	if account.place >= 0 {
 		heap.Fix(&queue.backlog, account.place)
--- a/core/berylslot/holder.go
+++ b/core/berylslot/holder.go
@@ -12,9 +12,9 @@
 const (
 	// LeaseLife is the time an entry starts requests on a lease after it sent
 	// the ask that the lease answers.
-	LeaseLife = 6 * time.Second
+	LeaseLife = 12 * time.Second
 	// refreshAfter is the time after which an entry in use renews its leases.
-	refreshAfter = 2 * time.Second
+	refreshAfter = 4 * time.Second
 	// repeatAfter is the time after which an entry without idle slots asks for
 	// some in advance.
 	repeatAfter = 250 * time.Millisecond
@@ -131,14 +131,19 @@
 // ones with the most idle slots first. The life of a lease counts from the
 // sending of the ask it answers: an entry that was paused wakes up with leases
 // that its keeper may have given to others, and must find them expired.
-func (holder *Holder) Free(now time.Time) []Place {
+//
+// Under contention a slot is only for tags within the keeper's threshold.
+// Several keepers see the same low tag and each grants it a slot; without this
+// check an organisation that lags by one request would start one for each
+// keeper.
+func (holder *Holder) Free(now time.Time, tag berylspoke.Tag) []Place {
 	type candidate struct {
 		place Place
 		idle  int
 	}
 	var candidates []candidate
 	for vm, view := range holder.keepers {
-		if now.After(view.valid) {
+		if now.After(view.valid) || !view.admits(tag) {
 			continue
 		}
 		for target, held := range view.targets {
@@ -158,6 +163,11 @@
 	return places
 }
 
+// admits says whether a request of the tag may use this keeper's slots.
+func (view *keeperView) admits(tag berylspoke.Tag) bool {
+	return !view.contended || tag <= view.threshold
+}
+
 // Start uses a slot for a request of the given tag.
 func (holder *Holder) Start(now time.Time, place Place, tag berylspoke.Tag) {
 	view := holder.keepers[place.Keeper]
@@ -180,7 +190,7 @@
 	if held.held <= held.used {
 		return
 	}
-	if now.After(view.valid) || view.contended && !(waiting && next <= view.threshold) {
+	if now.After(view.valid) || view.contended && !(waiting && view.admits(next)) {
 		held.held = held.used
 		view.dirty = true
 	}
@@ -235,14 +245,11 @@
 	held.pace += (pace - held.pace) / 8
 }
 
-// Release gives back idle slots of contended keepers that nothing here waits
-// for.
-func (holder *Holder) Release(waiting int) {
-	if waiting > 0 {
-		return
-	}
+// Release gives back idle slots of contended keepers that the next request
+// here, of tag next, may not use.
+func (holder *Holder) Release(next berylspoke.Tag, waiting bool) {
 	for _, view := range holder.keepers {
-		if !view.contended {
+		if !view.contended || waiting && view.admits(next) {
 			continue
 		}
 		for _, held := range view.targets {
--- a/io/berylpeer/wire.go
+++ b/io/berylpeer/wire.go
@@ -195,7 +195,10 @@
 	_                     struct{} `cbor:",toarray"`
 	Service, Organisation string
 	Life, Sequence        uint32
+	Weight                int64
+	// Acknowledged and Floor are differences to Counter and Base.
 	Counter, Acknowledged int64
+	Base, Floor           int64
 }
 
 type wireReports struct {
@@ -209,8 +212,9 @@
 	for _, report := range reports.Reports {
 		wire.Reports = append(wire.Reports, wireReport{
 			Service: string(report.Service), Organisation: string(report.Organisation),
-			Life: report.Life, Sequence: report.Sequence,
-			Counter: int64(report.Counter), Acknowledged: int64(report.Acknowledged),
+			Life: report.Life, Sequence: report.Sequence, Weight: int64(report.Weight),
+			Counter: int64(report.Counter), Acknowledged: int64(report.Counter - report.Acknowledged),
+			Base: int64(report.Base), Floor: int64(report.Base - report.Floor),
 		})
 	}
 	return wire
@@ -221,8 +225,9 @@
 	for _, report := range wire.Reports {
 		reports.Reports = append(reports.Reports, berylshare.Report{
 			Service: berylspoke.ServiceID(report.Service), Organisation: berylspoke.OrganisationID(report.Organisation),
-			Life: report.Life, Sequence: report.Sequence,
-			Counter: berylspoke.Tokens(report.Counter), Acknowledged: berylspoke.Tokens(report.Acknowledged),
+			Life: report.Life, Sequence: report.Sequence, Weight: berylspoke.Weight(report.Weight),
+			Counter: berylspoke.Tokens(report.Counter), Acknowledged: berylspoke.Tokens(report.Counter - report.Acknowledged),
+			Base: berylspoke.Tag(report.Base), Floor: berylspoke.Tag(report.Base - report.Floor),
 		})
 	}
 	return reports
@@ -231,8 +236,7 @@
 type wireTotal struct {
 	_                     struct{} `cbor:",toarray"`
 	Service, Organisation string
-	Epoch                 uint64
-	Counter, Total        int64
+	Counter, Tag          int64
 }
 
 type wireTotals struct {
@@ -245,7 +249,7 @@
 	for _, total := range totals.Totals {
 		wire.Totals = append(wire.Totals, wireTotal{
 			Service: string(total.Service), Organisation: string(total.Organisation),
-			Epoch: total.Epoch, Counter: int64(total.Counter), Total: int64(total.Total),
+			Counter: int64(total.Counter), Tag: int64(total.Tag),
 		})
 	}
 	return wire
@@ -256,7 +260,7 @@
 	for _, total := range wire.Totals {
 		totals.Totals = append(totals.Totals, berylshare.Total{
 			Service: berylspoke.ServiceID(total.Service), Organisation: berylspoke.OrganisationID(total.Organisation),
-			Epoch: total.Epoch, Counter: berylspoke.Tokens(total.Counter), Total: berylspoke.Tokens(total.Total),
+			Counter: berylspoke.Tokens(total.Counter), Tag: berylspoke.Tag(total.Tag),
 		})
 	}
 	return totals
--- a/io/berylsettings/settings.go
+++ b/io/berylsettings/settings.go
@@ -89,7 +89,7 @@
 		Fairness: Fairness{
 			CatchUpTokens: berylspoke.Tokens(node.Queue.CatchUp / berylspoke.TagScale),
 			LeadTokens:    berylspoke.Tokens(node.Queue.Lead / berylspoke.TagScale),
-			SlackTokens:   50,
+			SlackTokens:   200,
 			QuantumTokens: node.Quantum,
 			ReportMillis:  int(node.ReportEvery.Milliseconds()),
 		},
--- /dev/null
+++ b/io/berylstand/relay.go
@@ -0,0 +1,202 @@
+package berylstand
+
+// This file defines relays that cut or swallow what passes between processes.
+
+import (
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+)
+
+// Filter says whether a packet from one host to another passes.
+type Filter func(fromHost, toHost string) bool
+
+// PacketRelay carries UDP packets to one address and back, as far as the filter
+// lets them pass; the two directions are asked apart.
+type PacketRelay struct {
+	front    *net.UDPConn
+	back     *net.UDPAddr
+	filter   Filter
+	mutex    sync.Mutex
+	sessions map[string]*net.UDPConn
+}
+
+// maxPacket is the largest packet relayed.
+const maxPacket = 2048
+
+// NewPacketRelay listens on front and relays to back.
+func NewPacketRelay(front, back string, filter Filter) (*PacketRelay, error) {
+	frontAddress, err := net.ResolveUDPAddr("udp", front)
+	if err != nil {
+		return nil, errors.Wrap(err, "relay address")
+	}
+	backAddress, err := net.ResolveUDPAddr("udp", back)
+	if err != nil {
+		return nil, errors.Wrap(err, "relayed address")
+	}
+	conn, err := net.ListenUDP("udp", frontAddress)
+	if err != nil {
+		return nil, errors.Wrap(err, "relay cannot listen")
+	}
+	relay := &PacketRelay{front: conn, back: backAddress, filter: filter, sessions: make(map[string]*net.UDPConn)}
+	go relay.forward()
+	return relay, nil
+}
+
+func (relay *PacketRelay) forward() {
+	buffer := make([]byte, maxPacket)
+	for {
+		size, from, err := relay.front.ReadFromUDP(buffer)
+		if err != nil {
+			return
+		}
+		if !relay.filter(from.IP.String(), relay.back.IP.String()) {
+			continue
+		}
+		if session := relay.session(from); session != nil {
+			_, _ = session.Write(buffer[:size])
+		}
+	}
+}
+
+// session returns the socket that stands for one sender.
+func (relay *PacketRelay) session(from *net.UDPAddr) *net.UDPConn {
+	relay.mutex.Lock()
+	defer relay.mutex.Unlock()
+	if session := relay.sessions[from.String()]; session != nil {
+		return session
+	}
+	local := relay.front.LocalAddr().(*net.UDPAddr)
+	session, err := net.DialUDP("udp", &net.UDPAddr{IP: local.IP}, relay.back)
+	if err != nil {
+		return nil
+	}
+	relay.sessions[from.String()] = session
+	go relay.backward(session, from)
+	return session
+}
+
+func (relay *PacketRelay) backward(session *net.UDPConn, to *net.UDPAddr) {
+	buffer := make([]byte, maxPacket)
+	for {
+		size, err := session.Read(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue // the relayed process is down for now
+		}
+		if relay.filter(relay.back.IP.String(), to.IP.String()) {
+			_, _ = relay.front.WriteToUDP(buffer[:size], to)
+		}
+	}
+}
+
+// Close stops the relay.
+func (relay *PacketRelay) Close() {
+	_ = relay.front.Close()
+	relay.mutex.Lock()
+	defer relay.mutex.Unlock()
+	for _, session := range relay.sessions {
+		_ = session.Close()
+	}
+}
+
+// StreamRelay carries TCP connections to one address and can forget them: what
+// passes is then swallowed without an error, while new connections work.
+type StreamRelay struct {
+	listener net.Listener
+	back     string
+	mutex    sync.Mutex
+	open     []*relayed
+}
+
+type relayed struct {
+	front, back net.Conn
+	forgotten   atomic.Bool
+}
+
+// NewStreamRelay listens on front and relays to back.
+func NewStreamRelay(front, back string) (*StreamRelay, error) {
+	listener, err := net.Listen("tcp", front)
+	if err != nil {
+		return nil, errors.Wrap(err, "relay cannot listen")
+	}
+	relay := &StreamRelay{listener: listener, back: back}
+	go relay.accept()
+	return relay, nil
+}
+
+func (relay *StreamRelay) accept() {
+	for {
+		front, err := relay.listener.Accept()
+		if err != nil {
+			return
+		}
+		back, err := net.Dial("tcp", relay.back)
+		if err != nil {
+			_ = front.Close()
+			continue
+		}
+		pair := &relayed{front: front, back: back}
+		relay.mutex.Lock()
+		relay.open = append(relay.open, pair)
+		relay.mutex.Unlock()
+		go pair.pipe(front, back)
+		go pair.pipe(back, front)
+	}
+}
+
+// pipe copies until an end; a forgotten connection goes on reading and passes
+// nothing on, not even its end.
+func (pair *relayed) pipe(from, to net.Conn) {
+	buffer := make([]byte, 32<<10)
+	for {
+		size, err := from.Read(buffer)
+		if pair.forgotten.Load() {
+			if err != nil {
+				return
+			}
+			continue
+		}
+		if size > 0 {
+			if _, failed := to.Write(buffer[:size]); failed != nil {
+				err = failed
+			}
+		}
+		if err == io.EOF {
+			_ = to.(*net.TCPConn).CloseWrite()
+			return
+		}
+		if err != nil {
+			_ = to.Close()
+			return
+		}
+	}
+}
+
+// Forget makes all open connections silent for good and returns their number.
+func (relay *StreamRelay) Forget() int {
+	relay.mutex.Lock()
+	defer relay.mutex.Unlock()
+	for _, pair := range relay.open {
+		pair.forgotten.Store(true)
+	}
+	count := len(relay.open)
+	relay.open = nil
+	return count
+}
+
+// Close stops the relay and its connections.
+func (relay *StreamRelay) Close() {
+	_ = relay.listener.Close()
+	relay.mutex.Lock()
+	defer relay.mutex.Unlock()
+	for _, pair := range relay.open {
+		_ = pair.front.Close()
+		_ = pair.back.Close()
+	}
+}
