Prove that a version in force never goes back

Ruled out: serving after a grace time (an old key would work again); waiting for a majority (no daemon knows one: the list lags).

--- a/cmd/berylspoke/faults_test.go
+++ b/cmd/berylspoke/faults_test.go
@@ -45,10 +45,12 @@
 	require.Equal(t, berylstand.Text(streamed.prompt, 0), streamed.text.String())
 }
 
-func startDraft(ctx context.Context, client *berylcall.Client, service berylspoke.ServiceID, prompt string) *streamed {
+// startDraft streams a draft; with one attempt, only the fleet can make a fault
+// good.
+func startDraft(ctx context.Context, client *berylcall.Client, service berylspoke.ServiceID, prompt string, attempts int) *streamed {
 	streamed := &streamed{prompt: prompt, done: make(chan error, 1)}
 	go func() {
-		_, err := client.Stream(ctx, berylcall.Draft{Service: service, Prompt: prompt}, func(piece string, tokens berylspoke.Tokens) {
+		_, err := client.Stream(ctx, berylcall.Draft{Service: service, Prompt: prompt, Attempts: attempts}, func(piece string, tokens berylspoke.Tokens) {
 			streamed.mutex.Lock()
 			defer streamed.mutex.Unlock()
 			streamed.text.WriteString(piece)
@@ -71,7 +73,7 @@
 	fleet := startProcesses(t, berylfleet.Kitamine(), nil)
 	entry, other := fleet.Plan.VMs()[0].ID, fleet.Plan.VMs()[4].ID
 	client := fleet.client("small-3", entry, other)
-	draft := startDraft(testContext(t), client, fleet.Plan.Model, "A dossier of dismissal. [tokens=80]")
+	draft := startDraft(testContext(t), client, fleet.Plan.Model, "A dossier of dismissal. [tokens=80]", 8)
 	fleet.waitTokens(draft, 10)
 	fleet.kill(entry)
 	draft.wait(t)
@@ -82,7 +84,7 @@
 func TestDraftSurvivesItsEngine(t *testing.T) {
 	fleet := startProcesses(t, berylfleet.Kitamine(), nil)
 	entry := fleet.Plan.VMs()[0].ID
-	draft := startDraft(testContext(t), fleet.client("small-3", entry), fleet.Plan.Model, "A dossier of wages. [tokens=80]")
+	draft := startDraft(testContext(t), fleet.client("small-3", entry), fleet.Plan.Model, "A dossier of wages. [tokens=80]", 1)
 	fleet.waitTokens(draft, 10)
 	fleet.CloseTarget(fleet.busyEngine())
 	draft.wait(t)
@@ -121,7 +123,7 @@
 	entry := fleet.Plan.VMs()[0].ID
 	fleet.waitState(entry, func(state berylserve.Dump) bool { return state.Version == 2 })
 
-	draft := startDraft(testContext(t), fleet.client("small-3", entry), fleet.Plan.Model, "A dossier of silence. [tokens=120]")
+	draft := startDraft(testContext(t), fleet.client("small-3", entry), fleet.Plan.Model, "A dossier of silence. [tokens=120]", 1)
 	fleet.waitTokens(draft, 10)
 	require.Positive(t, relay.Forget())
 	draft.wait(t)
@@ -208,9 +210,8 @@
 	entry := fleet.Plan.VMs()[0].ID
 	var drafts []*streamed
 	for i := range 6 {
-		// One address and one attempt: a cut would show as an error.
 		prompt := fmt.Sprintf("Case %d. [tokens=150]", i)
-		drafts = append(drafts, startDraft(ctx, fleet.client("small-3", entry), fleet.Plan.Model, prompt))
+		drafts = append(drafts, startDraft(ctx, fleet.client("small-3", entry), fleet.Plan.Model, prompt, 1))
 	}
 	for _, draft := range drafts {
 		fleet.waitTokens(draft, 1)
--- a/core/berylconfig/fold.go
+++ b/core/berylconfig/fold.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"strings"
 
 	"berylspoke"
 )
@@ -53,6 +54,13 @@
 		outcome.Problem = fmt.Sprintf("patch was made against version %d, in force is %d", patch.Base, state.Version)
 		return &next, outcome
 	}
+	if !strings.HasPrefix(hex.EncodeToString(state.Hash[:]), patch.BaseHash) {
+		// The platform lost patches and operators published others under their
+		// numbers. The version matches, but what the patch was made against is
+		// not what is in force here.
+		outcome.Problem = fmt.Sprintf("patch was made against another version %d, of hash %.12s", patch.Base, patch.BaseHash)
+		return &next, outcome
+	}
 	declarations := patch.Apply(state.Declarations)
 	if faults := declarations.Validate(); len(faults) > 0 {
 		outcome.Problem = fmt.Sprintf("%s (%d faults)", faults[0], len(faults))
--- a/core/berylconfig/messages.go
+++ b/core/berylconfig/messages.go
@@ -11,11 +11,13 @@
 	After berylspoke.EntryNumber
 }
 
-// PullAnswer carries entries; Number is the last one the peer has.
+// PullAnswer carries entries, or a snapshot for a peer that lacks too many;
+// Number is the last entry the sender has.
 type PullAnswer struct {
-	Number  berylspoke.EntryNumber
-	Serving bool
-	Entries []berylspoke.Published
+	Number   berylspoke.EntryNumber
+	Serving  bool
+	Entries  []berylspoke.Published
+	Snapshot []byte
 }
 
 // PeerMessage implements berylspoke.Message.
--- a/core/berylconfig/patch.go
+++ b/core/berylconfig/patch.go
@@ -15,7 +15,10 @@
 // Patch changes the declarations made against version Base; a null value
 // removes what its id names, any other value replaces it whole.
 type Patch struct {
-	Base           berylspoke.ConfigVersion                    `json:"base"`
+	Base berylspoke.ConfigVersion `json:"base"`
+	// BaseHash is the beginning of the hash of version Base, or empty. It keeps
+	// a patch made against another history out of this one.
+	BaseHash       string                                      `json:"baseHash,omitempty"`
 	Note           string                                      `json:"note,omitempty"`
 	FailureDomains map[berylspoke.FailureDomain]*Domain        `json:"failureDomains,omitempty"`
 	Organisations  map[berylspoke.OrganisationID]*Organisation `json:"organisations,omitempty"`
--- a/core/berylconfig/store.go
+++ b/core/berylconfig/store.go
@@ -6,14 +6,21 @@
 	"berylspoke"
 )
 
-// keptOutcomes bounds the outcomes kept for operators.
-const keptOutcomes = 64
+// The store keeps a bounded tail of the entries it folded, to pass them on and to
+// notice a rewritten history.
+const (
+	keptOutcomes = 64
+	keptEntries  = 512
+	keptBytes    = 2 << 20
+)
 
-// Store holds the entries folded so far and the state in force; it never moves
-// to a lower number.
+// Store holds the state in force and the last entries folded into it; it never
+// moves to a lower number.
 type Store struct {
-	state    *State
+	state *State
+	// entries are the last ones folded, up to the number in force.
 	entries  []berylspoke.Published
+	bytes    int
 	outcomes []Outcome
 	// Conflicts counts entries that differ from the one folded at their number.
 	Conflicts int
@@ -47,7 +54,7 @@
 		}
 		next, outcome := store.state.Fold(entry)
 		store.state = next
-		store.entries = append(store.entries, entry)
+		store.keep(entry)
 		store.outcomes = append(store.outcomes, outcome)
 		if len(store.outcomes) > keptOutcomes {
 			store.outcomes = store.outcomes[1:]
@@ -56,26 +63,47 @@
 	return store.state.Version != before
 }
 
+func (store *Store) keep(entry berylspoke.Published) {
+	store.entries = append(store.entries, entry)
+	store.bytes += len(entry.Body)
+	for len(store.entries) > keptEntries || store.bytes > keptBytes && len(store.entries) > 1 {
+		store.bytes -= len(store.entries[0].Body)
+		store.entries = store.entries[1:]
+	}
+}
+
+// floor is the number before the first entry kept.
+func (store *Store) floor() berylspoke.EntryNumber {
+	return store.state.Number - berylspoke.EntryNumber(len(store.entries))
+}
+
 // compare notices a rewritten history, which operators must hear of.
 func (store *Store) compare(entry berylspoke.Published) {
-	if string(store.entries[entry.Number-1].Body) != string(entry.Body) {
+	if entry.Number <= store.floor() {
+		return
+	}
+	if string(store.entries[entry.Number-store.floor()-1].Body) != string(entry.Body) {
 		store.Conflicts++
 	}
 }
 
 // After returns the entries above the number, up to about limit bytes but at
-// least one, for a peer that lacks them.
-func (store *Store) After(number berylspoke.EntryNumber, limit int) []berylspoke.Published {
+// least one, for a peer that lacks them. It returns false if the peer lacks more
+// than is kept and needs a snapshot.
+func (store *Store) After(number berylspoke.EntryNumber, limit int) ([]berylspoke.Published, bool) {
 	if number >= store.state.Number {
-		return nil
+		return nil, true
+	}
+	if number < store.floor() {
+		return nil, false
 	}
-	rest := store.entries[number:]
+	rest := store.entries[number-store.floor():]
 	size := 0
 	for i, entry := range rest {
 		size += len(entry.Body)
 		if i > 0 && size > limit {
-			return rest[:i]
+			return rest[:i], true
 		}
 	}
-	return rest
+	return rest, true
 }
--- a/core/berylnode/config.go
+++ b/core/berylnode/config.go
@@ -13,6 +13,8 @@
 const (
 	// pullBytes bounds the entries of one answer.
 	pullBytes = 256 << 10
+	// pullTimeout is the time after which another peer is asked.
+	pullTimeout = 500 * time.Millisecond
 	// startupGrace is how long a daemon waits for peers that do not answer.
 	startupGrace = 3 * time.Second
 	// startupRepeat is the time between two questions to a silent peer.
@@ -74,28 +76,45 @@
 		node.send(beat.Self.Process.VM, *reply)
 	}
 	if beat.Number > node.store.State().Number {
-		node.send(beat.Self.Process.VM, berylconfig.PullRequest{After: node.store.State().Number})
+		node.pull(now, beat.Self.Process.VM)
 	}
 	node.place(now)
 }
 
+// pull asks a peer for what this daemon lacks. Several peers announce one change
+// at the same moment; only the first is asked, unless it does not answer.
+func (node *Node) pull(now time.Time, from berylspoke.VMID) {
+	if now.Sub(node.pulledAt) < pullTimeout {
+		return
+	}
+	node.pulledAt = now
+	node.send(from, berylconfig.PullRequest{After: node.store.State().Number})
+}
+
 func (node *Node) pulled(from berylspoke.VMID, request berylconfig.PullRequest) {
-	state := node.store.State()
-	node.send(from, berylconfig.PullAnswer{
-		Number: state.Number, Serving: node.Ready(),
-		Entries: node.store.After(request.After, pullBytes),
-	})
+	answer := berylconfig.PullAnswer{Number: node.store.State().Number, Serving: node.Ready()}
+	entries, kept := node.store.After(request.After, pullBytes)
+	answer.Entries = entries
+	if !kept {
+		answer.Snapshot = node.store.Snapshot()
+	}
+	node.send(from, answer)
 }
 
 func (node *Node) pullAnswered(now time.Time, from berylspoke.VMID, answer berylconfig.PullAnswer) {
 	if peer := node.start.asked[from]; peer != nil {
 		peer.answered, peer.serving = true, answer.Serving
 	}
+	node.pulledAt = time.Time{}
 	before := node.store.State().Number
+	if len(answer.Snapshot) > 0 && node.store.Adopt(answer.Snapshot) {
+		node.effects.Reconfigured = true
+		node.place(now)
+	}
 	node.AddPatches(now, answer.Entries)
 	number := node.store.State().Number
 	if number < answer.Number && number > before {
-		node.send(from, berylconfig.PullRequest{After: number})
+		node.pull(now, from)
 	}
 }
 
@@ -104,8 +123,10 @@
 //
 // The platform may be stale, and a daemon that starts empty has no memory of a
 // newer version. A serving peer has it: one that answered and whose entries
-// were folded is enough. If every asked peer is empty too, or none answers
-// within the grace time, the platform's word is all there is.
+// were folded is enough. If all that answer are starting too, the platform's
+// word is all there is. A daemon that no peer answers, although some are listed,
+// is cut off and does not serve: it might put an old version into force. That
+// it believes them dead proves nothing, since it would if it were cut off.
 func (node *Node) tickStartup(now time.Time) {
 	if node.start.done {
 		return
@@ -139,23 +160,33 @@
 	if !node.start.listed || node.store.State().Version == 0 {
 		return false
 	}
-	behind, open, serving := false, 0, 0
+	behind, open, answered, serving := false, 0, 0, 0
 	for vm, peer := range node.start.asked {
 		member := node.table.Member(vm)
-		if member != nil && member.Number > node.store.State().Number {
-			behind = true
-		}
-		if !peer.answered {
+		switch {
+		case member == nil || !member.Listed:
+			continue
+		case !peer.answered:
 			open++
+		default:
+			answered++
+		}
+		if member.Number > node.store.State().Number {
+			behind = true
 		}
 		if peer.serving {
 			serving++
 		}
 	}
-	if behind && now.Sub(node.start.since) < 2*startupGrace {
+	waited := now.Sub(node.start.since) > startupGrace
+	switch {
+	case behind && !waited:
 		return false
+	case serving > 0 || open+answered == 0:
+		return true
+	default:
+		return answered > 0 && (open == 0 || waited)
 	}
-	return serving > 0 || open == 0 || now.Sub(node.start.since) > startupGrace
 }
 
 // Watches says whether this daemon watches the platform for patches. A few do
--- a/core/berylnode/node.go
+++ b/core/berylnode/node.go
@@ -71,6 +71,7 @@
 	ticked   time.Time
 	swept    time.Time
 	closed   bool
+	pulledAt time.Time
 	inbox    []berylspoke.Message
 	lazy     map[berylspoke.VMID]*lazy
 	effects  Effects
--- a/io/berylpeer/wire.go
+++ b/io/berylpeer/wire.go
@@ -77,14 +77,17 @@
 }
 
 type wirePullAnswer struct {
-	_       struct{} `cbor:",toarray"`
-	Number  uint64
-	Serving bool
-	Entries []wireEntry
+	_        struct{} `cbor:",toarray"`
+	Number   uint64
+	Serving  bool
+	Entries  []wireEntry
+	Snapshot []byte
 }
 
 func (wire *wirePullAnswer) message(berylspoke.VMID) berylspoke.Message {
-	answer := berylconfig.PullAnswer{Number: berylspoke.EntryNumber(wire.Number), Serving: wire.Serving}
+	answer := berylconfig.PullAnswer{
+		Number: berylspoke.EntryNumber(wire.Number), Serving: wire.Serving, Snapshot: wire.Snapshot,
+	}
 	for _, entry := range wire.Entries {
 		answer.Entries = append(answer.Entries, berylspoke.Published{
 			Number: berylspoke.EntryNumber(entry.Number), Body: entry.Body,
@@ -364,7 +367,7 @@
 	case berylconfig.PullRequest:
 		return &wirePullRequest{After: uint64(message.After)}, kindPullRequest
 	case berylconfig.PullAnswer:
-		wire := &wirePullAnswer{Number: uint64(message.Number), Serving: message.Serving}
+		wire := &wirePullAnswer{Number: uint64(message.Number), Serving: message.Serving, Snapshot: message.Snapshot}
 		for _, entry := range message.Entries {
 			wire.Entries = append(wire.Entries, wireEntry{Number: uint64(entry.Number), Body: entry.Body})
 		}
