Mend slot leases of a forgotten entry and the rejoin of regions

Cause, found by the new tests: a keeper that forgot a silent entry numbered its leases anew. And after a cut between regions a daemon stayed dead at one side for good if only that side believed so (TestRegionsRejoin failed first).

Ruled out: numbering from what the entry applied (late leases of the earlier life still match).

Change: one counter of leases a keeper process; a greeting to a daemon believed dead carries the belief, and a refutation is answered at once.

--- a/core/berylmember/table.go
+++ b/core/berylmember/table.go
@@ -151,6 +151,9 @@
 	return both
 }
 
+// Monitored returns the VMs whose heartbeats this daemon waits for.
+func (table *Table) Monitored() []berylspoke.VMID { return table.in }
+
 // All returns every known VM sorted by id.
 func (table *Table) All() []*Member {
 	all := make([]*Member, 0, len(table.members))
@@ -207,6 +210,7 @@
 	member.Heard, member.Number, member.Serving = now, beat.Number, beat.Serving
 	wronged := member.Rumour.Status != Alive && member.Rumour.Process == beat.Self.Process &&
 		member.Rumour.Counter >= beat.Self.Counter
+	counter := table.self.Rumour.Counter
 	table.accept(now, beat.Self)
 	for _, rumour := range beat.Rumours {
 		table.accept(now, rumour)
@@ -215,6 +219,10 @@
 		reply := table.beat(table.rumours(len(table.members)))
 		return &reply
 	}
+	if table.self.Rumour.Counter != counter {
+		reply := table.beat(nil)
+		return &reply
+	}
 	if wronged {
 		// A rejoined daemon learns here that it was declared dead, and
 		// refutes it with a higher counter.
@@ -280,7 +288,10 @@
 	if now.Sub(table.revived) >= table.options.ReviveEvery {
 		table.revived = now
 		if dead := table.deadNeighbour(now); dead != "" {
-			due = append(due, Due{To: []berylspoke.VMID{dead}, Beat: table.beat(nil)})
+			// The greeting tells the other that it is believed dead. If only one
+			// side of a healed partition believes so, only this makes it refute.
+			belief := []Rumour{table.members[dead].Rumour}
+			due = append(due, Due{To: []berylspoke.VMID{dead}, Beat: table.beat(belief)})
 		}
 	}
 	return due
--- /dev/null
+++ b/core/berylnode/members_test.go
@@ -0,0 +1,124 @@
+package berylnode
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"berylspoke"
+)
+
+// memberFleet is a fleet of the given size in three failure domains.
+func memberFleet(count int) *fakeFleet {
+	var domains []string
+	for i := range count {
+		domains = append(domains, []string{"a1", "a2", "b1"}[i%3])
+	}
+	fleet := newFakeFleet(1, fakeVMs(domains...))
+	fleet.publish(fakePatch(nil, map[berylspoke.OrganisationID]berylspoke.Weight{"clergy": 1}))
+	fleet.startAll()
+	fleet.run(5*time.Second, 50*time.Millisecond)
+	return fleet
+}
+
+// agreed says whether every running node counts the given number live.
+func (fleet *fakeFleet) agreed(live int) bool {
+	for vm, node := range fleet.nodes {
+		if !fleet.frozen[vm] && len(node.table.Live()) != live {
+			return false
+		}
+	}
+	return true
+}
+
+// within runs the fleet until a condition holds and returns the time it took.
+func (fleet *fakeFleet) within(limit time.Duration, holds func() bool) (time.Duration, bool) {
+	for begin := fleet.now; fleet.now.Sub(begin) < limit; fleet.step(50 * time.Millisecond) {
+		if holds() {
+			return fleet.now.Sub(begin), true
+		}
+	}
+	return limit, false
+}
+
+// A VM dies, a whole failure domain is lost, and both come back. All daemons
+// agree within seconds, at eight VMs and at sixty-four.
+func TestLostAndReturnedVMsAreNoticed(t *testing.T) {
+	for _, count := range []int{8, 64} {
+		fleet := memberFleet(count)
+		require.True(t, fleet.agreed(count), "%d VMs at the start", count)
+		fleet.crash(fleet.vms[3].ID)
+		took, ok := fleet.within(8*time.Second, func() bool { return fleet.agreed(count - 1) })
+		require.True(t, ok, "one of %d VMs died", count)
+		t.Logf("%d VMs: a death is known everywhere after %s", count, took)
+		fleet.start(fleet.vms[3])
+		_, ok = fleet.within(8*time.Second, func() bool { return fleet.agreed(count) })
+		require.True(t, ok, "one of %d VMs came back", count)
+
+		lost := 0
+		for _, vm := range fleet.vms {
+			if vm.FailureDomain == "a2" {
+				fleet.crash(vm.ID)
+				lost++
+			}
+		}
+		took, ok = fleet.within(20*time.Second, func() bool { return fleet.agreed(count - lost) })
+		require.True(t, ok, "a failure domain of %d VMs was lost", lost)
+		t.Logf("%d VMs: a lost failure domain of %d is known everywhere after %s", count, lost, took)
+		for _, vm := range fleet.vms {
+			if fleet.nodes[vm.ID] == nil {
+				fleet.start(vm)
+			}
+		}
+		_, ok = fleet.within(20*time.Second, func() bool { return fleet.agreed(count) })
+		require.True(t, ok, "a failure domain of %d VMs came back", lost)
+	}
+}
+
+// The regions lose each other for a while. Each goes on by itself, and they find
+// each other again although each believed the other dead.
+func TestRegionsRejoin(t *testing.T) {
+	fleet := memberFleet(8)
+	region := func(vm berylspoke.VMID) bool { return vm[0] == 'b' }
+	fleet.cut = func(from, to berylspoke.VMID) bool { return region(from) != region(to) }
+	fleet.run(60*time.Second, 50*time.Millisecond)
+	for vm, node := range fleet.nodes {
+		for _, live := range node.table.Live() {
+			require.Equal(t, region(vm), region(live), "%s believes %s live", vm, live)
+		}
+	}
+	fleet.cut = func(berylspoke.VMID, berylspoke.VMID) bool { return false }
+	took, ok := fleet.within(60*time.Second, func() bool { return fleet.agreed(8) })
+	require.True(t, ok)
+	t.Logf("the regions agree %s after the cut was mended", took)
+}
+
+// A daemon's VM pauses for a minute. When it wakes up, all peers look silent to
+// it although only it was; it must not declare them dead and take over all roles.
+func TestPausedDaemonBlamesNobody(t *testing.T) {
+	fleet := memberFleet(8)
+	paused := fleet.vms[2].ID
+	fleet.frozen[paused] = true
+	fleet.run(60*time.Second, 50*time.Millisecond)
+	require.True(t, fleet.agreed(7))
+	delete(fleet.frozen, paused)
+	for range 200 {
+		fleet.step(50 * time.Millisecond)
+		require.Len(t, fleet.nodes[paused].table.Live(), 8)
+	}
+	require.True(t, fleet.agreed(8))
+}
+
+// One direction of one link is cut. The monitor behind it suspects its peer, the
+// peer hears of it from others and refutes it; nobody loses a role.
+func TestOneWayCutIsRefuted(t *testing.T) {
+	fleet := memberFleet(8)
+	node := fleet.nodes[fleet.vms[0].ID]
+	monitored := node.table.Monitored()[0]
+	fleet.cut = func(from, to berylspoke.VMID) bool { return from == monitored && to == fleet.vms[0].ID }
+	for range 400 {
+		fleet.step(50 * time.Millisecond)
+		require.True(t, fleet.agreed(8), "after %s", fleet.now)
+	}
+}
--- a/core/berylslot/keeper.go
+++ b/core/berylslot/keeper.go
@@ -88,6 +88,10 @@
 	time     berylspoke.Tag
 	since    time.Time
 	turn     int
+	// sequence numbers the leases to all entries. A number used twice for an
+	// entry that was forgotten and came back would let it confirm, with an old
+	// lease that was late, what it never got.
+	sequence uint32
 }
 
 // NewKeeper returns a keeper without targets.
@@ -410,7 +414,8 @@
 		if !holder.dirty && contended == holder.last.Contended && !stale {
 			continue
 		}
-		holder.sequence++
+		keeper.sequence++
+		holder.sequence = keeper.sequence
 		holder.dirty = false
 		holder.sent = now
 		lease := Lease{
