--- a/cmd/berylspoke/main.go
+++ b/cmd/berylspoke/main.go
@@ -17,7 +17,7 @@
 	commander.Register(commander.FlagsCommand(), "")
 	commander.Register(commander.CommandsCommand(), "")
 	for _, command := range []subcommands.Command{
-		new(serveCommand), new(standCommand), new(demoCommand),
+		new(demoCommand), new(loadCommand), new(planCommand), new(serveCommand), new(standCommand),
 	} {
 		commander.Register(command, "")
 	}
--- a/cmd/berylspoke/stand.go
+++ b/cmd/berylspoke/stand.go
@@ -14,31 +14,41 @@
 
 	"github.com/google/subcommands"
 
+	"berylspoke/io/berylfleet"
 	"berylspoke/io/berylstand"
 )
 
 type standCommand struct {
-	kind, address string
-	slots         int
+	kind, address, deployment string
+	slots, base               int
 }
 
 func (*standCommand) Name() string     { return "stand" }
 func (*standCommand) Synopsis() string { return "run a stand-in of the platform, an engine or a desk" }
 func (*standCommand) Usage() string {
 	return `stand -kind platform|engine|desk -address IP:PORT
+stand -kind deployment -deployment kitamine|parish -base N
 
-Runs one stand-in for tests and trials until it is signalled.
+Runs one stand-in, or all stand-ins of a deployment with relays between its
+daemons, for tests and trials until it is signalled. A deployment takes
+POST /cut (packets between regions are dropped) and POST /mend at
+127.N.0.1:7001.
 
 `
 }
 
 func (command *standCommand) SetFlags(flags *flag.FlagSet) {
-	flags.StringVar(&command.kind, "kind", "", "platform, engine or desk")
+	flags.StringVar(&command.kind, "kind", "", "platform, engine, desk or deployment")
 	flags.StringVar(&command.address, "address", "127.0.0.1:7000", "`address` to listen on")
+	flags.StringVar(&command.deployment, "deployment", "kitamine", "kitamine or parish")
+	flags.IntVar(&command.base, "base", 30, "second number of a deployment's loopback addresses")
 	flags.IntVar(&command.slots, "slots", berylstand.DefaultEngineOptions().Slots, "batch size of an engine")
 }
 
 func (command *standCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if command.kind == "deployment" {
+		return command.runDeployment()
+	}
 	var handler http.Handler
 	switch command.kind {
 	case "platform":
@@ -52,15 +62,52 @@
 	case "desk":
 		handler = berylstand.NewDesk(20 * time.Millisecond).Handler()
 	default:
-		return fail(fmt.Errorf("kind %q is none of platform, engine, desk", command.kind))
+		return fail(fmt.Errorf("kind %q is none of platform, engine, desk, deployment", command.kind))
 	}
 	server, err := berylstand.Listen(command.address, handler)
 	if err != nil {
 		return fail(err)
 	}
 	defer server.Close()
+	waitForSignal()
+	return subcommands.ExitSuccess
+}
+
+func waitForSignal() {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	<-signals
+}
+
+func (command *standCommand) runDeployment() subcommands.ExitStatus {
+	plan, known := berylfleet.Plans()[command.deployment]
+	if !known {
+		return fail(fmt.Errorf("deployment %q is neither kitamine nor parish", command.deployment))
+	}
+	plan.Base = command.base
+	stands, err := berylfleet.StartStands(plan)
+	if err != nil {
+		return fail(err)
+	}
+	defer stands.Close()
+	relays, err := berylfleet.StartRelays(plan)
+	if err != nil {
+		return fail(err)
+	}
+	defer relays.Close()
+	stands.Platform.SetVMs(relays.Advertised())
+	server, err := berylstand.Listen(fmt.Sprintf("127.%d.0.1:7001", plan.Base), faultControl(relays))
+	if err != nil {
+		return fail(err)
+	}
+	defer server.Close()
+	waitForSignal()
 	return subcommands.ExitSuccess
 }
+
+func faultControl(relays *berylfleet.Relays) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /cut", func(http.ResponseWriter, *http.Request) { relays.CutRegions() })
+	mux.HandleFunc("POST /mend", func(http.ResponseWriter, *http.Request) { relays.Mend() })
+	return mux
+}
