Give back slots of keepers that are asked no more

Cause: an entry asked the other region's keepers while its first request had waited long, and forgot them without a word when another request came first; what they had granted idled until they took the entry for dead.

Ruled out: the limiter (limits stood at the batch of 8), lost datagrams (leases were sent and unconfirmed for seconds), the time between tokens (27 ms).

Change: a keeper that is asked no more is told to expect nothing and remembered for two lease lives; crossing depends on how long the queue was not empty and on a margin by which a tag must lag there; limiter probes back off; targets are spread over keepers within 1.1 of the mean; renewals, heartbeats and reports share packets.

--- a/core/berylnode/effects.go
+++ b/core/berylnode/effects.go
@@ -71,8 +71,11 @@
 	Quantum berylspoke.Tokens
 	// ReportEvery is the shortest time between two reports to one ledger.
 	ReportEvery time.Duration
-	// CrossAfter is the wait after which a request may go to another region.
+	// CrossAfter is the time a queue must not have been empty before a request
+	// may go to another region.
 	CrossAfter time.Duration
+	// CrossMargin is how much lower its tag must be than those that wait there.
+	CrossMargin berylspoke.Tag
 	// CrossBytes is the budget of bytes a second between regions.
 	CrossBytes float64
 	// KeepersAsked bounds the keepers of one service an entry deals with.
@@ -102,6 +105,7 @@
 		Quantum:       100,
 		ReportEvery:   500 * time.Millisecond,
 		CrossAfter:    3 * time.Second,
+		CrossMargin:   300 * berylspoke.TagScale,
 		CrossBytes:    400_000,
 		KeepersAsked:  8,
 		PermitTimeout: time.Second,
--- a/core/berylnode/node.go
+++ b/core/berylnode/node.go
@@ -33,6 +33,8 @@
 	keepers *berylroute.Keepers
 	round   uint64
 	turned  time.Time
+	// backlogged is the time since when a request has always been waiting.
+	backlogged time.Time
 }
 
 // running is a request that holds a slot.
@@ -190,7 +192,7 @@
 		beat := due.Beat
 		beat.Number, beat.Serving = node.store.State().Number, node.Ready()
 		for _, to := range due.To {
-			node.send(to, beat)
+			node.sendOr(now, to, beat, len(beat.Rumours) > 0)
 		}
 	}
 }
@@ -207,7 +209,7 @@
 
 // laterAfter is how long a message that is not urgent waits for another one to
 // the same peer, whose packet it then shares.
-const laterAfter = 250 * time.Millisecond
+const laterAfter = 400 * time.Millisecond
 
 // lazy are messages to one peer that wait for company.
 type lazy struct {
@@ -282,7 +284,7 @@
 func (node *Node) flushService(now time.Time, service *service) {
 	if service.keeper != nil {
 		for _, lease := range service.keeper.Assign(now) {
-			node.send(lease.To, lease.Lease)
+			node.sendOr(now, lease.To, lease.Lease, lease.Urgent)
 		}
 	}
 	node.dispatch(now, service)
@@ -296,10 +298,19 @@
 		Time:    service.queue.Time(),
 	}
 	for _, ask := range service.holder.Asks(now, node.askable(now, service), need) {
-		node.send(ask.To, ask.Ask)
+		node.sendOr(now, ask.To, ask.Ask, ask.Urgent)
 	}
 }
 
+// sendOr sends an urgent message at once and any other one later.
+func (node *Node) sendOr(now time.Time, to berylspoke.VMID, message berylspoke.Message, urgent bool) {
+	if urgent {
+		node.send(to, message)
+		return
+	}
+	node.later(now, to, message)
+}
+
 // Deliver takes a message of a peer.
 func (node *Node) Deliver(now time.Time, from berylspoke.VMID, message berylspoke.Message) {
 	switch message := message.(type) {
--- a/core/berylnode/placement.go
+++ b/core/berylnode/placement.go
@@ -106,24 +106,28 @@
 }
 
 // askable returns the keepers that this entry asks for slots now: a few of its
-// own region, and of the other region once its first request has waited long or
-// if its own has no target.
-func (node *Node) askable(now time.Time, service *service) []berylspoke.VMID {
+// own region, and of the other region while work may cross.
+func (node *Node) askable(now time.Time, service *service) berylslot.Asked {
 	if now.Sub(service.turned) > turnEvery {
 		service.turned = now
 		service.round++
 	}
-	asked := berylroute.Window(service.keepers.Local, node.options.KeepersAsked, service.round)
-	if !node.mayCross(now, service) {
-		return asked
+	asked := berylslot.Asked{
+		Local:  berylroute.Window(service.keepers.Local, node.options.KeepersAsked, service.round),
+		Margin: node.options.CrossMargin,
 	}
-	remote := berylroute.Window(service.keepers.Remote, remoteAsked, service.round)
-	return append(append([]berylspoke.VMID(nil), asked...), remote...)
+	if len(service.keepers.Local) == 0 {
+		asked.Margin = 0
+	}
+	if node.mayCross(now, service) {
+		asked.Remote = berylroute.Window(service.keepers.Remote, remoteAsked, service.round)
+	}
+	return asked
 }
 
 const (
 	// turnEvery is the time between two changes of the last keeper asked.
-	turnEvery = 2 * time.Second
+	turnEvery = 10 * time.Second
 	// remoteAsked bounds the keepers asked in another region.
 	remoteAsked = 2
 )
@@ -134,10 +138,14 @@
 	if len(service.keepers.Local) == 0 {
 		return true
 	}
-	if service.queue.Waiting() == 0 || len(service.keepers.Remote) == 0 {
+	if service.queue.Waiting() == 0 {
+		service.backlogged = time.Time{}
 		return false
 	}
-	return service.queue.OldestWait(now) >= node.options.CrossAfter && node.crossing.Left(now) > 0
+	if service.backlogged.IsZero() {
+		service.backlogged = now
+	}
+	return now.Sub(service.backlogged) >= node.options.CrossAfter && node.crossing.Left(now) > 0
 }
 
 // remote says whether a target stands in another region.
--- a/core/berylroute/placement.go
+++ b/core/berylroute/placement.go
@@ -3,6 +3,9 @@
 // This file defines which daemon keeps which target and serves whom.
 
 import (
+	"math"
+	"sort"
+
 	"berylspoke"
 	"berylspoke/core/berylconfig"
 	"berylspoke/core/berylmember"
@@ -53,35 +56,79 @@
 		placed[service] = &Keepers{Of: make(map[berylspoke.TargetID]berylspoke.VMID)}
 	}
 	groups := fleet.regions()
-	for service, keepers := range placed {
-		local, remote := make(map[berylspoke.VMID]bool), make(map[berylspoke.VMID]bool)
-		for _, id := range fleet.Declarations.TargetsOf(service) {
-			region := fleet.Declarations.Region(fleet.Declarations.Targets[id].FailureDomain)
-			candidates := groups[region]
-			if len(candidates) == 0 {
-				candidates = fleet.Live
-			}
-			keeper := berylmember.Holder("target "+string(id), candidates)
-			if keeper == "" {
-				continue
-			}
-			keepers.Of[id] = keeper
-			if keeper == fleet.Self {
-				keepers.Mine = append(keepers.Mine, id)
-			}
-			if region == fleet.region(fleet.Self) {
-				local[keeper] = true
-			} else {
-				remote[keeper] = true
-			}
+	for region, targets := range fleet.targets() {
+		candidates := groups[region]
+		if len(candidates) == 0 {
+			candidates = fleet.Live
+		}
+		for target, keeper := range spread(targets, candidates) {
+			placed[fleet.Declarations.Targets[target].Service].Of[target] = keeper
 		}
-		preference := "entry " + string(fleet.Self)
-		keepers.Local = berylmember.Ranked(preference, names(local), len(local))
-		keepers.Remote = berylmember.Ranked(preference, names(remote), len(remote))
+	}
+	for _, keepers := range placed {
+		keepers.arrange(fleet)
 	}
 	return placed
 }
 
+// targets groups the serving targets by region.
+func (fleet Fleet) targets() map[berylspoke.Region][]berylspoke.TargetID {
+	groups := make(map[berylspoke.Region][]berylspoke.TargetID)
+	for id, target := range fleet.Declarations.Targets {
+		if !target.Leaving {
+			region := fleet.Declarations.Region(target.FailureDomain)
+			groups[region] = append(groups[region], id)
+		}
+	}
+	return groups
+}
+
+// spread gives each target to the VM of the highest score that is not full yet.
+// The bound keeps the cost of the daemon with most targets near the mean; a
+// plain rendezvous hash gives some daemon three times the mean.
+func spread(targets []berylspoke.TargetID, vms []berylspoke.VMID) map[berylspoke.TargetID]berylspoke.VMID {
+	keepers := make(map[berylspoke.TargetID]berylspoke.VMID, len(targets))
+	if len(vms) == 0 {
+		return keepers
+	}
+	sort.Slice(targets, func(i, j int) bool { return targets[i] < targets[j] })
+	bound := int(math.Ceil(spreadFactor * float64(len(targets)) / float64(len(vms))))
+	load := make(map[berylspoke.VMID]int, len(vms))
+	for _, target := range targets {
+		var best berylspoke.VMID
+		var top uint64
+		for _, vm := range vms {
+			if score := berylmember.Score("target "+string(target), vm); load[vm] < bound && (best == "" || score > top) {
+				best, top = vm, score
+			}
+		}
+		load[best]++
+		keepers[target] = best
+	}
+	return keepers
+}
+
+// spreadFactor is how far above the mean a daemon's share of targets may be.
+const spreadFactor = 1.1
+
+// arrange derives the lists of one entry from the keepers of all targets.
+func (keepers *Keepers) arrange(fleet Fleet) {
+	local, remote := make(map[berylspoke.VMID]bool), make(map[berylspoke.VMID]bool)
+	for target, keeper := range keepers.Of {
+		if keeper == fleet.Self {
+			keepers.Mine = append(keepers.Mine, target)
+		}
+		if fleet.Declarations.Region(fleet.Declarations.Targets[target].FailureDomain) == fleet.region(fleet.Self) {
+			local[keeper] = true
+		} else {
+			remote[keeper] = true
+		}
+	}
+	preference := "entry " + string(fleet.Self)
+	keepers.Local = berylmember.Ranked(preference, names(local), len(local))
+	keepers.Remote = berylmember.Ranked(preference, names(remote), len(remote))
+}
+
 func names(set map[berylspoke.VMID]bool) []berylspoke.VMID {
 	list := make([]berylspoke.VMID, 0, len(set))
 	for vm := range set {
--- a/core/berylshare/queue.go
+++ b/core/berylshare/queue.go
@@ -317,11 +317,3 @@
 	}
 	return found
 }
-
-// OldestWait returns how long the request that goes next has waited.
-func (queue *Queue) OldestWait(now time.Time) time.Duration {
-	if len(queue.backlog) == 0 {
-		return 0
-	}
-	return now.Sub(queue.backlog[0].waiting[0].Arrived)
-}
--- a/core/berylslot/holder.go
+++ b/core/berylslot/holder.go
@@ -43,7 +43,9 @@
 	valid     time.Time
 	contended bool
 	threshold berylspoke.Tag
-	time      berylspoke.Tag
+	// margin is how much lower than the others' a tag must be here.
+	margin berylspoke.Tag
+	time   berylspoke.Tag
 	// started is the highest tag started on this keeper's targets.
 	started berylspoke.Tag
 	granted time.Time
@@ -165,7 +167,7 @@
 
 // admits says whether a request of the tag may use this keeper's slots.
 func (view *keeperView) admits(tag berylspoke.Tag) bool {
-	return !view.contended || tag <= view.threshold
+	return !view.contended || tag+view.margin <= view.threshold
 }
 
 // Start uses a slot for a request of the given tag.
@@ -295,41 +297,78 @@
 	Time    berylspoke.Tag
 }
 
-// Asks returns the asks due to the keepers; keepers not listed are asked only
-// while slots of theirs are in use.
-func (holder *Holder) Asks(now time.Time, keepers []berylspoke.VMID, need Need) []AddressedAsk {
-	asked := make(map[berylspoke.VMID]bool, len(keepers))
-	for _, vm := range keepers {
-		asked[vm] = true
-		holder.keeper(vm)
-	}
-	vms := make([]berylspoke.VMID, 0, len(holder.keepers))
-	for vm := range holder.keepers {
-		vms = append(vms, vm)
+// Asked are the keepers that an entry asks for slots. Remote ones stand in
+// another region, and their slots are only for requests whose tags are lower by
+// the margin than those that wait there.
+type Asked struct {
+	Local, Remote []berylspoke.VMID
+	Margin        berylspoke.Tag
+}
+
+// Asks returns the asks due to the keepers; keepers not listed are told to expect
+// nothing, and asked no more.
+func (holder *Holder) Asks(now time.Time, asked Asked, need Need) []AddressedAsk {
+	wanted := make(map[berylspoke.VMID]bool, len(asked.Local)+len(asked.Remote))
+	for _, vm := range asked.Local {
+		wanted[vm] = true
+		holder.keeper(vm).margin = 0
+	}
+	for _, vm := range asked.Remote {
+		wanted[vm] = true
+		holder.keeper(vm).margin = asked.Margin
 	}
-	sort.Slice(vms, func(i, j int) bool { return vms[i] < vms[j] })
 	var asks []AddressedAsk
-	for _, vm := range vms {
+	for _, vm := range holder.ordered() {
 		view := holder.keepers[vm]
-		if !asked[vm] && view.used() == 0 {
-			delete(holder.keepers, vm)
-			continue
-		}
-		wanted := need
-		if !asked[vm] {
-			wanted = Need{Time: need.Time}
+		mine := need
+		if !wanted[vm] {
+			mine = Need{Time: need.Time}
+			view.retire()
+			if view.used() == 0 && now.Sub(view.lastSent) > forgetAfter {
+				delete(holder.keepers, vm)
+				continue
+			}
 		}
-		if holder.due(now, view, wanted) {
-			asks = append(asks, AddressedAsk{vm, holder.ask(now, view, wanted)})
+		if due, urgent := holder.due(now, view, mine); due {
+			asks = append(asks, AddressedAsk{vm, urgent, holder.ask(now, view, mine)})
 		}
 	}
 	return asks
 }
 
-// AddressedAsk is an ask and the VM of the keeper it is for.
+// forgetAfter is the time after which no lease of a keeper can arrive any more.
+const forgetAfter = 2 * LeaseLife
+
+// retire gives back what a keeper that is asked no more has granted. Forgetting
+// the keeper without a word would leave its slots idle until it takes the entry
+// for dead; a lease that was on its way is given back in the same manner.
+func (view *keeperView) retire() {
+	if view.told > 0 {
+		view.dirty = true
+	}
+	for _, held := range view.targets {
+		if held.held > held.used {
+			held.held = held.used
+			view.dirty = true
+		}
+	}
+}
+
+func (holder *Holder) ordered() []berylspoke.VMID {
+	vms := make([]berylspoke.VMID, 0, len(holder.keepers))
+	for vm := range holder.keepers {
+		vms = append(vms, vm)
+	}
+	sort.Slice(vms, func(i, j int) bool { return vms[i] < vms[j] })
+	return vms
+}
+
+// AddressedAsk is an ask and the VM of the keeper it is for; one that only renews
+// is not urgent.
 type AddressedAsk struct {
-	To  berylspoke.VMID
-	Ask Ask
+	To     berylspoke.VMID
+	Urgent bool
+	Ask    Ask
 }
 
 func (view *keeperView) used() int {
@@ -349,22 +388,21 @@
 }
 
 // due says whether a keeper must hear from this entry now.
-func (holder *Holder) due(now time.Time, view *keeperView, need Need) bool {
+func (holder *Holder) due(now time.Time, view *keeperView, need Need) (due, urgent bool) {
 	silent := now.Sub(view.lastSent)
 	if view.dirty {
-		return true
+		return true, true
 	}
 	if need.Waiting > 0 {
 		grew := need.Waiting > view.told && view.told < askTags
-		overtook := len(need.Tags) > 0 && need.Tags[0] < view.toldHead
-		return grew || overtook && silent >= overtakeAfter || silent >= refreshAfter
+		overtook := len(need.Tags) > 0 && need.Tags[0]+view.margin < view.toldHead && silent >= overtakeAfter
+		return grew || overtook || silent >= refreshAfter, grew || overtook
 	}
-	busy := view.used() > 0 || view.idle() > 0 && now.Sub(holder.active) < activeFor
-	if !busy {
-		return false
+	if view.used() == 0 && (view.idle() == 0 || now.Sub(holder.active) > activeFor) {
+		return false, false
 	}
-	short := view.idle() == 0 && !view.contended && silent >= repeatAfter
-	return silent >= refreshAfter || short && now.Sub(holder.active) < time.Second
+	short := view.idle() == 0 && !view.contended && silent >= repeatAfter && now.Sub(holder.active) < time.Second
+	return short || silent >= refreshAfter, short
 }
 
 func (holder *Holder) ask(now time.Time, view *keeperView, need Need) Ask {
@@ -374,13 +412,16 @@
 	view.dirty = false
 	view.told = need.Waiting
 	view.toldHead = 0
-	if len(need.Tags) > 0 {
-		view.toldHead = need.Tags[0]
-	}
 	ask := Ask{
 		From: holder.self, Service: holder.service,
 		Sequence: view.sequence, Applied: view.applied,
-		Waiting: need.Waiting, Tags: need.Tags, Time: need.Time, Started: view.started,
+		Waiting: need.Waiting, Time: need.Time, Started: view.started,
+	}
+	for _, tag := range need.Tags {
+		ask.Tags = append(ask.Tags, tag+view.margin)
+	}
+	if len(ask.Tags) > 0 {
+		view.toldHead = ask.Tags[0]
 	}
 	for target, held := range view.targets {
 		if held.held == 0 && held.used == 0 {
--- a/core/berylslot/keeper.go
+++ b/core/berylslot/keeper.go
@@ -58,9 +58,14 @@
 	tags     []berylspoke.Tag
 	targets  map[berylspoke.TargetID]*slots
 	dirty    bool
-	last     Lease
+	// changed is set when a grant differs from the one last sent.
+	changed bool
+	last    Lease
 }
 
+// change marks a grant that the entry must hear of.
+func (holder *holder) change() { holder.dirty, holder.changed = true, true }
+
 // idle is the number of granted slots that the entry has not used yet.
 func (holder *holder) idle() int {
 	idle := 0
@@ -322,7 +327,7 @@
 		slots := holders[next].slots(target)
 		slots.granted++
 		slots.peak = max(slots.peak, slots.granted)
-		holders[next].dirty = true
+		holders[next].change()
 		met[next]++
 		free[target]--
 		unmet--
@@ -370,7 +375,7 @@
 			if back > 0 {
 				slots.granted -= back
 				surplus -= back
-				holder.dirty = true
+				holder.change()
 			}
 		}
 	}
@@ -392,15 +397,17 @@
 			slots.granted++
 			slots.peak = max(slots.peak, slots.granted)
 			free[target]--
-			holder.dirty = true
+			holder.change()
 		}
 	}
 }
 
-// Addressed is a lease and the VM of the entry it is for.
+// Addressed is a lease and the VM of the entry it is for; one that only renews
+// is not urgent.
 type Addressed struct {
-	To    berylspoke.VMID
-	Lease Lease
+	To     berylspoke.VMID
+	Urgent bool
+	Lease  Lease
 }
 
 // leases returns the leases to send: changed grants, a change of contention,
@@ -427,8 +434,10 @@
 			lease.Grants = append(lease.Grants, Grant{target, slots.granted})
 		}
 		sort.Slice(lease.Grants, func(i, j int) bool { return lease.Grants[i].Target < lease.Grants[j].Target })
+		urgent := holder.changed || contended != holder.last.Contended || stale
+		holder.changed = false
 		holder.last = lease
-		leases = append(leases, Addressed{holder.process.VM, lease})
+		leases = append(leases, Addressed{holder.process.VM, urgent, lease})
 	}
 	return leases
 }
@@ -458,6 +467,18 @@
 	Limit   int                 `json:"limit"`
 	Foreign int                 `json:"foreign"`
 	Out     int                 `json:"out"`
+	Leased  []Leased            `json:"leased"`
+}
+
+// Leased is what one entry has of a target, as its keeper knows it.
+type Leased struct {
+	Entry     berylspoke.VMID `json:"entry"`
+	Granted   int             `json:"granted"`
+	Used      int             `json:"used"`
+	Confirmed bool            `json:"confirmed"`
+	Waiting   int             `json:"waiting"`
+	Tag       berylspoke.Tag  `json:"tag"`
+	Threshold berylspoke.Tag  `json:"threshold"`
 }
 
 // Slots lists the targets kept.
@@ -465,7 +486,21 @@
 	var list []Slot
 	for _, target := range keeper.Targets() {
 		limiter := keeper.limiters[target]
-		list = append(list, Slot{target, limiter.limit, limiter.foreign, keeper.out(target)})
+		list = append(list, Slot{target, limiter.limit, limiter.foreign, keeper.out(target), keeper.leased(target)})
+	}
+	return list
+}
+
+func (keeper *Keeper) leased(target berylspoke.TargetID) []Leased {
+	var list []Leased
+	for _, holder := range keeper.ordered() {
+		if slots := holder.targets[target]; slots != nil {
+			list = append(list, Leased{
+				Entry: holder.process.VM, Granted: slots.granted, Used: slots.used,
+				Confirmed: slots.peak == slots.granted && slots.held == slots.granted,
+				Waiting:   holder.waiting, Tag: holder.tag(0), Threshold: holder.last.Threshold,
+			})
+		}
 	}
 	return list
 }
--- a/core/berylslot/limiter.go
+++ b/core/berylslot/limiter.go
@@ -13,13 +13,14 @@
 	Start, Most int
 	// Pace is the goal for the mean time between tokens.
 	Pace time.Duration
-	// ProbeEvery is the time between two raises after congestion was seen.
-	ProbeEvery time.Duration
+	// ProbeEvery is the time before a raise after congestion was seen; it
+	// doubles with each raise that leads to congestion, up to ProbeMost.
+	ProbeEvery, ProbeMost time.Duration
 }
 
 // DefaultLimiterOptions aim below the time between tokens that callers want.
 func DefaultLimiterOptions() LimiterOptions {
-	return LimiterOptions{Start: 4, Most: 1024, Pace: 30 * time.Millisecond, ProbeEvery: 5 * time.Second}
+	return LimiterOptions{Start: 4, Most: 1024, Pace: 30 * time.Millisecond, ProbeEvery: 5 * time.Second, ProbeMost: 2 * time.Minute}
 }
 
 // reportWindow is the age up to which past use is compared with a late report.
@@ -44,14 +45,17 @@
 	limit     int
 	congested bool
 	raised    time.Time
-	samples   []useSample
-	foreign   int
-	pace      time.Duration
+	// probing is set from a raise until the next report shows whether it holds.
+	probing bool
+	wait    time.Duration
+	samples []useSample
+	foreign int
+	pace    time.Duration
 }
 
 // NewLimiter returns a limiter at its start value.
 func NewLimiter(options LimiterOptions) *Limiter {
-	return &Limiter{options: options, limit: options.Start}
+	return &Limiter{options: options, limit: options.Start, wait: options.ProbeEvery}
 }
 
 // Limit returns the number of requests to run, less foreign ones.
@@ -99,10 +103,13 @@
 }
 
 func (limiter *Limiter) congest(now time.Time, limit int) {
+	if limiter.probing {
+		limiter.wait = min(2*limiter.wait, limiter.options.ProbeMost)
+	}
 	if limit < limiter.limit {
 		limiter.limit = max(limit, 1)
 	}
-	limiter.congested = true
+	limiter.congested, limiter.probing = true, false
 	limiter.raised = now
 }
 
@@ -111,8 +118,12 @@
 		limiter.limit = min(limiter.limit*2, limiter.options.Most)
 		return
 	}
-	if now.Sub(limiter.raised) >= limiter.options.ProbeEvery {
+	if limiter.probing && now.Sub(limiter.raised) >= limiter.options.ProbeEvery {
+		// The raise held: the target grew, or the limit was too low.
+		limiter.wait = limiter.options.ProbeEvery
+	}
+	if now.Sub(limiter.raised) >= limiter.wait {
 		limiter.limit = min(limiter.limit+1, limiter.options.Most)
-		limiter.raised = now
+		limiter.raised, limiter.probing = now, true
 	}
 }
--- a/io/berylpeer/codec.go
+++ b/io/berylpeer/codec.go
@@ -28,6 +28,14 @@
 	kindSettleAnswer
 )
 
+// kindNames are the kinds as metric labels.
+var kindNames = map[kind]string{
+	kindHeartbeat: "heartbeat", kindPullRequest: "pullRequest", kindPullAnswer: "pullAnswer",
+	kindAsk: "ask", kindLease: "lease", kindReports: "reports", kindTotals: "totals",
+	kindPermitRequest: "permitRequest", kindPermitAnswer: "permitAnswer",
+	kindSettleRequest: "settleRequest", kindCloseRequest: "closeRequest", kindSettleAnswer: "settleAnswer",
+}
+
 // wireMessage is the wire form of one kind of message.
 type wireMessage interface {
 	// message converts back; the sender's VM is known from its certificate.
--- a/io/berylpeer/count.go
+++ b/io/berylpeer/count.go
@@ -34,6 +34,19 @@
 // Traffic counts packets and bytes sent and received by link.
 type Traffic struct {
 	Sent, Received, Packets [links]atomic.Uint64
+	messages, payload       [kindSettleAnswer + 1]atomic.Uint64
+}
+
+// SentKind is the number of messages of a kind and of their bytes without headers.
+type SentKind struct{ Messages, Bytes uint64 }
+
+// Kinds returns what was sent of each kind of message.
+func (traffic *Traffic) Kinds() map[string]SentKind {
+	kinds := make(map[string]SentKind, len(kindNames))
+	for kind, name := range kindNames {
+		kinds[name] = SentKind{traffic.messages[kind].Load(), traffic.payload[kind].Load()}
+	}
+	return kinds
 }
 
 // Locator tells where a VM stands relative to this daemon.
--- a/io/berylpeer/transport.go
+++ b/io/berylpeer/transport.go
@@ -156,6 +156,8 @@
 			transport.options.Log.Error("message dropped", zap.Error(err))
 			continue
 		}
+		transport.traffic.messages[body[0]].Add(1)
+		transport.traffic.payload[body[0]].Add(uint64(len(body)))
 		if len(packet) > 0 && len(packet)+len(body) > datagramBytes {
 			transport.enqueue(to, packet)
 			packet = nil
--- a/io/berylserve/meters.go
+++ b/io/berylserve/meters.go
@@ -48,6 +48,11 @@
 		gauge(`berylspoke_packets_total{link=%q}`, func() float64 { return float64(traffic.Packets[link].Load()) })
 		gauge(`berylspoke_bytes_total{kind="data",direction="both",link=%q}`, func() float64 { return float64(daemon.data.bytes[link].Load()) })
 	}
+	for name := range daemon.transport.Traffic().Kinds() {
+		daemon.meters.NewGauge(fmt.Sprintf("berylspoke_messages_sent_total{kind=%q}", name), func() float64 {
+			return float64(daemon.transport.Traffic().Kinds()[name].Messages)
+		})
+	}
 	daemon.meters.NewGauge("berylspoke_peer_connections", func() float64 { return float64(daemon.transport.Connections()) })
 	daemon.meters.NewGauge("berylspoke_callers_active", func() float64 { return float64(daemon.active.Load()) })
 	daemon.meters.NewGauge(`berylspoke_target_control_bytes_total`, func() float64 { return float64(daemon.targets.ControlBytes.Load()) })
--- a/io/berylserve/operators.go
+++ b/io/berylserve/operators.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"berylspoke/core/berylnode"
+	"berylspoke/io/berylpeer"
 )
 
 func (daemon *Daemon) serveOperators() (*http.Server, error) {
@@ -44,10 +45,12 @@
 // Dump is the state of a daemon's process.
 type Dump struct {
 	berylnode.State
-	Connections int               `json:"peerConnections"`
-	Control     map[string]uint64 `json:"controlBytesSent"`
-	Data        map[string]uint64 `json:"dataBytes"`
-	Active      int64             `json:"activeCallers"`
+	Connections int                           `json:"peerConnections"`
+	Control     map[string]uint64             `json:"controlBytesSent"`
+	Packets     uint64                        `json:"controlPacketsSent"`
+	Messages    map[string]berylpeer.SentKind `json:"messagesSent"`
+	Data        map[string]uint64             `json:"dataBytes"`
+	Active      int64                         `json:"activeCallers"`
 }
 
 // State returns the dump.
@@ -57,6 +60,10 @@
 	dump.Connections = daemon.transport.Connections()
 	dump.Control, dump.Data = daemon.controlBytes(), daemon.data.totals()
 	dump.Active = daemon.active.Load()
+	dump.Messages = daemon.transport.Traffic().Kinds()
+	for _, link := range allLinks {
+		dump.Packets += daemon.transport.Traffic().Packets[link].Load()
+	}
 	return dump, err
 }
 
--- a/io/berylsettings/settings.go
+++ b/io/berylsettings/settings.go
@@ -63,8 +63,9 @@
 
 // Regions holds the bounds of work between regions.
 type Regions struct {
-	CrossAfterMillis    int `json:"crossAfterMillis"`
-	CrossBytesPerSecond int `json:"crossBytesPerSecond"`
+	CrossAfterMillis    int               `json:"crossAfterMillis"`
+	CrossMarginTokens   berylspoke.Tokens `json:"crossMarginTokens"`
+	CrossBytesPerSecond int               `json:"crossBytesPerSecond"`
 }
 
 // Targets holds the times within which targets must show progress.
@@ -95,9 +96,10 @@
 		},
 		Regions: Regions{
 			CrossAfterMillis:    int(node.CrossAfter.Milliseconds()),
+			CrossMarginTokens:   berylspoke.Tokens(node.CrossMargin / berylspoke.TagScale),
 			CrossBytesPerSecond: int(node.CrossBytes),
 		},
-		Targets: Targets{FirstTokenMillis: 2_000, ProgressMillis: 1_000, CallMillis: 20_000, LoadMillis: 1_000, PaceMillis: 30},
+		Targets: Targets{FirstTokenMillis: 2_000, ProgressMillis: 1_000, CallMillis: 20_000, LoadMillis: 2_000, PaceMillis: 30},
 	}
 }
 
@@ -213,6 +215,7 @@
 	options.Quantum = settings.Fairness.QuantumTokens
 	options.ReportEvery = Millis(settings.Fairness.ReportMillis)
 	options.CrossAfter = Millis(settings.Regions.CrossAfterMillis)
+	options.CrossMargin = berylspoke.Weight(1).Normalise(settings.Regions.CrossMarginTokens)
 	options.CrossBytes = float64(settings.Regions.CrossBytesPerSecond)
 	return options
 }
