Shorten the wait for a first token under load and flood

The limiter doubled past the engines' batch and probed without need, so requests queued inside engines; crossing regions waited 3 s; the slack of reuse let a flood run ahead of newcomers.

Ruled out: spare slots (idle ones existed), the ask's round trip (milliseconds).

Change: limits grow by half and only while requests wait for want of slots; an organisation with nothing running is told lower by the slack; crossing after 0.3 s.

--- a/core/berylnode/effects.go
+++ b/core/berylnode/effects.go
@@ -104,7 +104,7 @@
 		Keeper:        berylslot.DefaultKeeperOptions(),
 		Quantum:       100,
 		ReportEvery:   time.Second,
-		CrossAfter:    3 * time.Second,
+		CrossAfter:    300 * time.Millisecond,
 		CrossMargin:   300 * berylspoke.TagScale,
 		CrossBytes:    400_000,
 		KeepersAsked:  8,
--- a/core/berylnode/node.go
+++ b/core/berylnode/node.go
@@ -294,7 +294,7 @@
 	}
 	need := berylslot.Need{
 		Waiting: service.queue.Waiting(),
-		Tags:    service.queue.Tags(berylslot.AskTags),
+		Tags:    service.queue.Tags(berylslot.AskTags, node.options.Keeper.Slack),
 		Time:    service.queue.Time(),
 	}
 	for _, ask := range service.holder.Asks(now, node.askable(now, service), need) {
--- a/core/berylshare/queue.go
+++ b/core/berylshare/queue.go
@@ -277,8 +277,10 @@
 }
 
 // Tags returns the tags that the next count requests will have, in rising
-// order, as far as estimates tell.
-func (queue *Queue) Tags(count int) []berylspoke.Tag {
+// order, as far as estimates tell. The first request of an organisation that has
+// nothing running here is told lower by the slack that entries have for reusing
+// slots; it would otherwise wait until a flooding organisation has used it up.
+func (queue *Queue) Tags(count int, slack berylspoke.Tag) []berylspoke.Tag {
 	if len(queue.backlog) == 0 {
 		return nil
 	}
@@ -287,8 +289,12 @@
 	var tags []berylspoke.Tag
 	for _, account := range nearest {
 		tag := account.tag()
-		for _, request := range account.waiting[:min(count, len(account.waiting))] {
-			tags = append(tags, tag)
+		for i, request := range account.waiting[:min(count, len(account.waiting))] {
+			told := tag
+			if i == 0 && account.running == 0 {
+				told -= slack
+			}
+			tags = append(tags, told)
 			tag += account.weight.Normalise(account.estimator.estimate(request.Hint))
 		}
 	}
--- a/core/berylslot/keeper.go
+++ b/core/berylslot/keeper.go
@@ -93,6 +93,8 @@
 	time     berylspoke.Tag
 	since    time.Time
 	turn     int
+	// unmet is when a request last waited for want of a slot.
+	unmet time.Time
 	// sequence numbers the leases to all entries. A number used twice for an
 	// entry that was forgotten and came back would let it confirm, with an old
 	// lease that was late, what it never got.
@@ -155,7 +157,7 @@
 		return
 	}
 	limiter.Use(now, keeper.out(target))
-	limiter.Report(now, report)
+	limiter.Report(now, report, now.Sub(keeper.unmet) < wantedFor)
 }
 
 // out is the number of slots that entries may be using.
@@ -270,6 +272,7 @@
 	unmet := keeper.grantWaiting(free)
 	contended := unmet > 0
 	if contended {
+		keeper.unmet = now
 		keeper.recall()
 	} else {
 		keeper.grantSpare(free)
@@ -294,6 +297,9 @@
 	return free
 }
 
+// wantedFor is how long a want of slots counts; a few load reports fit in it.
+const wantedFor = 5 * time.Second
+
 // takeoverTime is the time within which every entry that holds slots has asked
 // a new keeper.
 const takeoverTime = time.Second
--- a/core/berylslot/limiter.go
+++ b/core/berylslot/limiter.go
@@ -37,7 +37,7 @@
 
 // Limiter finds how many requests one target takes without queueing them.
 //
-// It doubles while the target keeps up, steps back to the batch the target
+// It grows by half while the target keeps up, steps back to the batch the target
 // really ran when it reports a queue, and then probes one more from time to
 // time. No fixed guess could fit a fleet of mixed hardware.
 type Limiter struct {
@@ -79,13 +79,14 @@
 	}
 }
 
-// Report takes what the target says of itself.
+// Report takes what the target says of itself; wanted says whether requests
+// waited for it. Without need a raise would only queue requests in the target.
 //
 // Two keepers may lease the same target while their fleets are cut apart; the
 // target then reports more than this keeper's entries used at any time within
 // the report's lag. Only that excess is foreign: comparing with the present use
 // would take requests that just ended for foreign ones and idle the target.
-func (limiter *Limiter) Report(now time.Time, report berylspoke.LoadReport) {
+func (limiter *Limiter) Report(now time.Time, report berylspoke.LoadReport, wanted bool) {
 	most := 0
 	for _, sample := range limiter.samples {
 		most = max(most, sample.used)
@@ -97,7 +98,7 @@
 		limiter.congest(now, report.Running)
 	case slow && limiter.limit > 1 && now.Sub(limiter.raised) > limiter.options.ProbeEvery/4:
 		limiter.congest(now, limiter.limit-max(limiter.limit/10, 1))
-	case report.Running*raiseDivisor >= limiter.limit*(raiseDivisor-1) && !slow:
+	case wanted && report.Running*raiseDivisor >= limiter.limit*(raiseDivisor-1) && !slow:
 		limiter.raise(now)
 	}
 }
@@ -115,7 +116,7 @@
 
 func (limiter *Limiter) raise(now time.Time) {
 	if !limiter.congested {
-		limiter.limit = min(limiter.limit*2, limiter.options.Most)
+		limiter.limit = min(limiter.limit+max(limiter.limit/2, 1), limiter.options.Most)
 		return
 	}
 	if limiter.probing && now.Sub(limiter.raised) >= limiter.options.ProbeEvery {
--- a/io/berylload/measure.go
+++ b/io/berylload/measure.go
@@ -72,6 +72,12 @@
 	case <-time.After(run.options.Warmup):
 	}
 	run.tell("warm after %s", run.options.Warmup)
+	for _, tenant := range run.tenants {
+		tenant.mutex.Lock()
+		tenant.first.Reset()
+		tenant.between.Reset()
+		tenant.mutex.Unlock()
+	}
 	before := run.read()
 	report := &Report{Scenario: run.options.Scenario, Service: make(map[berylspoke.OrganisationID]float64)}
 	ticker := time.NewTicker(sampleEvery)
