--- a/core/berylslot/holder.go
+++ b/core/berylslot/holder.go
@@ -455,25 +455,3 @@
 
 // AskTags is the number of tags an ask describes.
 const AskTags = askTags
-
-// HeldSlot is the state of one target's slots for the dump.
-type HeldSlot struct {
-	Keeper berylspoke.VMID     `json:"keeper"`
-	Target berylspoke.TargetID `json:"target"`
-	Held   int                 `json:"held"`
-	Used   int                 `json:"used"`
-}
-
-// Held lists the slots held.
-func (holder *Holder) Held() []HeldSlot {
-	var list []HeldSlot
-	for vm, view := range holder.keepers {
-		for target, held := range view.targets {
-			list = append(list, HeldSlot{vm, target, held.held, held.used})
-		}
-	}
-	sort.Slice(list, func(i, j int) bool {
-		return list[i].Target < list[j].Target || list[i].Target == list[j].Target && list[i].Keeper < list[j].Keeper
-	})
-	return list
-}
