--- a/core/berylnode/placement.go
+++ b/core/berylnode/placement.go
@@ -113,8 +113,10 @@
 		service.round++
 	}
 	asked := berylslot.Asked{
-		Local:  berylroute.Window(service.keepers.Local, node.options.KeepersAsked, service.round),
-		Margin: node.options.CrossMargin,
+		Local: berylroute.Window(service.keepers.Local, node.options.KeepersAsked, service.round),
+		// The slack by which newcomers are told lower must not carry them over
+		// the paid link.
+		Margin: node.options.CrossMargin + node.options.Keeper.Slack,
 	}
 	if len(service.keepers.Local) == 0 {
 		asked.Margin = 0
