Recheck the daemons believed lost

Its neighbour had restarted behind the cut, knew them alive by itself, and so nobody refuted what the first one believed; refutations are told twice and can be lost.

Ruled out: a slow machine (it stood for 60 s); connections (all others were up).

--- a/cmd/berylspoke/process_test.go
+++ b/cmd/berylspoke/process_test.go
@@ -113,6 +113,9 @@
 }
 
 func (fleet *processes) close() {
+	if fleet.t.Failed() {
+		fleet.printMembers()
+	}
 	for vm := range fleet.running {
 		fleet.kill(vm)
 	}
@@ -122,6 +125,17 @@
 	}
 }
 
+// printMembers shows whom each daemon believes dead or suspects.
+func (fleet *processes) printMembers() {
+	for vm := range fleet.running {
+		dump, err := fleet.state(vm)
+		fleet.t.Logf("%s: ready %v, version %d, %v", vm, dump.Ready, dump.Version, err)
+		for _, member := range dump.Members {
+			fleet.t.Logf("  %+v", member)
+		}
+	}
+}
+
 func (fleet *processes) printLogs() {
 	files, _ := filepath.Glob(filepath.Join(fleet.folder, "*.log"))
 	for _, file := range files {
--- a/core/berylmember/table.go
+++ b/core/berylmember/table.go
@@ -212,6 +212,7 @@
 		member.Rumour.Counter >= beat.Self.Counter
 	counter, before := table.self.Rumour.Counter, member.Rumour.Status
 	table.accept(now, beat.Self)
+	corrections := table.corrections(beat.Rumours)
 	for _, rumour := range beat.Rumours {
 		table.accept(now, rumour)
 	}
@@ -226,8 +227,8 @@
 		reply := table.beat(table.lost())
 		return &reply
 	}
-	if table.self.Rumour.Counter != counter {
-		reply := table.beat(nil)
+	if table.self.Rumour.Counter != counter || len(corrections) > 0 {
+		reply := table.beat(corrections)
 		return &reply
 	}
 	if wronged {
@@ -239,6 +240,18 @@
 	return nil
 }
 
+// corrections lists what is known better here than in rumours of lost daemons.
+func (table *Table) corrections(rumours []Rumour) []Rumour {
+	var better []Rumour
+	for _, rumour := range rumours {
+		member := table.members[rumour.Process.VM]
+		if member != nil && member != table.self && rumour.Status != Alive && member.Rumour.overrides(rumour) {
+			better = append(better, member.Rumour)
+		}
+	}
+	return better
+}
+
 func (table *Table) accept(now time.Time, rumour Rumour) {
 	id := rumour.Process.VM
 	if id == table.self.VM.ID {
@@ -294,6 +307,7 @@
 	table.urgent = false
 	if now.Sub(table.revived) >= table.options.ReviveEvery {
 		table.revived = now
+		due = append(due, table.recheck(now)...)
 		if dead := table.deadNeighbour(now); dead != "" {
 			// The greeting tells the other that it is believed dead. If only one
 			// side of a healed partition believes so, only this makes it refute.
@@ -304,6 +318,18 @@
 	return due
 }
 
+// recheck tells one linked daemon, in turn, whom this one believes lost. A
+// refutation is told only a few times and may be lost on its way; without this
+// the subject would stay dead here for good. Whoever knows better answers.
+func (table *Table) recheck(now time.Time) []Due {
+	lost, linked := table.lost(), table.Links()
+	if len(lost) == 0 || len(linked) == 0 {
+		return nil
+	}
+	turn := int(now.UnixNano()/int64(table.options.ReviveEvery)) % len(linked)
+	return []Due{{To: linked[turn : turn+1], Beat: table.beat(lost[:min(len(lost), rumoursPerBeat)])}}
+}
+
 // detect suspects silent members and lets old suspicions count. A monitor that
 // was paused itself has heard nobody: the caller resets it by Resume.
 func (table *Table) detect(now time.Time) {
--- a/core/berylnode/members_test.go
+++ b/core/berylnode/members_test.go
@@ -1,6 +1,7 @@
 package berylnode
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -96,6 +97,36 @@
 	}
 }
 
+// A daemon restarts behind a cut, and the regions rejoin while some daemons still
+// wait before they connect again. The rumours that refute
+// what each side believed are lost with them, and are not told again: a daemon
+// stayed dead in the eyes of a region for good.
+func TestRegionsRejoinThoughRumoursAreLost(t *testing.T) {
+	for seed := range uint64(60) {
+		fleet := memberFleet(8)
+		fleet.random = rand.New(rand.NewPCG(seed, 3))
+		region := func(vm berylspoke.VMID) bool { return vm[0] == 'b' }
+		fleet.cut = func(from, to berylspoke.VMID) bool { return region(from) != region(to) }
+		fleet.run(60*time.Second, 50*time.Millisecond)
+		restarted := fleet.vms[5]
+		fleet.crash(restarted.ID)
+		fleet.start(restarted)
+		fleet.run(5*time.Second, 50*time.Millisecond)
+		// Each pair finds its connection again at a time of its own.
+		mended := fleet.now
+		wait := make(map[[2]berylspoke.VMID]time.Duration)
+		fleet.cut = func(from, to berylspoke.VMID) bool {
+			pair := [2]berylspoke.VMID{min(from, to), max(from, to)}
+			if _, drawn := wait[pair]; !drawn {
+				wait[pair] = time.Duration(fleet.random.Int64N(int64(12 * time.Second)))
+			}
+			return region(from) != region(to) && fleet.now.Sub(mended) < wait[pair]
+		}
+		_, ok := fleet.within(52*time.Second, func() bool { return fleet.agreed(8) })
+		require.True(t, ok, "seed %d", seed)
+	}
+}
+
 // A daemon's VM pauses for a minute. When it wakes up, all peers look silent to
 // it although only it was; it must not declare them dead and take over all roles.
 func TestPausedDaemonBlamesNobody(t *testing.T) {
