Name the nearest flag, and drop skips from drawn actions

Cause: an unknown flag was refused without the nearest right one; drawn actions that do not apply used rapid's Skip, which reads like a skipped test. Change: flags are checked before the command runs; such actions return. Checks unchanged.

--- a/cmd/berylspoke/config_test.go
+++ b/cmd/berylspoke/config_test.go
@@ -319,6 +319,9 @@
 	code, output = run(t, "check", "-settings", write("settings.json", `{"vm": "a", "peerAdress": "1"}`))
 	require.Equal(t, 1, code)
 	require.Contains(t, output, `did you mean "peerAddress"?`)
+	code, output = run(t, "check", "-setings", "x")
+	require.Equal(t, 1, code)
+	require.Contains(t, output, "unknown flag -setings, did you mean -settings?")
 
 	wanted := berylconfig.Empty().Declarations
 	wanted = fleet.Plan.Patch().Apply(wanted)
--- a/cmd/berylspoke/main.go
+++ b/cmd/berylspoke/main.go
@@ -5,9 +5,14 @@
 import (
 	"context"
 	"flag"
+	"fmt"
 	"os"
+	"strconv"
+	"strings"
 
 	"github.com/google/subcommands"
+
+	"berylspoke/io/berylsettings"
 )
 
 func main() {
@@ -16,12 +21,52 @@
 	commander.Register(commander.HelpCommand(), "")
 	commander.Register(commander.FlagsCommand(), "")
 	commander.Register(commander.CommandsCommand(), "")
-	for _, command := range []subcommands.Command{
+	commands := []subcommands.Command{
 		new(callCommand), new(checkCommand), new(demoCommand), new(dumpCommand),
 		new(loadCommand), new(patchCommand), new(planCommand), new(serveCommand), new(standCommand),
-	} {
+	}
+	for _, command := range commands {
 		commander.Register(command, "")
 	}
 	flag.Parse()
+	if err := checkFlags(commands, flag.Args()); err != nil {
+		os.Exit(int(fail(err)))
+	}
 	os.Exit(int(commander.Execute(context.Background())))
 }
+
+// checkFlags refuses an unknown flag of a command and names the nearest one.
+func checkFlags(commands []subcommands.Command, arguments []string) error {
+	for _, command := range commands {
+		if len(arguments) == 0 || command.Name() != arguments[0] {
+			continue
+		}
+		flags := flag.NewFlagSet(command.Name(), flag.ContinueOnError)
+		command.SetFlags(flags)
+		names := []string{"help", "h"}
+		flags.VisitAll(func(known *flag.Flag) { names = append(names, known.Name) })
+		for _, argument := range arguments[1:] {
+			if err := checkFlag(argument, names); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func checkFlag(argument string, names []string) error {
+	name, _, _ := strings.Cut(strings.TrimLeft(argument, "-"), "=")
+	_, err := strconv.ParseFloat(argument, 64)
+	if !strings.HasPrefix(argument, "-") || name == "" || err == nil {
+		return nil
+	}
+	for _, known := range names {
+		if known == name {
+			return nil
+		}
+	}
+	if near := berylsettings.Nearest(name, names); near != "" {
+		return fmt.Errorf("unknown flag -%s, did you mean -%s?", name, near)
+	}
+	return fmt.Errorf("unknown flag -%s", name)
+}
--- a/core/berylconfig/config_test.go
+++ b/core/berylconfig/config_test.go
@@ -95,7 +95,7 @@
 			},
 			"read": func(t *rapid.T) {
 				if len(published) == 0 {
-					t.Skip()
+					return
 				}
 				from := rapid.IntRange(0, len(published)-1).Draw(t, "from")
 				to := rapid.IntRange(from, len(published)).Draw(t, "to")
--- a/core/berylnode/calls_test.go
+++ b/core/berylnode/calls_test.go
@@ -46,9 +46,10 @@
 	return world.vms[rapid.IntRange(0, len(world.vms)-1).Draw(t, "vm")].ID
 }
 
+// filing draws one of the filings, nil before the first.
 func (world *callWorld) filing(t *rapid.T) *filing {
 	if len(world.filings) == 0 {
-		t.Skip()
+		return nil
 	}
 	return world.filings[rapid.IntRange(0, len(world.filings)-1).Draw(t, "filing")]
 }
@@ -56,7 +57,7 @@
 // call brings an id to a daemon, as a caller or a caller's retry does.
 func (world *callWorld) call(vm berylspoke.VMID, filing *filing) {
 	node := world.nodes[vm]
-	if node == nil || world.frozen[vm] || !node.Ready() {
+	if filing == nil || node == nil || world.frozen[vm] || !node.Ready() {
 		return
 	}
 	if !node.Owner().Owns(filing.id) {
@@ -73,7 +74,7 @@
 
 func (world *callWorld) settle(vm berylspoke.VMID, filing *filing) {
 	node := world.nodes[vm]
-	if node == nil || world.frozen[vm] {
+	if filing == nil || node == nil || world.frozen[vm] {
 		return
 	}
 	world.tokens++
--- a/core/berylnode/config_test.go
+++ b/core/berylnode/config_test.go
@@ -50,7 +50,7 @@
 			"restart": func(t *rapid.T) {
 				for _, node := range fleet.nodes {
 					if !node.Ready() {
-						t.Skip()
+						return
 					}
 				}
 				vm := fleet.vms[rapid.IntRange(0, len(fleet.vms)-1).Draw(t, "vm")]
--- a/core/berylticket/ticket_test.go
+++ b/core/berylticket/ticket_test.go
@@ -72,14 +72,14 @@
 			},
 			"permit": func(t *rapid.T) {
 				if len(world.permits) == 0 {
-					t.Skip()
+					return
 				}
 				id := world.permits[rapid.IntRange(0, len(world.permits)-1).Draw(t, "permit")].ID
 				world.answers = append(world.answers, PermitAnswer{id, world.witness.Permit(id)})
 			},
 			"answer": func(t *rapid.T) {
 				if len(world.answers) == 0 {
-					t.Skip()
+					return
 				}
 				answer := world.answers[rapid.IntRange(0, len(world.answers)-1).Draw(t, "answer")]
 				dispatch, refused := world.owner.Permit(world.now, answer.ID, answer.Granted)
