--- a/core/berylnode/node.go
+++ b/core/berylnode/node.go
@@ -134,7 +134,7 @@
 // Member returns what is known of a VM, or nil.
 func (node *Node) Member(vm berylspoke.VMID) *berylmember.Member { return node.table.Member(vm) }
 
-// Sealer formats need the organisations; Owner exposes the tickets of this node.
+// Owner returns the tickets and records of this node.
 func (node *Node) Owner() *berylticket.Owner { return node.owner }
 
 // Drain announces that this daemon takes no new roles and no new requests.
--- a/io/berylload/fleet.go
+++ b/io/berylload/fleet.go
@@ -23,7 +23,7 @@
 	Weight berylspoke.Weight         `json:"weight"`
 }
 
-// Engine is one model engine with its batch size.
+// Engine is one model engine.
 type Engine struct {
 	Target  berylspoke.TargetID `json:"target"`
 	Address string              `json:"address"`
--- a/io/berylserve/doc.go
+++ b/io/berylserve/doc.go
@@ -1,5 +1,5 @@
-// Package berylserve runs one daemon: the core in an actor and the sockets,
-// timers and processes' edges around it.
+// Package berylserve runs one daemon: the core in an actor, and sockets and timers
+// around it.
 //
 // The model: one actor owns the node and handles one message at a time, so the
 // core needs no lock. Handlers of callers' requests send it messages and wait on
