Bound the queue estimate by work that has not begun; connections as needed

Change: a queue holds no more than what was sent and has not begun to answer; the pace of a target forgets within 4 s and learns only behind short queues; a daemon may open more than its equal part of connections while others use less; a full mesh is not scaled.

--- a/core/berylgate/choose.go
+++ b/core/berylgate/choose.go
@@ -52,6 +52,14 @@
 	Target   berylspoke.Target
 	Refusal  *berylspoke.Refusal
 	Expected time.Duration
+	// Connections is how many connections this daemon may hold to the target.
+	Connections int
+	// Queue is the work in milliseconds believed to lie before the target, and
+	// Pace the time that it takes for a millisecond of the model.
+	Queue, Pace float64
+	// Running and Tokens are the requests and their memory believed to be there.
+	Running int
+	Tokens  berylspoke.Tokens
 	// Limit is the expected time up to which the request would be sent, and Over
 	// how far its organisation is beyond its share.
 	Limit time.Duration
@@ -77,7 +85,12 @@
 	}
 	over := gate.over(now, pool, request)
 	limit := gate.limit(now, request, over)
-	decision := Decision{Target: best.target.Target, Expected: duration(best.expected), Limit: duration(limit), Over: over}
+	decision := Decision{
+		Target: best.target.Target, Connections: gate.connections(best.target),
+		Expected: duration(best.expected), Queue: best.target.backlog, Pace: best.target.pace,
+		Running: best.target.occupied(), Tokens: best.target.tokens + best.target.others.tokens,
+		Limit: duration(limit), Over: over,
+	}
 	if !again && best.expected > limit {
 		decision.Refusal = gate.overloaded(best, limit, over)
 		return decision
@@ -86,7 +99,7 @@
 		return refused(berylspoke.ReasonOverload, shortWait)
 	}
 	gate.start(now, request, best)
-	if !again && pool.declared.Engine != nil {
+	if pool.declared.Engine != nil && request.sends == 1 {
 		gate.shares.usage(hashOf(string(request.Organisation))).given.add(now, tokensOf(request))
 	}
 	return decision
--- a/core/berylgate/gate.go
+++ b/core/berylgate/gate.go
@@ -70,9 +70,10 @@
 	hashes   map[uint32]*target
 	shares   *shares
 	peers    map[berylspoke.VMID]*peer
-	daemons  int
-	random   *rand.Rand
-	ticked   time.Time
+	// live are the daemons known to be alive, daemons the most that ever were.
+	live, daemons int
+	random        *rand.Rand
+	ticked        time.Time
 }
 
 // New returns a gate that knows no targets.
@@ -93,9 +94,14 @@
 // the members are known; the smallest deployments have eight.
 const leastDaemons = 8
 
-// SetDaemons tells how many daemons the fleet has.
-func (gate *Gate) SetDaemons(now time.Time, count int) {
-	gate.daemons = max(count, 1)
+// SetDaemons tells how many daemons are alive. Bounds that all share are divided
+// by the most that were ever known: the missing ones may only be out of reach.
+func (gate *Gate) SetDaemons(now time.Time, live int) {
+	gate.live = live
+	if live <= gate.daemons {
+		return
+	}
+	gate.daemons = live
 	for _, pool := range gate.services {
 		pool.budget = gate.newBudget(now, pool.budget.Left(now))
 	}
@@ -171,14 +177,19 @@
 	}
 }
 
-// MaxConnections returns how many connections this daemon may hold to a target
-// so that all daemons together stay within the declared bound.
-func (gate *Gate) MaxConnections(id berylspoke.TargetID) int {
-	target := gate.targets[id]
-	if target == nil || gate.services[target.Service] == nil {
+// connections returns how many connections this daemon may hold to a target. An
+// equal part of the declared bound is always its own. Callers of one hot
+// organisation may all come to one daemon, so it may take more while the others
+// use less; what is admitted at all is bounded by the target's slots.
+func (gate *Gate) connections(target *target) int {
+	const common = 0.6
+	pool := gate.services[target.Service]
+	if pool == nil {
 		return 1
 	}
-	return max(1, gate.services[target.Service].declared.MaxConnections/max(gate.daemons, 1))
+	most := pool.declared.MaxConnections
+	own := most / max(gate.daemons, 1)
+	return max(1, own, int(common*float64(most))-target.others.running)
 }
 
 // Tick looks for targets that went silent and drops what is out of date.
@@ -221,7 +232,9 @@
 		return
 	}
 	target.tokens += attempt.memory
+	target.drain(now)
 	target.backlog += attempt.added
+	target.pending += attempt.added
 	target.sentWork += attempt.added
 	target.hold(now, sharedParts(request.Parts))
 }
@@ -232,8 +245,8 @@
 	if attempt == nil || attempt.began {
 		return
 	}
-	attempt.began = true
 	target := attempt.target
+	target.begun(attempt)
 	target.worked(now)
 	if target.engine == nil {
 		return
@@ -252,6 +265,10 @@
 	target := attempt.target
 	target.drain(now)
 	ratio := max(seen-target.way, 1) / max(attempt.expected-target.way, 1)
+	if attempt.queue > attempt.added+firstToken {
+		// Behind a long queue the error is that of the queue, not of the target.
+		ratio = 1
+	}
 	target.pace = min(max(target.pace*(1+paceWeight*(min(ratio, 3)-1)), paceLeast), paceMost)
 	excess := (seen - attempt.expected) / target.pace
 	target.backlog = max(0, target.backlog+observerGain*min(excess, attempt.queue+attempt.added))
@@ -294,6 +311,7 @@
 	request.live = nil
 	target := attempt.target
 	delete(target.attempts, attempt)
+	target.begun(attempt)
 	target.running--
 	if target.engine != nil {
 		target.tokens -= attempt.memory
@@ -337,6 +355,7 @@
 	if target.engine == nil {
 		return
 	}
+	gate.shares.usage(hashOf(string(attempt.request.Organisation))).given.add(now, -tokensOf(attempt.request))
 	target.drain(now)
 	target.backlog = max(0, target.backlog-attempt.added)
 	if outcome == Turned {
--- a/core/berylgate/report.go
+++ b/core/berylgate/report.go
@@ -36,6 +36,9 @@
 	Work    uint64
 	Running int
 	Tokens  berylspoke.Tokens
+	// Pending is the work in milliseconds of the requests there that have not
+	// begun to answer.
+	Pending uint32
 }
 
 // OrganisationReport is a daemon's usage by one organisation in tokens a second.
@@ -62,7 +65,7 @@
 	for _, target := range gate.targets {
 		if target.sentWork > 0 || target.running > 0 {
 			report.Targets = append(report.Targets, TargetReport{
-				Target: target.hash, Work: uint64(target.sentWork), Running: target.running, Tokens: target.tokens,
+				Target: target.hash, Work: uint64(target.sentWork), Running: target.running, Tokens: target.tokens, Pending: uint32(target.pending),
 			})
 		}
 	}
@@ -102,12 +105,20 @@
 	gate.sumOthers(now)
 }
 
-// scale is how many daemons each heard one stands for: in a large fleet a
-// daemon hears only a sample of the others.
+// scale is how many daemons each heard one stands for. Small fleets hear all of
+// them, and one that is not heard is gone or cut off; in a large fleet a daemon
+// hears only a sample of the others.
 func (gate *Gate) scale() float64 {
-	return math.Max(1, float64(gate.daemons-1)/math.Max(1, float64(len(gate.peers))))
+	if gate.live-1 <= FullMesh {
+		return 1
+	}
+	return math.Max(1, float64(gate.live-1)/math.Max(1, float64(len(gate.peers))))
 }
 
+// FullMesh is the number of peers up to which a daemon tells all of them what
+// it dispatched; in larger fleets it tells its links.
+const FullMesh = 12
+
 // sumOthers adds up what the other daemons have at each target.
 func (gate *Gate) sumOthers(now time.Time) {
 	for _, target := range gate.targets {
@@ -122,6 +133,7 @@
 			if target := gate.hashes[item.Target]; target != nil {
 				target.others.running += item.Running
 				target.others.tokens += item.Tokens
+				target.others.pending += float64(item.Pending)
 			}
 		}
 	}
@@ -129,6 +141,7 @@
 		for _, target := range gate.targets {
 			target.others.running = int(scale * float64(target.others.running))
 			target.others.tokens = berylspoke.Tokens(scale * float64(target.others.tokens))
+			target.others.pending *= scale
 		}
 	}
 }
--- a/core/berylgate/target.go
+++ b/core/berylgate/target.go
@@ -22,8 +22,12 @@
 	errorWeight = 0.05
 	// paceWeight is the part of one observation in a target's pace.
 	paceWeight = 0.08
-	paceLeast  = 0.4
-	paceMost   = 12.0
+	paceLeast  = 0.5
+	paceMost   = 8.0
+	// paceMemory is the time constant in which a pace returns to that of the
+	// model. A target that was slow gets few requests, so their answers alone
+	// would never show that it recovered.
+	paceMemory = 4 * time.Second
 	// observerGain is the part of the difference between the expected and the
 	// seen queue that corrects the estimate: a full correction would follow the
 	// noise of single steps.
@@ -52,6 +56,9 @@
 	// the time of asOf, at the pace of the model.
 	backlog float64
 	asOf    time.Time
+	// pending is the part of the work that this daemon sent there whose requests
+	// have not begun to answer.
+	pending float64
 	// sentWork is all work that this daemon ever sent there.
 	sentWork float64
 	// running and tokens are this daemon's requests there and their memory.
@@ -79,6 +86,7 @@
 type occupancy struct {
 	running int
 	tokens  berylspoke.Tokens
+	pending float64
 }
 
 func newTarget(now time.Time, declared berylspoke.Target) *target {
@@ -91,12 +99,19 @@
 // hashOf names a target or an organisation in reports.
 func hashOf(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
 
-// drain advances the estimate of the queue to the present.
+// drain advances the estimate of the queue to the present. Whatever the model
+// says, no more lies before the target than what was sent there and has not
+// begun to answer.
 func (target *target) drain(now time.Time) {
-	if elapsed := now.Sub(target.asOf); elapsed > 0 {
-		target.backlog = math.Max(0, target.backlog-millis(elapsed)/target.pace)
-		target.asOf = now
+	elapsed := now.Sub(target.asOf)
+	if elapsed <= 0 {
+		return
 	}
+	target.asOf = now
+	target.backlog = math.Max(0, target.backlog-millis(elapsed)/target.pace)
+	most := target.pending + target.others.pending
+	target.backlog = math.Min(target.backlog, most)
+	target.pace = 1 + (target.pace-1)*math.Exp(-float64(elapsed)/float64(paceMemory))
 }
 
 // occupied returns the requests that run or wait there, of all daemons.
@@ -156,6 +171,17 @@
 	target.errors -= errorWeight * target.errors
 }
 
+// begun notes that an attempt no longer waits for its first byte.
+func (target *target) begun(attempt *attempt) {
+	if attempt.began {
+		return
+	}
+	attempt.began = true
+	if target.engine != nil {
+		target.pending = math.Max(0, target.pending-attempt.added)
+	}
+}
+
 // watch makes the target suspect while requests wait there in silence for much
 // longer than expected: an engine that went dark takes connections and says
 // nothing, and only this shows it before the callers' time is up.
--- a/io/beryledge/actor.go
+++ b/io/beryledge/actor.go
@@ -26,9 +26,6 @@
 	syncEvery = 5 * time.Second
 	// joinEvery is the same while no peer is known.
 	joinEvery = 300 * time.Millisecond
-	// fullMesh is the number of peers up to which all are told of dispatches;
-	// larger fleets tell their links, a sample of each other.
-	fullMesh = 12
 	// behindFor is how long a peer's news may be missing here before it is asked
 	// for them: the store tells both at about the same time.
 	behindFor = 120 * time.Millisecond
@@ -85,11 +82,9 @@
 	feeds    [berylfeed.Count]*berylfeed.Feed
 	behind   [berylfeed.Count]time.Time
 	regrace  time.Time
-	live     int
 	ticked   time.Time
 	reported time.Time
 	synced   time.Time
-	changed  bool
 }
 
 var _ actor.Actor = (*core)(nil)
@@ -211,7 +206,7 @@
 	}
 	report.Contact = now.Sub(core.feeds[berylfeed.Targets].Contact()) < storeFresh
 	to := core.others()
-	if len(to) > fullMesh {
+	if len(to) > berylgate.FullMesh {
 		to = core.table.Links()
 	}
 	for _, vm := range to {
@@ -364,12 +359,7 @@
 		core.daemon.transport.Relink()
 	}
 	live := len(core.table.Live())
-	if live > core.live {
-		// Fewer live members do not divide the budgets anew: the rest may only
-		// be out of reach.
-		core.live = live
-		core.gate.SetDaemons(now, live)
-	}
+	core.gate.SetDaemons(now, live)
 	core.daemon.log.Info("members changed", zap.Int("live", live), zap.Any("entries", fresh.byDomain))
 }
 
--- a/io/beryledge/attempt.go
+++ b/io/beryledge/attempt.go
@@ -44,7 +44,9 @@
 		call.stream.impatience = timer
 	}
 	target := decision.Target
-	exchange, err := call.daemon.pool.Send(ctx, target.Address, call.daemon.connections(target), call.outgoing(target), call.mine)
+	call.firstByte = 0
+	call.sent = time.Now()
+	exchange, err := call.daemon.pool.Send(ctx, target.Address, decision.Connections, call.outgoing(target), call.mine)
 	if err != nil {
 		return call.failed(decision, err)
 	}
@@ -107,6 +109,10 @@
 	fields := []zap.Field{
 		zap.String("target", string(decision.Target.ID)), zap.Stringer("outcome", outcome),
 		zap.Duration("expected", decision.Expected), zap.Float64("over", decision.Over),
+		zap.Float64("queue", decision.Queue), zap.Float64("pace", decision.Pace),
+	}
+	if call.firstByte > 0 {
+		fields = append(fields, zap.Duration("firstByte", call.firstByte))
 	}
 	if err != nil {
 		fields = append(fields, zap.String("error", err.Error()))
@@ -145,6 +151,12 @@
 	return reply.ID == call.ask.ID || reply.ID == "" && !reply.Sealed
 }
 
+// begin notes the first byte of an answer.
+func (call *call) begin(reply berylspoke.Reply) {
+	call.firstByte = time.Since(call.sent)
+	call.daemon.tell(began{call.request, reply.Load})
+}
+
 // drain reads the rest of a small answer so that its connection can be kept.
 func (call *call) drain(exchange *berylconn.Exchange) {
 	const most = 64 << 10
@@ -159,7 +171,7 @@
 // passWhole passes on an answer once all of it is here, so that one that is cut
 // never reaches the caller.
 func (call *call) passWhole(decision berylgate.Decision, exchange *berylconn.Exchange, reply berylspoke.Reply) bool {
-	call.daemon.tell(began{call.request, reply.Load})
+	call.begin(reply)
 	response := exchange.Response
 	body, err := io.ReadAll(io.LimitReader(response.Body, answerBytes))
 	if err == nil {
@@ -225,10 +237,3 @@
 		header["Content-Type"] = nil
 	}
 }
-
-// connections returns how many connections this daemon may open to a target.
-func (daemon *Daemon) connections(target berylspoke.Target) int {
-	index := daemon.index.Load()
-	most := index.Catalog().Services[target.Service].MaxConnections
-	return max(1, most/max(len(daemon.entries.Load().domains), 1))
-}
--- a/io/beryledge/callers.go
+++ b/io/beryledge/callers.go
@@ -42,6 +42,10 @@
 	body         []byte
 	ctx          context.Context
 	arrived      time.Time
+	// sent and firstByte tell when the last attempt was sent and how long its
+	// answer took to begin.
+	sent      time.Time
+	firstByte time.Duration
 	// mayHaveRun is set once a target may have executed the request.
 	mayHaveRun bool
 	// next is the decision on the next attempt if it was already taken.
@@ -197,6 +201,8 @@
 		zap.String("reason", string(refusal.Reason)), zap.Bool("mayHaveRun", call.mayHaveRun),
 		zap.String("target", string(decision.Target.ID)), zap.Duration("expected", decision.Expected),
 		zap.Duration("limit", decision.Limit), zap.Float64("over", decision.Over),
+		zap.Float64("queue", decision.Queue), zap.Float64("pace", decision.Pace),
+		zap.Int("running", decision.Running), zap.Int64("tokens", int64(decision.Tokens)),
 	}
 	if call.stream.begun {
 		call.log("stream broken off", fields...)
--- a/io/beryledge/stream.go
+++ b/io/beryledge/stream.go
@@ -80,7 +80,7 @@
 			if call.stream.impatience != nil {
 				call.stream.impatience.Stop()
 			}
-			call.daemon.tell(began{call.request, reply.Load})
+			call.begin(reply)
 		}
 		if end := bytes.LastIndex(buffer, eventEnd); end >= 0 {
 			whole := buffer[:end+len(eventEnd)]
--- a/io/berylpeer/wirefeed.go
+++ b/io/berylpeer/wirefeed.go
@@ -70,6 +70,7 @@
 	Work    uint64
 	Running int
 	Tokens  int64
+	Pending uint32
 }
 
 type wireOrganisationReport struct {
@@ -94,7 +95,7 @@
 	}
 	for _, item := range report.Targets {
 		wire.Targets = append(wire.Targets, wireTargetReport{
-			Target: item.Target, Work: item.Work, Running: item.Running, Tokens: int64(item.Tokens),
+			Target: item.Target, Work: item.Work, Running: item.Running, Tokens: int64(item.Tokens), Pending: item.Pending,
 		})
 	}
 	for _, item := range report.Organisations {
@@ -112,7 +113,7 @@
 	}
 	for _, item := range wire.Targets {
 		report.Targets = append(report.Targets, berylgate.TargetReport{
-			Target: item.Target, Work: item.Work, Running: item.Running, Tokens: berylspoke.Tokens(item.Tokens),
+			Target: item.Target, Work: item.Work, Running: item.Running, Tokens: berylspoke.Tokens(item.Tokens), Pending: item.Pending,
 		})
 	}
 	for _, item := range wire.Organisations {
