Give up idle connections of callers in time

Change: idle connections close one second after callers may use them; beyond 0.3 of the descriptors a refusal asks the caller to close.

--- a/io/beryledge/actor.go
+++ b/io/beryledge/actor.go
@@ -18,6 +18,8 @@
 const (
 	// tickEvery is the time between two ticks of the core.
 	tickEvery = 50 * time.Millisecond
+	// sweepEvery is the time between two looks for idle connections.
+	sweepEvery = 500 * time.Millisecond
 	// reportEvery is the time between two reports to peers. What a daemon does
 	// not know of the others' dispatches is half of this on average.
 	reportEvery = 200 * time.Millisecond
@@ -379,13 +381,17 @@
 func (daemon *Daemon) keepTime() {
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
+	sweeper := time.NewTicker(sweepEvery)
+	defer sweeper.Stop()
 	for {
 		select {
 		case <-daemon.ctx.Done():
 			return
 		case <-ticker.C:
 			daemon.tell(tick{})
-			daemon.pool.Sweep(time.Now())
+		case now := <-sweeper.C:
+			daemon.pool.Sweep(now)
+			daemon.sweepIdle(now)
 		}
 	}
 }
--- a/io/beryledge/callers.go
+++ b/io/beryledge/callers.go
@@ -249,6 +249,9 @@
 	if wait > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 2, 64))
 	}
+	if call.daemon.crowded() {
+		header.Set("Connection", "close")
+	}
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	call.daemon.meters.refusal(reason).Inc()
 	call.writer.WriteHeader(status)
--- a/io/beryledge/daemon.go
+++ b/io/beryledge/daemon.go
@@ -51,6 +51,7 @@
 	core        *actor.PID
 	transport   *berylpeer.Transport
 	pool        *berylconn.Pool
+	idle        *idleConns
 	index       atomic.Pointer[berylcatalog.Index]
 	entries     atomic.Pointer[entries]
 	ready       atomic.Bool
@@ -73,7 +74,7 @@
 		settings: settings, dialect: dialect, store: store,
 		log:         log.With(zap.String("vm", settings.Name)),
 		incarnation: berylspoke.Incarnation(now.UnixMicro()),
-		pool:        berylconn.NewPool(),
+		pool:        berylconn.NewPool(), idle: newIdleConns(),
 	}
 	daemon.meters = newMeters(daemon)
 	daemon.entries.Store(new(entries))
@@ -143,7 +144,7 @@
 	server := &http.Server{
 		Handler: handler, MaxHeaderBytes: headerBytes,
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		ErrorLog: zap.NewStdLog(zap.NewNop()),
+		ErrorLog: zap.NewStdLog(zap.NewNop()), ConnState: daemon.idle.observe,
 	}
 	daemon.servers = append(daemon.servers, server)
 	go func() { _ = server.Serve(listener) }()
