Read the store by three watchers a feed, and refuse late requests while stopping

Ruled out: peers (all daemons hung alike). Change: watches last 1 s; three daemons a feed watch, the others hear from them and watch by themselves when no daemon in contact is heard for 0.8 s. A stopping daemon takes streams for 2.5 s and calls for 5 s, then says truthfully that they did not run. Prompts leave their home only for ten times the work of reading them again; the cheapest target within the limit is taken.

--- a/core/berylfeed/feed.go
+++ b/core/berylfeed/feed.go
@@ -59,6 +59,9 @@
 // Contact returns when the store last answered this daemon.
 func (feed *Feed) Contact() time.Time { return feed.contact }
 
+// Up says whether the store answered this daemon's last call.
+func (feed *Feed) Up() bool { return !feed.down }
+
 // Failed notes that the store did not answer and says whether that is news.
 func (feed *Feed) Failed() bool {
 	news := !feed.down
--- a/core/berylgate/choose.go
+++ b/core/berylgate/choose.go
@@ -23,7 +23,7 @@
 	overLeast = 0.25
 	// rereadWeight is how many times the work of reading a part again counts
 	// beside the wait: what is read twice is lost to all.
-	rereadWeight = 3.0
+	rereadWeight = 10.0
 	// errorPenalty is the milliseconds that a target which fails every request
 	// costs more than one that fails none.
 	errorPenalty = 2000.0
@@ -44,6 +44,7 @@
 	added    float64
 	expected float64
 	cost     float64
+	kept     berylspoke.Tokens
 }
 
 // Decision is what becomes of a request.
@@ -57,6 +58,9 @@
 	// Queue is the work in milliseconds believed to lie before the target, and
 	// Pace the time that it takes for a millisecond of the model.
 	Queue, Pace float64
+	// Shared are the prompt's tokens that other prompts begin with too, Kept those
+	// of them that the target is believed to keep.
+	Shared, Kept berylspoke.Tokens
 	// Running and Tokens are the requests and their memory believed to be there.
 	Running int
 	Tokens  berylspoke.Tokens
@@ -79,19 +83,26 @@
 	if again && request.sends >= request.Attempts {
 		return refused(berylspoke.ReasonTarget, shortWait)
 	}
-	best, found := gate.best(now, pool, request)
+	over := gate.over(now, pool, request)
+	limit := gate.limit(now, request, over)
+	if again {
+		limit = math.Inf(1)
+	}
+	best, found := gate.best(now, pool, request, limit)
 	if !found {
 		return refused(berylspoke.ReasonNoTarget, shortWait)
 	}
-	over := gate.over(now, pool, request)
-	limit := gate.limit(now, request, over)
 	decision := Decision{
 		Target: best.target.Target, Connections: gate.connections(best.target),
 		Expected: duration(best.expected), Queue: best.target.backlog, Pace: best.target.pace,
+		Shared: sharedTokens(sharedParts(request.Parts)), Kept: best.kept,
 		Running: best.target.occupied(), Tokens: best.target.tokens + best.target.others.tokens,
-		Limit: duration(limit), Over: over,
+		Over: over,
 	}
-	if !again && best.expected > limit {
+	if !again {
+		decision.Limit = duration(limit)
+	}
+	if best.expected > limit {
 		decision.Refusal = gate.overloaded(best, limit, over)
 		return decision
 	}
@@ -144,29 +155,29 @@
 	return left * factor
 }
 
-// best returns the target of the lowest cost.
-func (gate *Gate) best(now time.Time, pool *pool, request *Request) (candidate, bool) {
+// best returns the target of the lowest cost among those that are expected to
+// answer within the limit, or the lowest of all if none is.
+func (gate *Gate) best(now time.Time, pool *pool, request *Request, limit float64) (candidate, bool) {
 	shared := sharedParts(request.Parts)
-	global, local := gate.homes(pool, shared)
-	if sharedTokens(shared) >= homesBeyond {
-		local = global
-	}
-	var best, spare candidate
+	homes := gate.homes(pool, shared)
+	var best, late, spare candidate
 	for _, target := range pool.targets {
 		if target.Leaving || request.tried[target.ID] {
 			continue
 		}
-		option := gate.weigh(now, target, request, shared, target == global || target == local)
-		if !target.usable(now) {
-			if spare.target == nil || option.cost < spare.cost {
-				spare = option
-			}
-			continue
-		}
-		if best.target == nil || option.cost < best.cost {
-			best = option
+		option := gate.weigh(now, target, request, shared, homes)
+		switch {
+		case !target.usable(now):
+			spare = cheaper(spare, option)
+		case option.expected > limit:
+			late = cheaper(late, option)
+		default:
+			best = cheaper(best, option)
 		}
 	}
+	if best.target == nil {
+		best = late
+	}
 	if best.target == nil {
 		// All targets failed lately. Refusing everything until one is tried again
 		// would turn a fault that hits each now and then into an outage.
@@ -175,14 +186,22 @@
 	return best, best.target != nil
 }
 
+// cheaper returns the candidate of the lower cost.
+func cheaper(one, other candidate) candidate {
+	if one.target == nil || other.cost < one.cost {
+		return other
+	}
+	return one
+}
+
 // weigh returns what a request costs at one target.
-func (gate *Gate) weigh(now time.Time, target *target, request *Request, shared []berylspoke.Part, home bool) candidate {
-	kept := target.cached(now, shared)
+func (gate *Gate) weigh(now time.Time, target *target, request *Request, shared []berylspoke.Part, homes homes) candidate {
 	total := sharedTokens(shared)
-	if home {
-		kept = total
+	kept := total
+	if !homes.include(target) {
+		kept = target.cached(now, shared)
 	}
-	option := candidate{target: target}
+	option := candidate{target: target, kept: kept}
 	if target.engine != nil {
 		option.added = work(request.Input, kept)
 	}
@@ -198,28 +217,33 @@
 	return option
 }
 
-// homes returns the targets that requests with these shared parts prefer, in
-// the fleet and in this region. Every daemon picks the same from the list of
-// targets, so a part is read once without any message about it.
-func (gate *Gate) homes(pool *pool, shared []berylspoke.Part) (global, local *target) {
+// homes are the targets that requests with the same shared parts prefer.
+type homes struct {
+	first *target
+}
+
+func (homes homes) include(target *target) bool { return target == homes.first }
+
+// homes returns the homes of some shared parts: one in the fleet for long ones,
+// one in this region for short ones. Every daemon picks the same from the list
+// of targets, so a part is read once without any message about it.
+func (gate *Gate) homes(pool *pool, shared []berylspoke.Part) homes {
+	var found homes
 	if len(shared) == 0 {
-		return nil, nil
+		return found
 	}
 	last := shared[len(shared)-1].ID
-	var top, near uint64
+	everywhere := sharedTokens(shared) >= homesBeyond
+	var top uint64
 	for _, target := range pool.targets {
-		if target.Leaving {
+		if target.Leaving || target.far && !everywhere {
 			continue
 		}
-		score := mix(last, uint64(target.hash))
-		if global == nil || score > top {
-			global, top = target, score
-		}
-		if !target.far && (local == nil || score > near) {
-			local, near = target, score
+		if score := mix(last, uint64(target.hash)); found.first == nil || score > top {
+			found.first, top = target, score
 		}
 	}
-	return global, local
+	return found
 }
 
 // mix hashes a part and a target for rendezvous hashing.
--- a/io/beryledge/actor.go
+++ b/io/beryledge/actor.go
@@ -3,6 +3,8 @@
 // This file defines the actor that owns what decides.
 
 import (
+	"fmt"
+	"slices"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
@@ -28,9 +30,9 @@
 	syncEvery = 5 * time.Second
 	// joinEvery is the same while no peer is known.
 	joinEvery = 300 * time.Millisecond
-	// behindFor is how long a peer's news may be missing here before it is asked
-	// for them: the store tells both at about the same time.
-	behindFor = 120 * time.Millisecond
+	// behindFor is how long a peer's news may be missing at a watcher before it
+	// asks for them: the store tells both at about the same time.
+	behindFor = 250 * time.Millisecond
 	// pauseAfter is the gap between ticks that shows that the process slept.
 	pauseAfter = time.Second
 )
@@ -206,7 +208,7 @@
 	for _, feed := range core.feeds {
 		report.Feeds = append(report.Feeds, feed.Last())
 	}
-	report.Contact = now.Sub(core.feeds[berylfeed.Targets].Contact()) < storeFresh
+	report.Contact = core.inContact(now)
 	to := core.others()
 	if len(to) > berylgate.FullMesh {
 		to = core.table.Links()
@@ -216,6 +218,16 @@
 	}
 }
 
+// inContact says whether the store answers this daemon on all feeds.
+func (core *core) inContact(now time.Time) bool {
+	for _, feed := range core.feeds {
+		if !feed.Up() || now.Sub(feed.Contact()) > contactFor {
+			return false
+		}
+	}
+	return true
+}
+
 func (core *core) deliver(now time.Time, from berylspoke.VMID, message berylspoke.Message) {
 	switch message := message.(type) {
 	case berylmember.Heartbeat:
@@ -224,6 +236,9 @@
 		}
 	case berylgate.Report:
 		core.gate.Heard(now, from, message)
+		if message.Contact {
+			core.daemon.fed.Store(now.UnixNano())
+		}
 		core.compare(now, from, message.Feeds)
 	case berylfeed.Pull:
 		if message.Feed >= berylfeed.Count {
@@ -251,7 +266,7 @@
 		if core.behind[name].IsZero() {
 			core.behind[name] = now
 		}
-		if now.Sub(core.behind[name]) >= behindFor || !feed.Known() {
+		if now.Sub(core.behind[name]) >= behindFor || !core.daemon.watcher[name].Load() {
 			core.behind[name] = now
 			core.daemon.transport.Send(from, berylfeed.Pull{Feed: berylfeed.Name(name), After: feed.AsOf()})
 		}
@@ -278,6 +293,8 @@
 	}
 	if change(now, message.items, message.asOf) {
 		core.refresh(now, message.feed)
+		// The peers that do not watch hear of it with the next tick.
+		core.reported = time.Time{}
 	}
 	core.publish(message.feed)
 }
@@ -362,6 +379,10 @@
 	}
 	live := len(core.table.Live())
 	core.gate.SetDaemons(now, live)
+	for name := range core.feeds {
+		chosen := berylmember.Ranked(fmt.Sprintf("watcher %d", name), core.table.Live(), watchers)
+		core.daemon.watcher[name].Store(slices.Contains(chosen, core.daemon.settings.VM))
+	}
 	core.daemon.log.Info("members changed", zap.Int("live", live), zap.Any("entries", fresh.byDomain))
 }
 
--- a/io/beryledge/attempt.go
+++ b/io/beryledge/attempt.go
@@ -110,6 +110,7 @@
 		zap.String("target", string(decision.Target.ID)), zap.Stringer("outcome", outcome),
 		zap.Duration("expected", decision.Expected), zap.Float64("over", decision.Over),
 		zap.Float64("queue", decision.Queue), zap.Float64("pace", decision.Pace),
+		zap.Int64("shared", int64(decision.Shared)), zap.Int64("kept", int64(decision.Kept)),
 	}
 	if call.firstByte > 0 {
 		fields = append(fields, zap.Duration("firstByte", call.firstByte))
--- a/io/beryledge/callers.go
+++ b/io/beryledge/callers.go
@@ -98,6 +98,10 @@
 		call.refuse(http.StatusUnauthorized, berylspoke.ReasonUnauthorised, 0)
 		return false
 	}
+	if call.daemon.tooLate(call.arrived, call.route.Kind) {
+		call.refuse(http.StatusServiceUnavailable, berylspoke.ReasonDraining, stopWait)
+		return false
+	}
 	call.request = call.newRequest(index.Catalog().Limits)
 	return true
 }
--- a/io/beryledge/daemon.go
+++ b/io/beryledge/daemon.go
@@ -56,15 +56,20 @@
 	entries     atomic.Pointer[entries]
 	ready       atomic.Bool
 	stopping    atomic.Bool
+	stopBegan   atomic.Int64
 	active      atomic.Int64
 	lastRequest atomic.Int64
 	revisions   [berylfeed.Count]atomic.Uint64
 	known       [berylfeed.Count]atomic.Bool
-	meters      *meters
-	servers     []*http.Server
-	callers     *http.Server
-	ctx         context.Context
-	stop        context.CancelFunc
+	// watcher says whose feeds this daemon reads for all; fed is when it last
+	// heard from a daemon in contact with the store, in Unix nanoseconds.
+	watcher [berylfeed.Count]atomic.Bool
+	fed     atomic.Int64
+	meters  *meters
+	servers []*http.Server
+	callers *http.Server
+	ctx     context.Context
+	stop    context.CancelFunc
 }
 
 // Start runs a daemon until Stop.
--- a/io/beryledge/follow.go
+++ b/io/beryledge/follow.go
@@ -13,12 +13,22 @@
 )
 
 const (
-	// watchFor is how long a watch waits at the store. A watch whose answer is
-	// lost tells nothing until it ends, and each end costs a call.
-	watchFor = 5 * time.Second
-	// storeFresh is the age of the store's last answer up to which a daemon
-	// counts as in contact with it.
-	storeFresh = watchFor + 2*time.Second
+	// watchFor is how long a watch waits at the store. A store that drops its
+	// history may forget a waiting watch, which then tells nothing until it ends;
+	// a change must be in force within three seconds all the same.
+	watchFor = time.Second
+	// watchers is the number of daemons that watch each feed. Each call is paid
+	// and the store's rate is shared, so the others hear from these. Three, so
+	// that a fault at one or two of them delays nothing.
+	watchers = 3
+	// contactFor is the age of the store's last answer up to which a daemon
+	// counts as in contact: one watch, and the time that a slow answer takes.
+	contactFor = watchFor + 600*time.Millisecond
+	// fedFor is how long a daemon that is not a watcher goes without word from
+	// one in contact before it watches by itself: four reports.
+	fedFor = 4 * reportEvery
+	// fedLook is the time between two looks whether that is so.
+	fedLook = 100 * time.Millisecond
 	// retryLeast and retryMost bound the pause after a failed call. A store that
 	// turns callers away because they are many must not be asked more often.
 	retryLeast = 250 * time.Millisecond
@@ -27,14 +37,17 @@
 
 // follow reads the items below one prefix until the daemon ends.
 func (daemon *Daemon) follow(feed berylfeed.Name, prefix string) {
-	full := true
 	pause := retryLeast
 	var after berylspoke.Revision
 	for daemon.ctx.Err() == nil {
+		if !daemon.mustWatch(feed, time.Now()) {
+			daemon.sleep(fedLook)
+			continue
+		}
+		full := !daemon.known[feed].Load() && after == 0
 		message, err := daemon.read(feed, prefix, full, after)
 		if errors.Is(err, berylspoke.ErrHistoryGone) {
-			full = true
-			continue
+			message, err = daemon.read(feed, prefix, true, 0)
 		}
 		if err != nil {
 			daemon.tell(storeFailed{feed, err})
@@ -42,11 +55,20 @@
 			pause = min(2*pause, retryMost)
 			continue
 		}
-		full, pause, after = false, retryLeast, message.asOf
+		pause, after = retryLeast, message.asOf
 		daemon.tell(message)
 	}
 }
 
+// mustWatch says whether this daemon has to ask the store itself: it is one of
+// the watchers, knows nothing yet, or hears from no daemon in contact.
+func (daemon *Daemon) mustWatch(feed berylfeed.Name, now time.Time) bool {
+	if daemon.watcher[feed].Load() || !daemon.known[feed].Load() {
+		return true
+	}
+	return now.Sub(time.Unix(0, daemon.fed.Load())) > fedFor
+}
+
 // read makes one call, or the calls of one list. A watch goes on from the last
 // answer, or from what peers told since.
 func (daemon *Daemon) read(feed berylfeed.Name, prefix string, full bool, after berylspoke.Revision) (fromStore, error) {
--- a/io/beryledge/stop.go
+++ b/io/beryledge/stop.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"berylspoke"
 )
 
 const (
@@ -18,6 +20,14 @@
 	// stopReserve is left of the time to stop within for the last answers to
 	// arrive before the process is killed.
 	stopReserve = 500 * time.Millisecond
+	// stopStreams and stopCalls are the times after the announcement up to which
+	// a stream, and any other request, is still taken. A caller that comes later
+	// missed the news of the stop; what it asks for might not end in time, and
+	// another daemon takes it at once.
+	stopStreams = 2500 * time.Millisecond
+	stopCalls   = 5 * time.Second
+	// stopWait is when it may come back, which it does at another daemon.
+	stopWait = 20 * time.Millisecond
 	// stopLook is the time between two looks at what is left.
 	stopLook = 50 * time.Millisecond
 )
@@ -26,6 +36,7 @@
 // leaving and serves on until its callers have left.
 func (daemon *Daemon) Stop() {
 	began := time.Now()
+	daemon.stopBegan.Store(began.UnixNano())
 	daemon.stopping.Store(true)
 	daemon.log.Info("stopping", zap.Int64("active", daemon.active.Load()))
 	daemon.look(func(now time.Time, core *core) {
@@ -43,6 +54,18 @@
 	daemon.Kill()
 }
 
+// tooLate says whether a stopping daemon no longer takes a request of a kind.
+func (daemon *Daemon) tooLate(now time.Time, kind berylspoke.Kind) bool {
+	if !daemon.stopping.Load() {
+		return false
+	}
+	since := now.Sub(time.Unix(0, daemon.stopBegan.Load()))
+	if kind == berylspoke.Streaming {
+		return since > stopStreams
+	}
+	return since > stopCalls
+}
+
 // quiet says whether the callers have left.
 func (daemon *Daemon) quiet(began time.Time) bool {
 	now := time.Now()
