Learn the pace of a service and the queue that nobody told of

Change: a target's pace returns to that of its service; waiting requests that a target tells of and no daemon did count as queue.

--- a/core/berylgate/gate.go
+++ b/core/berylgate/gate.go
@@ -59,6 +59,8 @@
 	declared berylspoke.Service
 	targets  []*target
 	budget   *berylroute.Budget
+	// pace is the mean pace of the service's targets.
+	pace float64
 }
 
 // Gate is the state of one daemon's decisions.
@@ -125,7 +127,7 @@
 	for id, declared := range catalog.Services {
 		kept := gate.services[id]
 		if kept == nil {
-			kept = &pool{budget: gate.newBudget(now, 0)}
+			kept = &pool{budget: gate.newBudget(now, 0), pace: 1}
 		}
 		kept.declared = declared
 		services[id] = kept
@@ -169,7 +171,7 @@
 		if pool == nil {
 			continue
 		}
-		target.engine, target.slots = pool.declared.Engine, target.Slots
+		target.engine, target.slots, target.usual = pool.declared.Engine, target.Slots, &pool.pace
 		if target.engine != nil && target.slots == 0 {
 			target.slots = target.engine.Slots
 		}
@@ -236,6 +238,8 @@
 	target.backlog += attempt.added
 	target.pending += attempt.added
 	target.sentWork += attempt.added
+	const meanWeight = 0.05
+	target.meanAdded += meanWeight * (attempt.added - target.meanAdded)
 	target.hold(now, sharedParts(request.Parts))
 }
 
@@ -253,8 +257,8 @@
 	}
 	seen := millis(now.Sub(attempt.sent))
 	gate.observe(now, attempt, seen)
-	if load != nil && load.Slots > 0 {
-		target.slots = load.Slots
+	if load != nil {
+		target.loaded(now, *load)
 	}
 }
 
@@ -269,7 +273,11 @@
 		// Behind a long queue the error is that of the queue, not of the target.
 		ratio = 1
 	}
-	target.pace = min(max(target.pace*(1+paceWeight*(min(ratio, 3)-1)), paceLeast), paceMost)
+	factor := min(ratio, 3) - 1
+	target.pace = min(max(target.pace*(1+paceWeight*factor), paceLeast), paceMost)
+	if target.usual != nil {
+		*target.usual = min(max(*target.usual*(1+usualWeight*factor), paceLeast), usualMost)
+	}
 	excess := (seen - attempt.expected) / target.pace
 	target.backlog = max(0, target.backlog+observerGain*min(excess, attempt.queue+attempt.added))
 }
--- a/core/berylgate/target.go
+++ b/core/berylgate/target.go
@@ -22,8 +22,13 @@
 	errorWeight = 0.05
 	// paceWeight is the part of one observation in a target's pace.
 	paceWeight = 0.08
-	paceLeast  = 0.5
-	paceMost   = 8.0
+	// usualWeight is the same for the pace of a whole service, and usualMost what
+	// a service may differ from the model: it is a matter of the engines' kind,
+	// not of their health.
+	usualWeight = 0.004
+	usualMost   = 2.0
+	paceLeast   = 0.5
+	paceMost    = 8.0
 	// paceMemory is the time constant in which a pace returns to that of the
 	// model. A target that was slow gets few requests, so their answers alone
 	// would never show that it recovered.
@@ -61,6 +66,8 @@
 	pending float64
 	// sentWork is all work that this daemon ever sent there.
 	sentWork float64
+	// meanAdded is the mean work in milliseconds of one request.
+	meanAdded float64
 	// running and tokens are this daemon's requests there and their memory.
 	running int
 	tokens  berylspoke.Tokens
@@ -69,10 +76,17 @@
 	// there, from what they reported in the last while.
 	inflow   float64
 	reported float64
-	pace     float64
-	mean     float64
-	way      float64
-	errors   float64
+	// hidden is the part of the queue that no daemon told of: requests of a
+	// daemon that is gone go on at the target.
+	hidden float64
+	// pace is the time for a millisecond of the model; usual is the one of all
+	// targets of the service, to which it returns.
+	pace  float64
+	usual *float64
+	// mean is a plain service's mean time for one request.
+	mean   float64
+	way    float64
+	errors float64
 	// failures counts failures in a row; the target is left alone until paused.
 	failures int
 	paused   time.Time
@@ -109,9 +123,32 @@
 	}
 	target.asOf = now
 	target.backlog = math.Max(0, target.backlog-millis(elapsed)/target.pace)
-	most := target.pending + target.others.pending
+	target.hidden = math.Max(0, target.hidden-millis(elapsed)/target.pace)
+	most := target.pending + target.others.pending + target.hidden
 	target.backlog = math.Min(target.backlog, most)
-	target.pace = 1 + (target.pace-1)*math.Exp(-float64(elapsed)/float64(paceMemory))
+	usual := target.usualPace()
+	target.pace = usual + (target.pace-usual)*math.Exp(-float64(elapsed)/float64(paceMemory))
+}
+
+func (target *target) usualPace() float64 {
+	if target.usual == nil {
+		return 1
+	}
+	return *target.usual
+}
+
+// loaded takes the load that a target tells with an answer. What waits there
+// beyond all that the daemons told each other was sent by someone who is gone.
+func (target *target) loaded(now time.Time, load berylspoke.EngineLoad) {
+	if load.Slots > 0 {
+		target.slots = load.Slots
+	}
+	target.drain(now)
+	excess := float64(load.Waiting)*target.meanAdded - target.backlog
+	if excess > 0 {
+		target.hidden += excess
+		target.backlog += excess
+	}
 }
 
 // occupied returns the requests that run or wait there, of all daemons.
