--- a/core/berylgate/choose.go
+++ b/core/berylgate/choose.go
@@ -19,11 +19,11 @@
 	// overPower is how fast the part of the objective that an organisation may use
 	// falls with the times that it was given its max-min level, and overLeast the
 	// part that is always left, as nobody waits while targets have room.
-	overPower = 0.6
-	overLeast = 0.25
+	overPower = 1.0
+	overLeast = 0.15
 	// rereadWeight is how many times the work of reading a part again counts
 	// beside the wait: what is read twice is lost to all.
-	rereadWeight = 10.0
+	rereadWeight = 20.0
 	// errorPenalty is the milliseconds that a target which fails every request
 	// costs more than one that fails none.
 	errorPenalty = 2000.0
@@ -40,11 +40,33 @@
 
 // candidate is one target as a request sees it.
 type candidate struct {
-	target   *target
-	added    float64
+	target *target
+	added  float64
+	// alone is what it would expect if no other request were there.
+	alone    float64
 	expected float64
 	cost     float64
-	kept     berylspoke.Tokens
+	// kept and lacks are the tokens of shared parts that the target is believed to
+	// keep and to lack.
+	kept, lacks berylspoke.Tokens
+}
+
+// allowance is how long a request may be expected to wait for its first byte.
+type allowance struct {
+	limit float64
+	// over says that the organisation is beyond its share. Its prompts leave
+	// their home only for a target where nobody waits: read elsewhere, they push
+	// out what others' prompts share.
+	over bool
+}
+
+// admits says whether a candidate is good enough. A prompt so large that it
+// alone exceeds the limit would never be served; it is sent where nobody waits.
+func (allowance allowance) admits(option candidate) bool {
+	if option.expected <= allowance.limit {
+		return !allowance.over || option.lacks == 0 || option.target.idle()
+	}
+	return !allowance.over && option.alone > allowance.limit && option.target.idle()
 }
 
 // Decision is what becomes of a request.
@@ -88,7 +110,8 @@
 	if again {
 		limit = math.Inf(1)
 	}
-	best, found := gate.best(now, pool, request, limit)
+	allowance := allowance{limit: limit, over: over > 1}
+	best, found := gate.best(now, pool, request, allowance)
 	if !found {
 		return refused(berylspoke.ReasonNoTarget, shortWait)
 	}
@@ -102,7 +125,7 @@
 	if !again {
 		decision.Limit = duration(limit)
 	}
-	if best.expected > limit {
+	if !allowance.admits(best) {
 		decision.Refusal = gate.overloaded(best, limit, over)
 		return decision
 	}
@@ -157,7 +180,7 @@
 
 // best returns the target of the lowest cost among those that are expected to
 // answer within the limit, or the lowest of all if none is.
-func (gate *Gate) best(now time.Time, pool *pool, request *Request, limit float64) (candidate, bool) {
+func (gate *Gate) best(now time.Time, pool *pool, request *Request, allowance allowance) (candidate, bool) {
 	shared := sharedParts(request.Parts)
 	homes := gate.homes(pool, shared)
 	var best, late, spare candidate
@@ -169,7 +192,7 @@
 		switch {
 		case !target.usable(now):
 			spare = cheaper(spare, option)
-		case option.expected > limit:
+		case !allowance.admits(option):
 			late = cheaper(late, option)
 		default:
 			best = cheaper(best, option)
@@ -201,16 +224,17 @@
 	if !homes.include(target) {
 		kept = target.cached(now, shared)
 	}
-	option := candidate{target: target, kept: kept}
+	option := candidate{target: target, kept: kept, lacks: total - kept}
 	if target.engine != nil {
 		option.added = work(request.Input, kept)
 	}
 	option.expected = target.expect(now, option.added)
+	option.alone = target.alone(option.added)
 	if target.full(request.Input + request.Output) {
 		option.expected += fullPenalty
 	}
 	option.cost = option.expected + errorPenalty*target.errors
-	option.cost += rereadWeight * float64(total-kept) / prefillRate
+	option.cost += rereadWeight * float64(option.lacks) / prefillRate
 	if target.far {
 		option.cost += farPenalty
 	}
--- a/core/berylgate/dump.go
+++ b/core/berylgate/dump.go
@@ -4,7 +4,6 @@
 
 import (
 	"math"
-	"sort"
 	"time"
 
 	"berylspoke"
@@ -37,7 +36,7 @@
 	if math.IsInf(dump.Level, 1) {
 		dump.Level = -1
 	}
-	for _, target := range gate.targets {
+	for _, target := range gate.sorted {
 		target.drain(now)
 		dump.Targets = append(dump.Targets, TargetDump{
 			ID: target.ID, Service: target.Service, Leaving: target.Leaving, BacklogMillis: target.backlog,
@@ -45,6 +44,5 @@
 			ErrorRate: target.errors, Suspect: target.suspect, Paused: now.Before(target.paused),
 		})
 	}
-	sort.Slice(dump.Targets, func(i, j int) bool { return dump.Targets[i].ID < dump.Targets[j].ID })
 	return dump
 }
--- a/core/berylgate/gate.go
+++ b/core/berylgate/gate.go
@@ -3,7 +3,10 @@
 // This file defines the gate and what moves its state.
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"time"
 
 	"berylspoke"
@@ -69,9 +72,12 @@
 	capacity berylspoke.Tokens
 	services map[berylspoke.ServiceID]*pool
 	targets  map[berylspoke.TargetID]*target
-	hashes   map[uint32]*target
-	shares   *shares
-	peers    map[berylspoke.VMID]*peer
+	// sorted are the targets in the order of their ids. Whatever is summed up or
+	// reported goes by it, so equal inputs give equal decisions.
+	sorted []*target
+	hashes map[uint32]*target
+	shares *shares
+	peers  []*peer
 	// live are the daemons known to be alive, daemons the most that ever were.
 	live, daemons int
 	random        *rand.Rand
@@ -86,7 +92,6 @@
 		targets:  make(map[berylspoke.TargetID]*target),
 		hashes:   make(map[uint32]*target),
 		shares:   newShares(),
-		peers:    make(map[berylspoke.VMID]*peer),
 		daemons:  leastDaemons,
 		random:   rand.New(rand.NewPCG(uint64(options.Incarnation), 0)),
 	}
@@ -165,7 +170,10 @@
 	for _, pool := range gate.services {
 		pool.targets = nil
 	}
-	for _, target := range gate.targets {
+	gate.sorted = slices.SortedFunc(maps.Values(gate.targets), func(one, other *target) int {
+		return strings.Compare(string(one.ID), string(other.ID))
+	})
+	for _, target := range gate.sorted {
 		gate.hashes[target.hash] = target
 		pool := gate.services[target.Service]
 		if pool == nil {
@@ -198,7 +206,7 @@
 func (gate *Gate) Tick(now time.Time) {
 	elapsed := now.Sub(gate.ticked)
 	gate.ticked = now
-	for _, target := range gate.targets {
+	for _, target := range gate.sorted {
 		target.settleInflow(elapsed)
 		target.watch(now)
 		target.forget(now)
@@ -370,3 +378,10 @@
 		target.backlog += step
 	}
 }
+
+// Earn adds to the retry budgets what so many first requests would.
+func (gate *Gate) Earn(requests float64) {
+	for _, pool := range gate.services {
+		pool.budget.Earn(requests * retryEarn * gate.options.RetryRatio)
+	}
+}
--- a/core/berylgate/report.go
+++ b/core/berylgate/report.go
@@ -3,7 +3,10 @@
 // This file defines what daemons tell each other of their dispatches.
 
 import (
+	"maps"
 	"math"
+	"slices"
+	"strings"
 	"time"
 
 	"berylspoke"
@@ -54,6 +57,7 @@
 
 // peer is the last report of one daemon.
 type peer struct {
+	vm     berylspoke.VMID
 	report Report
 	at     time.Time
 	work   map[uint32]uint64
@@ -62,14 +66,15 @@
 // Report returns this daemon's report.
 func (gate *Gate) Report(now time.Time) Report {
 	report := Report{Incarnation: gate.options.Incarnation}
-	for _, target := range gate.targets {
+	for _, target := range gate.sorted {
 		if target.sentWork > 0 || target.running > 0 {
 			report.Targets = append(report.Targets, TargetReport{
 				Target: target.hash, Work: uint64(target.sentWork), Running: target.running, Tokens: target.tokens, Pending: uint32(target.pending),
 			})
 		}
 	}
-	for organisation, usage := range gate.shares.own {
+	for _, organisation := range slices.Sorted(maps.Keys(gate.shares.own)) {
+		usage := gate.shares.own[organisation]
 		asked, given := usage.asked.now(now), usage.given.now(now)
 		if asked < rateLeast {
 			delete(gate.shares.own, organisation)
@@ -85,11 +90,7 @@
 // Heard takes a peer's report. The work that it sent since its last one is
 // added to the queues of the targets.
 func (gate *Gate) Heard(now time.Time, from berylspoke.VMID, report Report) {
-	known := gate.peers[from]
-	if known == nil || known.report.Incarnation != report.Incarnation {
-		known = &peer{work: make(map[uint32]uint64)}
-		gate.peers[from] = known
-	}
+	known := gate.peer(from, report.Incarnation)
 	for _, item := range report.Targets {
 		target := gate.hashes[item.Target]
 		before, seen := known.work[item.Target]
@@ -105,6 +106,23 @@
 	gate.sumOthers(now)
 }
 
+// peer returns the peer of one life of a daemon, a new one if need be.
+func (gate *Gate) peer(from berylspoke.VMID, incarnation berylspoke.Incarnation) *peer {
+	place, found := slices.BinarySearchFunc(gate.peers, from, func(peer *peer, vm berylspoke.VMID) int {
+		return strings.Compare(string(peer.vm), string(vm))
+	})
+	if found && gate.peers[place].report.Incarnation == incarnation {
+		return gate.peers[place]
+	}
+	fresh := &peer{vm: from, work: make(map[uint32]uint64)}
+	if found {
+		gate.peers[place] = fresh
+	} else {
+		gate.peers = slices.Insert(gate.peers, place, fresh)
+	}
+	return fresh
+}
+
 // scale is how many daemons each heard one stands for. Small fleets hear all of
 // them, and one that is not heard is gone or cut off; in a large fleet a daemon
 // hears only a sample of the others.
@@ -121,14 +139,11 @@
 
 // sumOthers adds up what the other daemons have at each target.
 func (gate *Gate) sumOthers(now time.Time) {
-	for _, target := range gate.targets {
+	for _, target := range gate.sorted {
 		target.others = occupancy{}
 	}
-	for vm, peer := range gate.peers {
-		if now.Sub(peer.at) > reportStale {
-			delete(gate.peers, vm)
-			continue
-		}
+	gate.peers = slices.DeleteFunc(gate.peers, func(peer *peer) bool { return now.Sub(peer.at) > reportStale })
+	for _, peer := range gate.peers {
 		for _, item := range peer.report.Targets {
 			if target := gate.hashes[item.Target]; target != nil {
 				target.others.running += item.Running
@@ -138,7 +153,7 @@
 		}
 	}
 	if scale := gate.scale(); scale > 1 {
-		for _, target := range gate.targets {
+		for _, target := range gate.sorted {
 			target.others.running = int(scale * float64(target.others.running))
 			target.others.tokens = berylspoke.Tokens(scale * float64(target.others.tokens))
 			target.others.pending *= scale
@@ -173,7 +188,7 @@
 	gate.shares.levels = now
 	total := make(map[uint32]float64)
 	for organisation, usage := range gate.shares.own {
-		total[organisation] += usage.asked.now(now)
+		total[organisation] = usage.asked.now(now)
 	}
 	scale := gate.scale()
 	for _, peer := range gate.peers {
--- a/core/berylgate/target.go
+++ b/core/berylgate/target.go
@@ -176,6 +176,20 @@
 	target.reported = 0
 }
 
+// alone returns the expected milliseconds to the first byte at an empty target.
+func (target *target) alone(added float64) float64 {
+	if target.engine != nil {
+		return target.way + target.pace*(firstToken+added)
+	}
+	return target.way + target.mean
+}
+
+// idle says whether nobody waits there and less than half of the slots are used.
+func (target *target) idle() bool {
+	const nobody = 10.0
+	return target.backlog < nobody && 2*target.occupied() < target.slots
+}
+
 // full says whether one more request would have to wait for a slot or would
 // push others out of the engine's memory.
 func (target *target) full(need berylspoke.Tokens) bool {
--- /dev/null
+++ b/io/beryledge/daemon_test.go
@@ -0,0 +1,276 @@
+package beryledge
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"berylspoke"
+)
+
+// A request passes to a target unchanged but for what only the fleet may say,
+// and the target's answer comes back unchanged.
+func TestRequestPassesUnchanged(t *testing.T) {
+	var got *http.Request
+	var body string
+	target := newTestTarget(t, "d1", func(writer http.ResponseWriter, request *http.Request) {
+		read, _ := io.ReadAll(request.Body)
+		got, body = request.Clone(context.Background()), string(read)
+		sealed(http.StatusCreated, "done")(writer, request)
+	})
+	daemon, _ := startServing(t, map[string]*testTarget{"desk": target})
+	response, text, err := ask(t, daemon, http.MethodPost, "/file/a%2Fb/?q=1&q=%20", "id-1", "a letter")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusCreated, response.StatusCode)
+	require.Equal(t, "done", text)
+	require.Equal(t, "s", response.Header.Get("X-Seal"))
+	require.Equal(t, "/file/a%2Fb/?q=1&q=%20", got.RequestURI)
+	require.Equal(t, "h.example", got.Host)
+	require.Equal(t, "a letter", body)
+	require.Equal(t, "clergy", got.Header.Get("X-Organisation"))
+	require.Empty(t, got.Header.Get("X-Key"))
+	require.Empty(t, got.Header.Get("User-Agent"), "nothing is added")
+}
+
+// Answers that are no target's own: cut, not sealed, of another request, in an
+// encoding, or no HTTP at all. None may reach a caller as a success, and a
+// filing that may have run is neither repeated nor refused as not run.
+func TestSpoiltAnswersNeverPass(t *testing.T) {
+	spoilt := map[string]http.HandlerFunc{
+		"cut": raw(func(id string) string {
+			return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nX-Seal: s\r\nContent-Length: 10\r\n\r\nhal"
+		}),
+		"notSealed": raw(func(id string) string {
+			return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nContent-Length: 2\r\n\r\nok"
+		}),
+		"foreign": raw(func(string) string {
+			return "HTTP/1.1 200 OK\r\nX-Id: other\r\nX-Seal: s\r\nContent-Length: 2\r\n\r\nok"
+		}),
+		"encoded": raw(func(id string) string {
+			return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nX-Seal: s\r\nContent-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok"
+		}),
+		"garbage": raw(func(string) string { return "\x00\x01 nothing of the kind\r\n\r\n" }),
+		"closed":  raw(func(string) string { return "" }),
+		"unprovenRefusal": raw(func(id string) string {
+			return "HTTP/1.1 503 Busy\r\nX-Id: " + id + "\r\nX-Seal: s\r\nContent-Length: 0\r\n\r\n"
+		}),
+	}
+	for name, serve := range spoilt {
+		t.Run(name, func(t *testing.T) {
+			target := newTestTarget(t, "d1", serve)
+			other := newTestTarget(t, "d2", serve)
+			daemon, _ := startServing(t, map[string]*testTarget{"desk#1": target, "desk#2": other})
+			response, _, err := ask(t, daemon, http.MethodPost, "/file/x", "id-1", "a letter")
+			require.NoError(t, err)
+			require.Equal(t, http.StatusBadGateway, response.StatusCode)
+			require.Empty(t, response.Header.Get("X-Seal"))
+			require.EqualValues(t, 1, target.seen.Load()+other.seen.Load(), "the filing was sent once")
+		})
+	}
+}
+
+// The answer of an earlier request comes late, where the next one is due. The
+// caller must get its own answer, which follows.
+func TestForeignAnswerIsSkipped(t *testing.T) {
+	target := newTestTarget(t, "d1", raw(func(id string) string {
+		return "HTTP/1.1 200 OK\r\nX-Id: other\r\nX-Seal: s\r\nContent-Length: 5\r\n\r\nother" +
+			"HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nX-Seal: s\r\nContent-Length: 4\r\n\r\nmine"
+	}))
+	daemon, _ := startServing(t, map[string]*testTarget{"desk": target})
+	response, text, err := ask(t, daemon, http.MethodPost, "/file/x", "id-1", "a letter")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	require.Equal(t, "mine", text)
+}
+
+// A target breaks off. A lookup goes on at another one; the caller sees nothing
+// of it.
+func TestLookupGoesOnElsewhere(t *testing.T) {
+	broken := newTestTarget(t, "d1", raw(func(string) string { return "" }))
+	sound := newTestTarget(t, "d2", sealed(http.StatusOK, "found"))
+	daemon, _ := startServing(t, map[string]*testTarget{"desk#1": broken, "desk#2": sound})
+	for i := range 6 {
+		response, text, err := ask(t, daemon, http.MethodGet, "/read/x", fmt.Sprint("id-", i), "")
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, response.StatusCode)
+		require.Equal(t, "found", text)
+	}
+	require.Positive(t, broken.seen.Load(), "the test never met the broken target")
+}
+
+// All targets are full and say that they did not run the filing. So it is
+// refused truthfully, and the caller is told when to come back.
+func TestTurnedFilingIsRefusedTruthfully(t *testing.T) {
+	full := func(writer http.ResponseWriter, _ *http.Request) {
+		writer.Header().Set("X-Not-Run", "1")
+		writer.WriteHeader(http.StatusServiceUnavailable)
+	}
+	one, two := newTestTarget(t, "d1", full), newTestTarget(t, "d2", full)
+	daemon, _ := startServing(t, map[string]*testTarget{"desk#1": one, "desk#2": two})
+	response, _, err := ask(t, daemon, http.MethodPost, "/file/x", "id-1", "a letter")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	require.NotEmpty(t, response.Header.Get("Retry-After"))
+	require.EqualValues(t, 2, one.seen.Load()+two.seen.Load())
+}
+
+// events answers with a stream that breaks off within an event after some, and
+// goes on after the last event that the caller has.
+func events(breakAfter int) http.HandlerFunc {
+	const all = 6
+	return func(writer http.ResponseWriter, request *http.Request) {
+		_, _ = io.Copy(io.Discard, request.Body)
+		first := 1
+		if last := request.Header.Get("X-Last"); last != "" {
+			_, _ = fmt.Sscan(last, &first)
+			first++
+		}
+		writer.Header().Set("X-Id", request.Header.Get("X-Id"))
+		writer.Header().Set("X-Seal", "s")
+		for id := first; id <= all; id++ {
+			if id > breakAfter {
+				_, _ = io.WriteString(writer, "id: 9\ndata: ha")
+				_ = http.NewResponseController(writer).Flush()
+				panic(http.ErrAbortHandler)
+			}
+			_, _ = fmt.Fprintf(writer, "id: %d\ndata: text %d\n\n", id, id)
+			_ = http.NewResponseController(writer).Flush()
+		}
+	}
+}
+
+// An engine dies in the middle of an event. A resumable stream goes on at
+// another engine within the same answer, and the caller has every event once.
+func TestStreamGoesOnElsewhere(t *testing.T) {
+	var attempts atomic.Int64
+	serve := func(writer http.ResponseWriter, request *http.Request) {
+		if attempts.Add(1) == 1 {
+			events(3)(writer, request)
+			return
+		}
+		events(9)(writer, request)
+	}
+	one, two := newTestTarget(t, "e1", serve), newTestTarget(t, "e2", serve)
+	daemon, _ := startServing(t, map[string]*testTarget{"engines#1": one, "engines#2": two})
+	response, text, err := ask(t, daemon, http.MethodPost, "/resume/x", "id-1", "prompt")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	var want strings.Builder
+	for id := 1; id <= 6; id++ {
+		_, _ = fmt.Fprintf(&want, "id: %d\ndata: text %d\n\n", id, id)
+	}
+	require.Equal(t, want.String(), text)
+	require.EqualValues(t, 1, one.seen.Load())
+	require.EqualValues(t, 1, two.seen.Load())
+}
+
+// The same, but the route does not allow to resume. The caller must see that
+// its answer is not whole.
+func TestBrokenStreamLooksBroken(t *testing.T) {
+	target := newTestTarget(t, "e1", events(3))
+	daemon, _ := startServing(t, map[string]*testTarget{"engines": target})
+	_, text, err := ask(t, daemon, http.MethodPost, "/draft/x", "id-1", "prompt")
+	require.Error(t, err)
+	require.NotContains(t, text, "ha", "half an event was passed on")
+	require.EqualValues(t, 1, target.seen.Load())
+}
+
+// A caller leaves while its answer is made. The engine must not work on for
+// nobody.
+func TestCallerLeavesAndTheTargetIsFreed(t *testing.T) {
+	left := make(chan struct{})
+	target := newTestTarget(t, "e1", func(writer http.ResponseWriter, request *http.Request) {
+		_, _ = io.Copy(io.Discard, request.Body)
+		select {
+		case <-request.Context().Done():
+			close(left)
+		case <-time.After(10 * time.Second):
+		}
+	})
+	daemon, _ := startServing(t, map[string]*testTarget{"engines": target})
+	ctx, cancel := context.WithCancel(context.Background())
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+daemon.settings.Callers+"/draft/x", strings.NewReader("prompt"))
+	require.NoError(t, err)
+	request.Host = "h.example"
+	request.Header = http.Header{"X-Id": {"id-1"}, "X-Key": {"k"}, "X-Left": {"9000"}}
+	go func() {
+		for target.seen.Load() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		cancel()
+	}()
+	_, err = http.DefaultClient.Do(request)
+	require.Error(t, err)
+	select {
+	case <-left:
+	case <-time.After(8 * time.Second):
+		t.Fatal("the target still works")
+	}
+}
+
+// A daemon that knows no configuration cannot tell a wrong key or path from one
+// that is about to be declared, so it says neither 401 nor 404.
+func TestStartingDaemonRefusesNothingForGood(t *testing.T) {
+	store := newTestStore()
+	store.down.Store(true)
+	daemon := startDaemon(t, store)
+	response, _, err := ask(t, daemon, http.MethodPost, "/file/x", "id-1", "a letter")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	require.False(t, daemon.Ready())
+}
+
+// The store turns one daemon away. It learns everything from its peer: the
+// configuration, the targets, and their changes.
+func TestDaemonWithoutStoreLearnsFromItsPeer(t *testing.T) {
+	target := newTestTarget(t, "d1", sealed(http.StatusOK, "found"))
+	first, store := startServing(t, map[string]*testTarget{"desk": target})
+	refused := newTestStore()
+	refused.down.Store(true)
+	second := startDaemon(t, refused, first.settings.VM)
+	require.Eventually(t, second.Ready, 10*time.Second, 10*time.Millisecond)
+	response, text, err := ask(t, second, http.MethodGet, "/read/x", "id-1", "")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	require.Equal(t, "found", text)
+	store.put("t/d1", "")
+	require.Eventually(t, func() bool {
+		return len(second.Dump().Gate.Targets) == 0
+	}, 10*time.Second, 10*time.Millisecond)
+}
+
+// A stop is planned. Requests that are here end whole, the daemon is announced
+// as leaving at once, and a stream that comes late is told truthfully that it
+// did not run.
+func TestStopCutsNothing(t *testing.T) {
+	release := make(chan struct{})
+	target := newTestTarget(t, "d1", func(writer http.ResponseWriter, request *http.Request) {
+		<-release
+		sealed(http.StatusOK, "done")(writer, request)
+	})
+	daemon, _ := startServing(t, map[string]*testTarget{"desk": target})
+	answered := make(chan string, 1)
+	go func() {
+		_, text, err := ask(t, daemon, http.MethodPost, "/file/x", "id-1", "a letter")
+		answered <- fmt.Sprint(text, err)
+	}()
+	require.Eventually(t, func() bool { return target.seen.Load() == 1 }, 10*time.Second, time.Millisecond)
+	stopped := make(chan struct{})
+	go func() {
+		daemon.Stop()
+		close(stopped)
+	}()
+	require.Eventually(t, func() bool { return !daemon.Ready() }, 10*time.Second, time.Millisecond)
+	require.False(t, daemon.tooLate(time.Unix(0, daemon.stopBegan.Load()).Add(time.Second), berylspoke.Streaming))
+	require.True(t, daemon.tooLate(time.Unix(0, daemon.stopBegan.Load()).Add(3*time.Second), berylspoke.Streaming))
+	close(release)
+	require.Equal(t, "done<nil>", <-answered)
+	<-stopped
+}
--- /dev/null
+++ b/io/beryledge/standin_test.go
@@ -0,0 +1,295 @@
+package beryledge
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"berylspoke"
+)
+
+// testDialect is a dialect with headers of its own, so that these tests do not
+// depend on a platform's names.
+type testDialect struct{ catalog *berylspoke.Catalog }
+
+var _ berylspoke.Dialect = testDialect{}
+
+func (testDialect) Prefixes() (string, string) { return "c/", "t/" }
+
+func (testDialect) Ask(header http.Header) (berylspoke.Ask, error) {
+	ask := berylspoke.Ask{ID: berylspoke.RequestID(header.Get("X-Id")), Key: header.Get("X-Key")}
+	if ask.ID == "" {
+		return ask, errors.New("request has no id")
+	}
+	millis, _ := strconv.Atoi(header.Get("X-Left"))
+	ask.TimeLeft = time.Duration(millis) * time.Millisecond
+	ask.Input, ask.Output = 100, 10
+	return ask, nil
+}
+
+func (testDialect) Onward(header http.Header, onward berylspoke.Onward) http.Header {
+	sent := header.Clone()
+	sent.Del("X-Key")
+	sent.Set("X-Left", strconv.FormatInt(onward.TimeLeft.Milliseconds(), 10))
+	sent.Set("X-Target", string(onward.Target))
+	sent.Set("X-Organisation", string(onward.Organisation))
+	if onward.Resume {
+		sent.Set("X-Last", strconv.FormatInt(onward.LastEvent, 10))
+	}
+	return sent
+}
+
+func (testDialect) Reply(_ int, header http.Header) berylspoke.Reply {
+	return berylspoke.Reply{
+		ID:     berylspoke.RequestID(header.Get("X-Id")),
+		Sealed: header.Get("X-Seal") != "", NotRun: header.Get("X-Not-Run") != "",
+	}
+}
+
+func (testDialect) Back(header, received http.Header) {
+	for _, name := range []string{"X-Id", "X-Seal", "Content-Type"} {
+		if value := received.Get(name); value != "" {
+			header.Set(name, value)
+		}
+	}
+}
+
+func (testDialect) Name(header http.Header, id berylspoke.RequestID) { header.Set("X-Id", string(id)) }
+
+func (dialect testDialect) Catalog(items []berylspoke.Item) (*berylspoke.Catalog, error) {
+	if len(items) == 0 {
+		return nil, nil
+	}
+	catalog := *dialect.catalog
+	catalog.Version = berylspoke.ConfigVersion(items[0].Revision)
+	return &catalog, nil
+}
+
+func (testDialect) Target(item berylspoke.Item) (berylspoke.Target, error) {
+	service, address, found := strings.Cut(string(item.Value), " ")
+	if !found {
+		return berylspoke.Target{}, errors.Errorf("target %s is garbled", item.Key)
+	}
+	return berylspoke.Target{
+		ID: berylspoke.TargetID(strings.TrimPrefix(item.Key, "t/")), Service: berylspoke.ServiceID(service),
+		Address: address, FailureDomain: "a", Slots: 8,
+	}, nil
+}
+
+// testStore is a store in memory that can be made to fail.
+type testStore struct {
+	mutex    sync.Mutex
+	items    map[string]berylspoke.Item
+	revision berylspoke.Revision
+	changed  chan struct{}
+	down     atomic.Bool
+	calls    atomic.Int64
+}
+
+func newTestStore() *testStore {
+	return &testStore{items: make(map[string]berylspoke.Item), changed: make(chan struct{}), revision: 1}
+}
+
+func (store *testStore) put(key, value string) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.revision++
+	store.items[key] = berylspoke.Item{Key: key, Value: []byte(value), Revision: store.revision, Deleted: value == ""}
+	close(store.changed)
+	store.changed = make(chan struct{})
+}
+
+func (store *testStore) after(prefix string, after berylspoke.Revision, deleted bool) ([]berylspoke.Item, berylspoke.Revision, chan struct{}) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	var items []berylspoke.Item
+	for key, item := range store.items {
+		if strings.HasPrefix(key, prefix) && item.Revision > after && (deleted || !item.Deleted) {
+			items = append(items, item)
+		}
+	}
+	return items, store.revision, store.changed
+}
+
+func (store *testStore) List(_ context.Context, prefix string) ([]berylspoke.Item, berylspoke.Revision, error) {
+	store.calls.Add(1)
+	if store.down.Load() {
+		return nil, 0, errors.New("store is down")
+	}
+	items, revision, _ := store.after(prefix, 0, false)
+	return items, revision, nil
+}
+
+func (store *testStore) Watch(ctx context.Context, prefix string, after berylspoke.Revision, wait time.Duration) ([]berylspoke.Item, berylspoke.Revision, error) {
+	store.calls.Add(1)
+	deadline := time.After(wait)
+	for {
+		if store.down.Load() {
+			return nil, 0, errors.New("store is down")
+		}
+		items, revision, changed := store.after(prefix, after, true)
+		if len(items) > 0 {
+			return items, revision, nil
+		}
+		select {
+		case <-changed:
+		case <-deadline:
+			return nil, revision, nil
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+// testTarget is a target whose answers a test writes.
+type testTarget struct {
+	*httptest.Server
+	id    string
+	seen  atomic.Int64
+	serve atomic.Pointer[http.HandlerFunc]
+}
+
+func newTestTarget(t *testing.T, id string, serve http.HandlerFunc) *testTarget {
+	target := &testTarget{id: id}
+	target.serve.Store(&serve)
+	target.Server = httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		target.seen.Add(1)
+		(*target.serve.Load())(writer, request)
+	}))
+	t.Cleanup(func() {
+		target.CloseClientConnections()
+		target.Close()
+	})
+	return target
+}
+
+func (target *testTarget) address() string { return strings.TrimPrefix(target.URL, "http://") }
+
+// sealed answers as a target does.
+func sealed(status int, body string) http.HandlerFunc {
+	return func(writer http.ResponseWriter, request *http.Request) {
+		_, _ = io.Copy(io.Discard, request.Body)
+		writer.Header().Set("X-Id", request.Header.Get("X-Id"))
+		writer.Header().Set("X-Seal", "s")
+		writer.WriteHeader(status)
+		_, _ = io.WriteString(writer, body)
+	}
+}
+
+// raw answers with bytes of the test's own and closes the connection.
+func raw(answer func(id string) string) http.HandlerFunc {
+	return func(writer http.ResponseWriter, request *http.Request) {
+		_, _ = io.Copy(io.Discard, request.Body)
+		conn, _, err := writer.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, answer(request.Header.Get("X-Id")))
+		_ = conn.Close()
+	}
+}
+
+func testCatalog() *berylspoke.Catalog {
+	route := func(path string, kind berylspoke.Kind, service berylspoke.ServiceID, attempts int) berylspoke.Route {
+		return berylspoke.Route{
+			Name: path, Host: "h.example", Prefix: "/" + path + "/", Kind: kind, Resumable: path == "resume",
+			Timeout: 5 * time.Second, Objective: 2 * time.Second, Attempts: attempts,
+			Shares: []berylspoke.Share{{Service: service, Weight: 1}},
+		}
+	}
+	return &berylspoke.Catalog{
+		Routes: []berylspoke.Route{
+			route("read", berylspoke.Idempotent, "desk", 2), route("file", berylspoke.NonIdempotent, "desk", 2),
+			route("draft", berylspoke.Streaming, "engines", 1), route("resume", berylspoke.Streaming, "engines", 2),
+		},
+		Services: map[berylspoke.ServiceID]berylspoke.Service{
+			"desk":    {ID: "desk", MaxConnections: 100},
+			"engines": {ID: "engines", MaxConnections: 100, Engine: &berylspoke.EngineSpec{Slots: 8, Memory: 100_000}},
+		},
+		Organisations: []berylspoke.Organisation{{ID: "clergy", Keys: []string{"k"}}},
+		Limits:        berylspoke.Limits{BodyBytes: 1 << 20, TokensPerSecond: 100_000},
+	}
+}
+
+func freeAddress(t *testing.T, network string) string {
+	if network == "udp" {
+		conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+		require.NoError(t, err)
+		defer func() { _ = conn.Close() }()
+		return conn.LocalAddr().String()
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+// startDaemon runs a daemon in this process.
+func startDaemon(t *testing.T, store berylspoke.Store, seeds ...berylspoke.VMID) *Daemon {
+	settings := &Settings{
+		Name: fmt.Sprintf("%s-%d", t.Name(), len(seeds)), VM: berylspoke.VMID(freeAddress(t, "udp")),
+		FailureDomain: "a", Region: "r", RegionOf: map[berylspoke.FailureDomain]berylspoke.Region{"a": "r"},
+		Seeds: seeds, Callers: freeAddress(t, "tcp"), Ready: freeAddress(t, "tcp"), Resolve: freeAddress(t, "tcp"),
+		Operators: freeAddress(t, "tcp"), Descriptors: 1000, StopWithin: 8 * time.Second,
+		RetryRatio: 1, RetrySlack: 1000, Store: "127.0.0.1:1", FleetKey: "a key of the tests only",
+	}
+	require.NoError(t, settings.Check())
+	endpoints := func(*Daemon) Endpoints {
+		return Endpoints{Resolve: http.NotFoundHandler(), Ready: http.NotFoundHandler()}
+	}
+	daemon, err := Start(settings, testDialect{testCatalog()}, store, endpoints, zap.NewNop())
+	require.NoError(t, err)
+	t.Cleanup(daemon.Kill)
+	return daemon
+}
+
+// startServing runs a daemon that knows the targets.
+func startServing(t *testing.T, targets map[string]*testTarget) (*Daemon, *testStore) {
+	store := newTestStore()
+	store.put("c/1", "catalog")
+	for service, target := range targets {
+		name, _, _ := strings.Cut(service, "#")
+		store.put("t/"+target.id, name+" "+target.address())
+	}
+	daemon := startDaemon(t, store)
+	require.Eventually(t, daemon.Ready, 10*time.Second, 10*time.Millisecond)
+	earnRetries(daemon)
+	return daemon, store
+}
+
+// earnRetries lets the daemon earn what a retry costs.
+func earnRetries(daemon *Daemon) {
+	daemon.look(func(now time.Time, core *core) { core.gate.Earn(10) })
+}
+
+// ask sends one request and returns the answer.
+func ask(t *testing.T, daemon *Daemon, method, path, id, body string) (*http.Response, string, error) {
+	request, err := http.NewRequest(method, "http://"+daemon.settings.Callers+path, strings.NewReader(body))
+	require.NoError(t, err)
+	request.Host = "h.example"
+	request.Header.Set("X-Id", id)
+	request.Header.Set("X-Key", "k")
+	request.Header.Set("X-Left", "4000")
+	request.Header.Set("User-Agent", "")
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 20 * time.Second}
+	response, err := client.Do(request)
+	if err != nil {
+		return nil, "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	return response, string(text), err
+}
