--- a/io/beryledge/standin_test.go
+++ b/io/beryledge/standin_test.go
@@ -4,9 +4,9 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -224,26 +224,23 @@
 	}
 }
 
-func freeAddress(t *testing.T, network string) string {
-	if network == "udp" {
-		conn, err := net.ListenPacket("udp", "127.0.0.1:0")
-		require.NoError(t, err)
-		defer func() { _ = conn.Close() }()
-		return conn.LocalAddr().String()
-	}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+var daemons atomic.Int64
+
+// ownHost returns a loopback address that no other process and no other daemon
+// of this one uses, so that a fixed port on it is free.
+func ownHost() string {
+	process := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+process>>8&0x7f, process&0xff, 1+daemons.Add(1))
 }
 
 // startDaemon runs a daemon in this process.
 func startDaemon(t *testing.T, store berylspoke.Store, seeds ...berylspoke.VMID) *Daemon {
+	host := ownHost()
 	settings := &Settings{
-		Name: fmt.Sprintf("%s-%d", t.Name(), len(seeds)), VM: berylspoke.VMID(freeAddress(t, "udp")),
+		Name: t.Name(), VM: berylspoke.VMID(host + ":7001"),
 		FailureDomain: "a", Region: "r", RegionOf: map[berylspoke.FailureDomain]berylspoke.Region{"a": "r"},
-		Seeds: seeds, Callers: freeAddress(t, "tcp"), Ready: freeAddress(t, "tcp"), Resolve: freeAddress(t, "tcp"),
-		Operators: freeAddress(t, "tcp"), Descriptors: 1000, StopWithin: 8 * time.Second,
+		Seeds: seeds, Callers: host + ":7002", Ready: host + ":7003", Resolve: host + ":7004",
+		Operators: host + ":7005", Descriptors: 1000, StopWithin: 8 * time.Second,
 		RetryRatio: 1, RetrySlack: 1000, Store: "127.0.0.1:1", FleetKey: "a key of the tests only",
 	}
 	require.NoError(t, settings.Check())
