--- a/io/berylconn/exchange.go
+++ b/io/berylconn/exchange.go
@@ -49,26 +49,46 @@
 	writeAside = 2048
 )
 
-// Send sends a request and returns when the header of its answer has come. Mine
-// says whether an answer belongs to the request; others are skipped, since a
-// target may send an answer twice and the second arrives where the next is due.
-// The context ends the exchange at any time by closing the connection.
-func (pool *Pool) Send(ctx context.Context, address string, most int, request *http.Request, mine func(*http.Response) bool) (*Exchange, error) {
+// Order is one request to one target.
+type Order struct {
+	Address string
+	// Most is how many connections to the target may be open.
+	Most    int
+	Request *http.Request
+	// Wanted says, once there is a connection, whether the request is still to be
+	// sent.
+	Wanted func() bool
+	// Mine says whether an answer belongs to the request; others are skipped,
+	// since a target may send an answer twice and the second arrives where the
+	// next is due.
+	Mine func(*http.Response) bool
+}
+
+// ErrUnwanted means that a request was not wanted any more when it could be sent.
+var ErrUnwanted = errors.New("request is not wanted any more")
+
+// Send sends a request and returns when the header of its answer has come. The
+// context ends the exchange at any time by closing the connection.
+func (pool *Pool) Send(ctx context.Context, order Order) (*Exchange, error) {
 	now := time.Now()
-	kept, err := pool.take(now, address, most)
+	kept, err := pool.take(now, order.Address, order.Most)
 	if err != nil {
 		return nil, &Failure{Unsent: true, Cause: err}
 	}
 	exchange := &Exchange{pool: pool, conn: kept, written: make(chan error, 1)}
 	if kept == nil {
-		if exchange.conn, err = pool.dial(ctx, address); err != nil {
+		if exchange.conn, err = pool.dial(ctx, order.Address); err != nil {
 			return nil, &Failure{Unsent: true, Cause: errors.Wrap(err, "target cannot be reached")}
 		}
 		exchange.Opened = time.Since(now)
 	}
+	if !order.Wanted() {
+		pool.put(now, exchange.conn)
+		return nil, &Failure{Unsent: true, Cause: ErrUnwanted}
+	}
 	exchange.stop = context.AfterFunc(ctx, func() { _ = exchange.conn.Close() })
-	exchange.write(request)
-	if err := exchange.readHeader(request, mine); err != nil {
+	exchange.write(order.Request)
+	if err := exchange.readHeader(order.Request, order.Mine); err != nil {
 		exchange.Discard()
 		return nil, &Failure{Cause: err}
 	}
--- a/io/beryledge/attempt.go
+++ b/io/beryledge/attempt.go
@@ -46,7 +46,10 @@
 	target := decision.Target
 	call.firstByte = 0
 	call.sent = time.Now()
-	exchange, err := call.daemon.pool.Send(ctx, target.Address, decision.Connections, call.outgoing(target), call.mine)
+	exchange, err := call.daemon.pool.Send(ctx, berylconn.Order{
+		Address: target.Address, Most: decision.Connections, Request: call.outgoing(target),
+		Wanted: func() bool { return !callerLeft(call.in.Context()) }, Mine: call.mine,
+	})
 	if err != nil {
 		return call.failed(decision, err)
 	}
@@ -70,6 +73,9 @@
 	var failure *berylconn.Failure
 	unsent := errors.As(err, &failure) && failure.Unsent
 	switch {
+	case errors.Is(err, berylconn.ErrUnwanted):
+		call.end(decision, berylgate.Crowded, err)
+		call.left()
 	case errors.Is(err, berylconn.ErrBusy):
 		call.end(decision, berylgate.Crowded, err)
 	case call.ctx.Err() != nil:
--- a/io/beryledge/callers.go
+++ b/io/beryledge/callers.go
@@ -71,9 +71,7 @@
 	defer cancel()
 	call.ctx = ctx
 	if callerLeft(in.Context()) {
-		call.log("caller left before its request was read")
-		daemon.meters.callersLeft.Inc()
-		panic(http.ErrAbortHandler)
+		call.left()
 	}
 	call.run()
 }
@@ -232,9 +230,7 @@
 // timeUp ends a request whose caller left or whose time is over.
 func (call *call) timeUp() {
 	if call.in.Context().Err() != nil {
-		call.log("caller left")
-		call.daemon.meters.callersLeft.Inc()
-		panic(http.ErrAbortHandler)
+		call.left()
 	}
 	call.log("time over", zap.Bool("mayHaveRun", call.mayHaveRun), zap.Bool("begun", call.stream.begun))
 	if call.stream.begun {
@@ -248,6 +244,13 @@
 	call.answer(http.StatusServiceUnavailable, berylspoke.ReasonWaitedTooLong, startingWait)
 }
 
+// left ends a request whose caller is gone; there is nobody to answer.
+func (call *call) left() {
+	call.log("caller left", zap.Bool("mayHaveRun", call.mayHaveRun))
+	call.daemon.meters.callersLeft.Inc()
+	panic(http.ErrAbortHandler)
+}
+
 // refuse answers a request that was sent nowhere.
 func (call *call) refuse(status int, reason berylspoke.Reason, wait time.Duration) {
 	call.log("request refused", zap.Int("status", status), zap.String("reason", string(reason)))
--- a/io/beryledge/daemon.go
+++ b/io/beryledge/daemon.go
@@ -141,16 +141,18 @@
 	return nil
 }
 
-// serve answers on an address; that of callers is accepted from slowly while the
-// processor is short.
-func (daemon *Daemon) serve(address string, handler http.Handler, paced bool) (*http.Server, error) {
+// serve answers on an address; that of callers is accepted from slowly
+// while the processor is short.
+func (daemon *Daemon) serve(address string, handler http.Handler, callers bool) (*http.Server, error) {
 	listening := net.ListenConfig{KeepAlive: -1, Control: keepAlive}
 	listener, err := listening.Listen(daemon.ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "address %s cannot be opened", address)
 	}
-	if paced {
-		listener = &pacedListener{listener, daemon}
+	if callers {
+		paced := &pacedListener{TCPListener: listener.(*net.TCPListener), daemon: daemon}
+		paced.bound(false)
+		listener = paced
 	}
 	server := &http.Server{
 		Handler: handler, MaxHeaderBytes: headerBytes,
--- a/io/beryledge/meters.go
+++ b/io/beryledge/meters.go
@@ -20,6 +20,7 @@
 	storeCalls  *metrics.Counter
 	brokenOff   *metrics.Counter
 	callersLeft *metrics.Counter
+	shed        *metrics.Counter
 	outcomes    [berylgate.Outcomes]*metrics.Counter
 	latency     map[berylspoke.Kind]*metrics.Histogram
 }
@@ -31,6 +32,7 @@
 		storeCalls:  set.NewCounter("berylspoke_store_calls_total"),
 		brokenOff:   set.NewCounter("berylspoke_streams_broken_off_total"),
 		callersLeft: set.NewCounter("berylspoke_callers_left_total"),
+		shed:        set.NewCounter("berylspoke_connections_shed_total"),
 		latency:     make(map[berylspoke.Kind]*metrics.Histogram),
 	}
 	for outcome := range meters.outcomes {
