Tell heavy usage on to large fleets; the same daemons watch all feeds

Change: usage of an organisation at one daemon beyond 0.04 of the throughput is passed on by all; one set of watchers for all feeds; a queue of 32 connections, those whose caller left are dropped.

--- a/core/berylgate/choose.go
+++ b/core/berylgate/choose.go
@@ -168,7 +168,7 @@
 	if math.IsInf(gate.shares.level, 1) {
 		return 1
 	}
-	_, given := gate.fleet(now, hashOf(string(request.Organisation)))
+	given := gate.given(now, hashOf(string(request.Organisation)))
 	if given > gate.shares.cap {
 		return math.Inf(1)
 	}
--- a/core/berylgate/gate.go
+++ b/core/berylgate/gate.go
@@ -15,6 +15,7 @@
 
 // Options are the settings of a gate.
 type Options struct {
+	VM          berylspoke.VMID
 	Incarnation berylspoke.Incarnation
 	// Region is this daemon's region; RegionOf maps failure domains to theirs.
 	Region   berylspoke.Region
@@ -77,6 +78,7 @@
 	sorted []*target
 	hashes map[uint32]*target
 	shares *shares
+	heavy  heavyUsages
 	peers  []*peer
 	// live are the daemons known to be alive, daemons the most that ever were.
 	live, daemons int
@@ -94,6 +96,7 @@
 		targets:  make(map[berylspoke.TargetID]*target),
 		hashes:   make(map[uint32]*target),
 		shares:   newShares(),
+		heavy:    make(heavyUsages),
 		daemons:  leastDaemons,
 		random:   rand.New(rand.NewPCG(uint64(options.Incarnation), 0)),
 	}
--- a/core/berylgate/report.go
+++ b/core/berylgate/report.go
@@ -58,10 +58,13 @@
 	Age              time.Duration
 }
 
-// OrganisationReport is a daemon's usage by one organisation in tokens a second.
+// OrganisationReport is one daemon's usage by one organisation in tokens a
+// second, as it was some time ago. Origin is zero for the sender's own.
 type OrganisationReport struct {
+	Origin       uint32
 	Organisation uint32
 	Asked, Given uint32
+	Age          time.Duration
 }
 
 // PeerMessage implements berylspoke.Message.
@@ -106,6 +109,9 @@
 			Organisation: organisation, Asked: uint32(asked), Given: uint32(given),
 		})
 	}
+	if gate.sampled() {
+		report.Organisations = append(report.Organisations, gate.heavy.newest(now)...)
+	}
 	return report
 }
 
@@ -129,6 +135,7 @@
 			target.tell(now, load{now.Add(-item.Age), now, item.Running, item.Waiting})
 		}
 	}
+	gate.heavy.learn(now, from, hashOf(string(gate.options.VM)), gate.heavyRate(), report.Organisations)
 	known.report, known.at = report, now
 	gate.sumOthers(now)
 }
@@ -188,22 +195,6 @@
 	}
 }
 
-// fleet returns what an organisation asked for and was given by all daemons.
-func (gate *Gate) fleet(now time.Time, organisation uint32) (asked, given float64) {
-	for _, peer := range gate.peers {
-		fade := math.Exp(-float64(now.Sub(peer.at)) / float64(shareWindow))
-		for _, item := range peer.report.Organisations {
-			if item.Organisation == organisation {
-				asked += fade * float64(item.Asked)
-				given += fade * float64(item.Given)
-			}
-		}
-	}
-	scale := gate.scale()
-	usage := gate.shares.usage(organisation)
-	return usage.asked.now(now) + scale*asked, usage.given.now(now) + scale*given
-}
-
 // levelEvery is the time between two computations of the levels.
 const levelEvery = 100 * time.Millisecond
 
@@ -232,19 +223,47 @@
 // total is what one organisation asked for and was given by all daemons.
 type total struct{ asked, given float64 }
 
+func (sum total) plus(scale float64, item OrganisationReport) total {
+	return total{sum.asked + scale*float64(item.Asked), sum.given + scale*float64(item.Given)}
+}
+
+// heavyShare is the part of the throughput from which on one organisation at one
+// daemon is told on by all.
+const heavyShare = 0.04
+
+func (gate *Gate) heavyRate() float64 { return heavyShare * float64(gate.capacity) }
+
+// totals returns the usage of all organisations in the fleet. Where a daemon
+// hears only some of the others, what they say stands for the rest, but for
+// heavy usage at one daemon, which all are told of.
 func (gate *Gate) totals(now time.Time) map[uint32]total {
-	totals := make(map[uint32]total)
-	for organisation, usage := range gate.shares.own {
-		totals[organisation] = total{usage.asked.now(now), usage.given.now(now)}
+	others := make(map[uint32]total)
+	scale, heavy := gate.scale(), math.Inf(1)
+	if gate.sampled() {
+		heavy = gate.heavyRate()
 	}
-	scale := gate.scale()
 	for _, peer := range gate.peers {
 		for _, item := range peer.report.Organisations {
-			sum := totals[item.Organisation]
-			sum.asked += scale * float64(item.Asked)
-			sum.given += scale * float64(item.Given)
-			totals[item.Organisation] = sum
+			if item.Origin == 0 && float64(item.Asked) < heavy {
+				others[item.Organisation] = others[item.Organisation].plus(scale, item)
+			}
+		}
+	}
+	if gate.sampled() {
+		for _, item := range gate.heavy.newest(now) {
+			others[item.Organisation] = others[item.Organisation].plus(1, item)
 		}
 	}
+	gate.shares.others = others
+	totals := maps.Clone(others)
+	for organisation, usage := range gate.shares.own {
+		sum := totals[organisation]
+		totals[organisation] = total{sum.asked + usage.asked.now(now), sum.given + usage.given.now(now)}
+	}
 	return totals
 }
+
+// given returns what an organisation is given by all daemons in tokens a second.
+func (gate *Gate) given(now time.Time, organisation uint32) float64 {
+	return gate.shares.usage(organisation).given.now(now) + gate.shares.others[organisation].given
+}
--- a/core/berylgate/share.go
+++ b/core/berylgate/share.go
@@ -44,6 +44,8 @@
 // shares holds the usage of all organisations at this daemon and the others.
 type shares struct {
 	own map[uint32]*usage
+	// others is what the other daemons have, as it was summed up last.
+	others map[uint32]total
 	// level is the max-min level, cap the most that anyone beyond it may get.
 	level, cap float64
 	levels     time.Time
--- a/core/berylmodel/fleet.go
+++ b/core/berylmodel/fleet.go
@@ -153,7 +153,7 @@
 	}
 	for entry := range options.Entries {
 		gate := berylgate.New(berylgate.Options{
-			Incarnation: berylspoke.Incarnation(entry + 1), Region: "r",
+			VM: entryName(entry), Incarnation: berylspoke.Incarnation(entry + 1), Region: "r",
 			RegionOf: map[berylspoke.FailureDomain]berylspoke.Region{"a": "r"}, RetryRatio: 0.2, RetrySlack: 50,
 		})
 		gate.SetDaemons(now, options.Entries)
@@ -165,6 +165,8 @@
 	return fleet
 }
 
+func entryName(entry int) berylspoke.VMID { return berylspoke.VMID(fmt.Sprintf("entry-%d", entry)) }
+
 func (fleet *fleet) at(when time.Time, run func(now time.Time)) {
 	fleet.order++
 	heap.Push(&fleet.events, event{when, fleet.order, run})
@@ -179,7 +181,7 @@
 		fleet.at(now.Add(fleet.options.ReportLag), func(now time.Time) {
 			for other, peer := range fleet.gates {
 				if other != entry {
-					peer.Heard(now, berylspoke.VMID(fmt.Sprintf("entry-%d", entry)), report)
+					peer.Heard(now, entryName(entry), report)
 				}
 			}
 		})
--- a/io/beryledge/actor.go
+++ b/io/beryledge/actor.go
@@ -3,7 +3,6 @@
 // This file defines the actor that owns what decides.
 
 import (
-	"fmt"
 	"slices"
 	"time"
 
@@ -108,7 +107,7 @@
 	core := &core{
 		daemon: daemon,
 		gate: berylgate.New(berylgate.Options{
-			Incarnation: daemon.incarnation, Region: settings.Region, RegionOf: settings.RegionOf,
+			VM: settings.VM, Incarnation: daemon.incarnation, Region: settings.Region, RegionOf: settings.RegionOf,
 			RetryRatio: settings.RetryRatio, RetrySlack: settings.RetrySlack,
 		}),
 		table:  berylmember.NewTable(now, vm, daemon.incarnation, options),
@@ -294,7 +293,7 @@
 		if core.behind[name].IsZero() {
 			core.behind[name] = now
 		}
-		if now.Sub(core.behind[name]) >= behindFor || !core.daemon.watcher[name].Load() {
+		if now.Sub(core.behind[name]) >= behindFor || !core.daemon.watcher.Load() {
 			core.behind[name] = now
 			core.daemon.transport.Send(from, berylfeed.Pull{Feed: berylfeed.Name(name), After: feed.AsOf()})
 		}
@@ -409,10 +408,10 @@
 	}
 	live := len(core.table.Live())
 	core.gate.SetDaemons(now, live)
-	for name := range core.feeds {
-		chosen := berylmember.Ranked(fmt.Sprintf("watcher %d", name), core.table.Live(), watchers)
-		core.daemon.watcher[name].Store(slices.Contains(chosen, core.daemon.settings.VM))
-	}
+	// The same daemons watch all feeds: one in contact on one feed only could not
+	// tell the others that it has all news.
+	chosen := berylmember.Ranked("watcher", core.table.Live(), watchers)
+	core.daemon.watcher.Store(slices.Contains(chosen, core.daemon.settings.VM))
 	core.daemon.log.Info("members changed", zap.Int("live", live), zap.Any("entries", fresh.byDomain))
 }
 
--- a/io/beryledge/daemon.go
+++ b/io/beryledge/daemon.go
@@ -64,9 +64,9 @@
 	lastRequest atomic.Int64
 	revisions   [berylfeed.Count]atomic.Uint64
 	known       [berylfeed.Count]atomic.Bool
-	// watcher says whose feeds this daemon reads for all; fed is when it last
-	// heard from a daemon in contact with the store, in Unix nanoseconds.
-	watcher [berylfeed.Count]atomic.Bool
+	// watcher says that this daemon reads the store for all; fed is when any daemon
+	// that was heard of was in contact with it last, in Unix nanoseconds.
+	watcher atomic.Bool
 	fed     atomic.Int64
 	meters  *meters
 	servers []*http.Server
--- a/io/beryledge/follow.go
+++ b/io/beryledge/follow.go
@@ -18,7 +18,7 @@
 	// history may forget a waiting watch, which then tells nothing until it ends;
 	// a change must be in force within three seconds all the same.
 	watchFor = time.Second
-	// watchers is the number of daemons that watch each feed. Each call is paid
+	// watchers is the number of daemons that watch the store. Each call is paid
 	// and the store's rate is shared, so the others hear from these. Three, so
 	// that a fault at one or two of them delays nothing.
 	watchers = 3
@@ -67,7 +67,7 @@
 // mustWatch says whether this daemon has to ask the store itself: it is one of
 // the watchers, knows nothing yet, or hears from no daemon in contact.
 func (daemon *Daemon) mustWatch(feed berylfeed.Name, now time.Time) bool {
-	if daemon.watcher[feed].Load() || !daemon.known[feed].Load() {
+	if daemon.watcher.Load() || !daemon.known[feed].Load() {
 		return true
 	}
 	patience := fedFor
--- a/io/beryledge/listener.go
+++ b/io/beryledge/listener.go
@@ -14,10 +14,11 @@
 )
 
 const (
-	// waitingConns bounds the connections that wait to be accepted.
-	waitingConns = 128
-	// waitingStrained is the same while the processor is short. A caller gives a
-	// new connection one second, and a longer queue holds only those that left.
+	// waitingConns bounds the connections that wait to be accepted. A caller gives
+	// a new connection one second, and a longer queue at the smallest VM holds only
+	// those that left.
+	waitingConns = 32
+	// waitingStrained is the same while the processor is short.
 	waitingStrained = 16
 	// strainedAccept is the time between two connections that a strained daemon
 	// accepts.
@@ -47,7 +48,7 @@
 			listener.daemon.sleep(strainedAccept)
 		}
 		conn, err := listener.TCPListener.Accept()
-		if err != nil || !strained || !hungUp(conn) {
+		if err != nil || !hungUp(conn) {
 			return conn, err
 		}
 		listener.daemon.meters.shed.Inc()
--- a/io/berylpeer/wirefeed.go
+++ b/io/berylpeer/wirefeed.go
@@ -82,8 +82,10 @@
 
 type wireOrganisationReport struct {
 	_            struct{} `cbor:",toarray"`
+	Origin       uint32
 	Organisation uint32
 	Asked, Given uint32
+	AgeMillis    uint32
 }
 
 type wireDispatches struct {
@@ -113,7 +115,8 @@
 	}
 	for _, item := range report.Organisations {
 		wire.Organisations = append(wire.Organisations, wireOrganisationReport{
-			Organisation: item.Organisation, Asked: item.Asked, Given: item.Given,
+			Origin: item.Origin, Organisation: item.Organisation, Asked: item.Asked, Given: item.Given,
+			AgeMillis: uint32(item.Age.Milliseconds()),
 		})
 	}
 	return wire
@@ -137,7 +140,8 @@
 	}
 	for _, item := range wire.Organisations {
 		report.Organisations = append(report.Organisations, berylgate.OrganisationReport{
-			Organisation: item.Organisation, Asked: item.Asked, Given: item.Given,
+			Origin: item.Origin, Organisation: item.Organisation, Asked: item.Asked, Given: item.Given,
+			Age: time.Duration(item.AgeMillis) * time.Millisecond,
 		})
 	}
 	return report
