--- a/cmd/berylspoke/check.go
+++ b/cmd/berylspoke/check.go
@@ -13,14 +13,15 @@
 
 	"berylspoke/core/berylconfig"
 	"berylspoke/io/berylsettings"
+	berylbinding "berylspoke/platform"
 )
 
-type checkCommand struct{ settings, declarations string }
+type checkCommand struct{ settings, declarations, platform string }
 
 func (*checkCommand) Name() string     { return "check" }
 func (*checkCommand) Synopsis() string { return "check settings and declarations" }
 func (*checkCommand) Usage() string {
-	return `check [-settings FILE] [-declarations FILE]
+	return `check [-settings FILE] [-declarations FILE] [-platform FILE]
 
 Lists every fault with its line or its path. Exits 0 if there is none.
 
@@ -29,12 +30,13 @@
 
 func (command *checkCommand) SetFlags(flags *flag.FlagSet) {
 	flags.StringVar(&command.settings, "settings", "", "settings `file` of a daemon")
+	flags.StringVar(&command.platform, "platform", "", "settings `file` that the users' platform makes")
 	flags.StringVar(&command.declarations, "declarations", "", "declarations `file`, JSON with comments")
 }
 
 func (command *checkCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
-	if command.settings == "" && command.declarations == "" {
-		return fail(errors.New("check needs -settings or -declarations"))
+	if command.settings == "" && command.declarations == "" && command.platform == "" {
+		return fail(errors.New("check needs -settings, -declarations or -platform"))
 	}
 	faults := 0
 	report := func(file, fault string) {
@@ -51,6 +53,11 @@
 			}
 		}
 	}
+	if command.platform != "" {
+		if _, err := berylbinding.LoadSettings(command.platform); err != nil {
+			report(command.platform, err.Error())
+		}
+	}
 	if faults > 0 {
 		return subcommands.ExitFailure
 	}
--- a/cmd/berylspoke/edge.go
+++ b/cmd/berylspoke/edge.go
@@ -107,7 +107,7 @@
 		seen = body
 		settings, err := berylbinding.LoadSettings(path)
 		if err != nil {
-			log.Warn("changed settings are not used", zap.Error(err))
+			log.Warn("changed settings are not used", zap.String("error", err.Error()))
 			continue
 		}
 		daemon.Reload(settings)
--- a/core/berylgate/choose.go
+++ b/core/berylgate/choose.go
@@ -56,13 +56,17 @@
 	limit float64
 	// over says that the organisation is beyond its share. Its prompts leave
 	// their home only for a target where nobody waits: read elsewhere, they push
-	// out what others' prompts share.
-	over bool
+	// out what others' prompts share. Capped organisations are so far ahead of
+	// another that waits that they get only what nobody else could use.
+	over, capped bool
 }
 
 // admits says whether a candidate is good enough. A prompt so large that it
 // alone exceeds the limit would never be served; it is sent where nobody waits.
 func (allowance allowance) admits(option candidate) bool {
+	if allowance.capped {
+		return option.lacks == 0 && option.target.idle()
+	}
 	if option.expected <= allowance.limit {
 		return !allowance.over || option.lacks == 0 || option.target.idle()
 	}
@@ -110,7 +114,7 @@
 	if again {
 		limit = math.Inf(1)
 	}
-	allowance := allowance{limit: limit, over: over > 1}
+	allowance := allowance{limit: limit, over: over > 1, capped: math.IsInf(over, 1)}
 	best, found := gate.best(now, pool, request, allowance)
 	if !found {
 		return refused(berylspoke.ReasonNoTarget, shortWait)
--- a/io/beryledge/actor.go
+++ b/io/beryledge/actor.go
@@ -142,7 +142,7 @@
 		core.fromStore(now, message)
 	case storeFailed:
 		if core.feeds[message.feed].Failed() {
-			core.daemon.log.Warn("store lost", zap.Uint8("feed", uint8(message.feed)), zap.Error(message.err))
+			core.daemon.log.Warn("store lost", zap.Uint8("feed", uint8(message.feed)), cause(message.err))
 		}
 	case inspect:
 		message.look(now, core)
@@ -350,7 +350,7 @@
 	items, _ := core.feeds[berylfeed.Configuration].Items(now)
 	catalog, err := core.daemon.dialect.Catalog(items)
 	if err != nil || catalog == nil {
-		core.daemon.log.Warn("configuration not usable", zap.Error(err))
+		core.daemon.log.Warn("configuration not usable", cause(err))
 		return
 	}
 	if old := core.daemon.index.Load(); old != nil && old.Catalog().Version >= catalog.Version {
@@ -371,7 +371,7 @@
 	for _, item := range items {
 		target, err := core.daemon.dialect.Target(item)
 		if err != nil {
-			core.daemon.log.Debug("target ignored", zap.Error(err))
+			core.daemon.log.Debug("target ignored", cause(err))
 			continue
 		}
 		if target.Leaving {
--- a/io/beryledge/callers.go
+++ b/io/beryledge/callers.go
@@ -162,7 +162,7 @@
 		call.refuse(http.StatusRequestEntityTooLarge, berylspoke.ReasonMalformed, 0)
 		return false
 	}
-	call.log("caller left before its request was whole", zap.Error(err))
+	call.log("caller left before its request was whole", cause(err))
 	panic(http.ErrAbortHandler)
 }
 
@@ -283,3 +283,12 @@
 		zap.String("request", string(call.ask.ID)), zap.String("organisation", string(call.organisation)),
 		zap.String("service", string(service)), zap.Duration("after", time.Since(call.arrived)))...)
 }
+
+// cause is the log field of an error, without the stack that a line a failure of
+// the store would otherwise bring.
+func cause(err error) zap.Field {
+	if err == nil {
+		return zap.Skip()
+	}
+	return zap.String("error", err.Error())
+}
--- a/io/beryledge/listener.go
+++ b/io/beryledge/listener.go
@@ -67,7 +67,7 @@
 		err = raw.Control(func(fd uintptr) { _ = unix.Listen(int(fd), waiting) })
 	}
 	if err != nil {
-		listener.daemon.log.Warn("queue of connections not bounded", zap.Error(err))
+		listener.daemon.log.Warn("queue of connections not bounded", cause(err))
 	}
 }
 
--- a/io/beryledge/stop.go
+++ b/io/beryledge/stop.go
@@ -50,7 +50,7 @@
 	ctx, cancel := context.WithDeadline(context.Background(), last.Add(stopReserve/2))
 	defer cancel()
 	err := daemon.callers.Shutdown(ctx)
-	daemon.log.Info("stopped", zap.Int64("active", daemon.active.Load()), zap.Error(err))
+	daemon.log.Info("stopped", zap.Int64("active", daemon.active.Load()), cause(err))
 	daemon.Kill()
 }
 
