--- a/io/beryledge/listener.go
+++ b/io/beryledge/listener.go
@@ -9,7 +9,6 @@
 	"syscall"
 	"time"
 
-	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
 )
 
