--- a/core/berylgate/choose.go
+++ b/core/berylgate/choose.go
@@ -57,15 +57,17 @@
 	// over says that the organisation is beyond its share. Its prompts leave
 	// their home only for a target where nobody waits: read elsewhere, they push
 	// out what others' prompts share. Capped organisations are so far ahead of
-	// another that waits that they get only what nobody else could use.
-	over, capped bool
+	// another that waits that they get only what nobody else could use. In a
+	// large fleet, where one small VM may bound what the other one gets, they get
+	// nothing more (strict), or the gap would grow with the idle engines.
+	over, capped, strict bool
 }
 
 // admits says whether a candidate is good enough. A prompt so large that it
 // alone exceeds the limit would never be served; it is sent where nobody waits.
 func (allowance allowance) admits(option candidate) bool {
 	if allowance.capped {
-		return option.lacks == 0 && option.target.idle()
+		return !allowance.strict && option.lacks == 0 && option.target.idle()
 	}
 	if option.expected <= allowance.limit {
 		return !allowance.over || option.lacks == 0 || option.target.idle()
@@ -114,7 +116,7 @@
 	if again {
 		limit = math.Inf(1)
 	}
-	allowance := allowance{limit: limit, over: over > 1, capped: math.IsInf(over, 1)}
+	allowance := allowance{limit: limit, over: over > 1, capped: math.IsInf(over, 1), strict: gate.sampled()}
 	best, found := gate.best(now, pool, request, allowance)
 	if !found {
 		return refused(berylspoke.ReasonNoTarget, shortWait)
--- a/core/berylgate/report.go
+++ b/core/berylgate/report.go
@@ -206,18 +206,30 @@
 	gate.shares.levels = now
 	totals := gate.totals(now)
 	asked := make([]float64, 0, len(totals))
-	floor := math.Inf(1)
 	for _, total := range totals {
 		asked = append(asked, total.asked)
-		if total.given < squeezed*total.asked {
-			floor = math.Min(floor, total.given)
-		}
 	}
 	gate.shares.level, gate.shares.cap = math.Inf(1), math.Inf(1)
 	if gate.capacity > 0 {
 		gate.shares.level = waterLevel(asked, float64(gate.capacity))
-		gate.shares.cap = math.Max(gate.shares.level, mostGap*floor)
+		gate.shares.cap = capOf(gate.shares.level, totals)
+	}
+}
+
+// capOf returns the most that an organisation may get: mostGap times what the
+// least served backlogged one gets, and at least its level. Only if another one
+// gets far less than that level, though it asks for it, even the level is reduced.
+func capOf(level float64, totals map[uint32]total) float64 {
+	floor, least := math.Inf(1), level
+	for _, total := range totals {
+		if total.given < squeezed*total.asked {
+			floor = math.Min(floor, total.given)
+		}
+		if total.asked > level && total.given < squeezed*level {
+			least = leastCap * level
+		}
 	}
+	return math.Max(least, mostGap*floor)
 }
 
 // total is what one organisation asked for and was given by all daemons.
--- a/io/beryledge/attempt.go
+++ b/io/beryledge/attempt.go
@@ -192,7 +192,7 @@
 	call.mayHaveRun = true
 	if response.StatusCode >= http.StatusInternalServerError {
 		call.end(decision, berylgate.Erred, nil)
-		if call.route.Kind == berylspoke.Idempotent && call.anew(decision) {
+		if call.repeatable() && call.anew(decision) {
 			return false
 		}
 	} else {
@@ -205,7 +205,7 @@
 	return true
 }
 
-// anew takes an idempotent request to another target where one may still be
+// anew takes a request that may run again to another target where one may still be
 // tried, rather than pass on the failure of the first.
 func (call *call) anew(first berylgate.Decision) bool {
 	decision := call.daemon.decide(call.request)
--- a/io/beryledge/daemon_test.go
+++ b/io/beryledge/daemon_test.go
@@ -105,6 +105,21 @@
 	require.Positive(t, broken.seen.Load(), "the test never met the broken target")
 }
 
+// An engine answers that it failed, as a share of them does when it is unhealthy
+// and its health check is good. A draft that may be resumed goes on at another
+// engine; the caller sees nothing of it.
+func TestResumableDraftSurvivesAFailedEngine(t *testing.T) {
+	failing := newTestTarget(t, "e1", sealed(http.StatusInternalServerError, "failed"))
+	sound := newTestTarget(t, "e2", events(9))
+	daemon, _ := startServing(t, map[string]*testTarget{"engines#1": failing, "engines#2": sound})
+	for i := range 6 {
+		response, _, err := ask(t, daemon, http.MethodPost, "/resume/x", fmt.Sprint("id-", i), "prompt")
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, response.StatusCode)
+	}
+	require.Positive(t, failing.seen.Load(), "the test never met the failing engine")
+}
+
 // All targets are full and say that they did not run the filing. So it is
 // refused truthfully, and the caller is told when to come back.
 func TestTurnedFilingIsRefusedTruthfully(t *testing.T) {
