--- a/core/berylgate/gate.go
+++ b/core/berylgate/gate.go
@@ -391,10 +391,3 @@
 		target.backlog += step
 	}
 }
-
-// Earn adds to the retry budgets what so many first requests would.
-func (gate *Gate) Earn(requests float64) {
-	for _, pool := range gate.services {
-		pool.budget.Earn(requests * retryEarn * gate.options.RetryRatio)
-	}
-}
--- a/core/berylgate/gate_test.go
+++ b/core/berylgate/gate_test.go
@@ -111,7 +111,7 @@
 func TestAttemptsAreBounded(t *testing.T) {
 	now := time.Unix(0, 0)
 	gate := newGate(now, 1, 4, true)
-	gate.Earn(100)
+	gate.services[drafts].budget.Earn(2)
 	request := newRequest(now, "o")
 	seen := make(map[berylspoke.TargetID]bool)
 	for range 2 {
--- a/io/beryledge/actor.go
+++ b/io/beryledge/actor.go
@@ -3,14 +3,12 @@
 // This file defines the actor that owns what decides.
 
 import (
-	"slices"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
 	"go.uber.org/zap"
 
 	"berylspoke"
-	"berylspoke/core/berylcatalog"
 	"berylspoke/core/berylfeed"
 	"berylspoke/core/berylgate"
 	"berylspoke/core/berylmember"
@@ -179,41 +177,6 @@
 	core.refreshMembers(now)
 }
 
-// syncMembers asks a seed, or a peer in turn, for all members it knows. Rumours
-// are told only a few times, so what was lost on the way is made up for here.
-func (core *core) syncMembers(now time.Time) {
-	every := syncEvery
-	others := core.others()
-	if len(others) == 0 {
-		every = joinEvery
-	}
-	if now.Sub(core.synced) < every {
-		return
-	}
-	core.synced = now
-	targets := core.daemon.settings.Seeds
-	if len(others) > 0 {
-		turn := int(now.UnixNano()/int64(syncEvery)) % len(others)
-		targets = others[turn : turn+1]
-	}
-	for _, to := range targets {
-		if to != core.daemon.settings.VM {
-			core.daemon.transport.Send(to, core.table.Sync())
-		}
-	}
-}
-
-// others returns the live peers that have been heard of by themselves.
-func (core *core) others() []berylspoke.VMID {
-	var others []berylspoke.VMID
-	for _, vm := range core.table.Live() {
-		if vm != core.daemon.settings.VM && core.table.Known(vm) != 0 {
-			others = append(others, vm)
-		}
-	}
-	return others
-}
-
 // report tells the peers what this daemon dispatched and knows.
 func (core *core) report(now time.Time) {
 	report := core.gate.Report(now)
@@ -281,140 +244,6 @@
 	}
 }
 
-// compare asks a peer for news that the store did not bring here in time: the
-// store may turn this VM away while it serves others.
-func (core *core) compare(now time.Time, from berylspoke.VMID, theirs []berylspoke.Revision) {
-	for name, revision := range theirs[:min(len(theirs), len(core.feeds))] {
-		feed := core.feeds[name]
-		if feed.Known() && revision <= feed.AsOf() || revision == 0 {
-			core.behind[name] = time.Time{}
-			continue
-		}
-		if core.behind[name].IsZero() {
-			core.behind[name] = now
-		}
-		if now.Sub(core.behind[name]) >= behindFor || !core.daemon.watcher.Load() {
-			core.behind[name] = now
-			core.daemon.transport.Send(from, berylfeed.Pull{Feed: berylfeed.Name(name), After: feed.AsOf()})
-		}
-	}
-}
-
-func (core *core) merge(now time.Time, from berylspoke.VMID, delta berylfeed.Delta) {
-	feed := core.feeds[delta.Feed]
-	if feed.Merge(now, delta) {
-		// Those that hear from this daemon have waited for it already.
-		core.reported = time.Time{}
-		core.daemon.log.Info("news from a peer", zap.String("peer", string(from)),
-			zap.Uint8("feed", uint8(delta.Feed)), zap.Uint64("asOf", uint64(delta.AsOf)), zap.Int("changes", len(delta.Changes)))
-		core.refresh(now, delta.Feed)
-	}
-}
-
-func (core *core) fromStore(now time.Time, message fromStore) {
-	feed := core.feeds[message.feed]
-	if feed.Answered(now) {
-		core.daemon.log.Info("store regained", zap.Uint8("feed", uint8(message.feed)), zap.Uint64("asOf", uint64(message.asOf)))
-	}
-	change := feed.Change
-	if message.full {
-		change = feed.Replace
-	}
-	if change(now, message.items, message.asOf) {
-		core.refresh(now, message.feed)
-		// The peers that do not watch hear of it with the next tick.
-		core.reported = time.Time{}
-	}
-	core.publish(message.feed)
-}
-
-// publish tells the readers of the store where to go on.
-func (core *core) publish(name berylfeed.Name) {
-	core.daemon.revisions[name].Store(uint64(core.feeds[name].AsOf()))
-	core.daemon.known[name].Store(core.feeds[name].Known())
-}
-
-func (core *core) refresh(now time.Time, name berylfeed.Name) {
-	core.publish(name)
-	if name == berylfeed.Configuration {
-		core.refreshCatalog(now)
-	} else {
-		core.refreshTargets(now)
-	}
-	core.announce()
-}
-
-// refreshCatalog puts the newest configuration in force; one that cannot be
-// read, or an older one, changes nothing.
-func (core *core) refreshCatalog(now time.Time) {
-	items, _ := core.feeds[berylfeed.Configuration].Items(now)
-	catalog, err := core.daemon.dialect.Catalog(items)
-	if err != nil || catalog == nil {
-		core.daemon.log.Warn("configuration not usable", cause(err))
-		return
-	}
-	if old := core.daemon.index.Load(); old != nil && old.Catalog().Version >= catalog.Version {
-		return
-	}
-	core.gate.SetCatalog(now, catalog)
-	core.daemon.index.Store(berylcatalog.New(catalog))
-	core.daemon.log.Info("configuration in force", zap.Uint64("version", uint64(catalog.Version)),
-		zap.Uint64("asOf", uint64(core.feeds[berylfeed.Configuration].AsOf())),
-		zap.Int("routes", len(catalog.Routes)), zap.Int("organisations", len(catalog.Organisations)))
-}
-
-func (core *core) refreshTargets(now time.Time) {
-	items, next := core.feeds[berylfeed.Targets].Items(now)
-	core.regrace = next
-	targets := make([]berylspoke.Target, 0, len(items))
-	leaving := 0
-	for _, item := range items {
-		target, err := core.daemon.dialect.Target(item)
-		if err != nil {
-			core.daemon.log.Debug("target ignored", cause(err))
-			continue
-		}
-		if target.Leaving {
-			leaving++
-		}
-		targets = append(targets, target)
-	}
-	core.gate.SetTargets(now, targets)
-	core.daemon.log.Info("targets changed", zap.Int("targets", len(targets)), zap.Int("leaving", leaving),
-		zap.Uint64("asOf", uint64(core.feeds[berylfeed.Targets].AsOf())))
-}
-
-// announce tells the fleet that callers may come, once this daemon knows where
-// their requests go.
-func (core *core) announce() {
-	daemon := core.daemon
-	if daemon.ready.Load() || daemon.index.Load() == nil || !core.feeds[berylfeed.Targets].Known() {
-		return
-	}
-	daemon.ready.Store(true)
-	core.table.Announce(daemon.settings.Callers, daemon.settings.Capacity)
-	daemon.log.Info("ready for callers")
-}
-
-// refreshMembers publishes the membership where it changed.
-func (core *core) refreshMembers(now time.Time) {
-	fresh := newEntries(core.table)
-	if old := core.daemon.entries.Load(); old.equal(fresh) {
-		return
-	}
-	core.daemon.entries.Store(fresh)
-	if core.daemon.transport != nil {
-		core.daemon.transport.Relink()
-	}
-	live := len(core.table.Live())
-	core.gate.SetDaemons(now, live)
-	// The same daemons watch all feeds: one in contact on one feed only could not
-	// tell the others that it has all news.
-	chosen := berylmember.Ranked("watcher", core.table.Live(), watchers)
-	core.daemon.watcher.Store(slices.Contains(chosen, core.daemon.settings.VM))
-	core.daemon.log.Info("members changed", zap.Int("live", live), zap.Any("entries", fresh.byDomain))
-}
-
 // tell hands the actor a message.
 func (daemon *Daemon) tell(message any) { daemon.system.Root.Send(daemon.core, message) }
 
--- a/io/beryledge/standin_test.go
+++ b/io/beryledge/standin_test.go
@@ -19,6 +19,7 @@
 	"go.uber.org/zap"
 
 	"berylspoke"
+	"berylspoke/core/berylgate"
 )
 
 // testDialect is a dialect with headers of its own, so that these tests do not
@@ -267,9 +268,19 @@
 	return daemon, store
 }
 
-// earnRetries lets the daemon earn what a retry costs.
+// earnRetries lets the daemon earn what retries cost, by first requests that end
+// at once.
 func earnRetries(daemon *Daemon) {
-	daemon.look(func(now time.Time, core *core) { core.gate.Earn(10) })
+	const enough = 4
+	daemon.look(func(now time.Time, core *core) {
+		for service := range testCatalog().Services {
+			for range enough {
+				request := &berylgate.Request{Service: service, Arrived: now, Objective: time.Minute}
+				core.gate.Submit(now, request)
+				core.gate.Ended(now, request, berylgate.Abandoned)
+			}
+		}
+	})
 }
 
 // ask sends one request and returns the answer.
