--- a/core/berylgate/report.go
+++ b/core/berylgate/report.go
@@ -216,20 +216,16 @@
 	}
 }
 
-// capOf returns the most that an organisation may get: mostGap times what the
-// least served backlogged one gets, and at least its level. Only if another one
-// gets far less than that level, though it asks for it, even the level is reduced.
+// capOf returns the most that an organisation beyond its level may get: mostGap
+// times what the least served backlogged one gets.
 func capOf(level float64, totals map[uint32]total) float64 {
-	floor, least := math.Inf(1), level
+	floor := math.Inf(1)
 	for _, total := range totals {
 		if total.given < squeezed*total.asked {
 			floor = math.Min(floor, total.given)
 		}
-		if total.asked > level && total.given < squeezed*level {
-			least = leastCap * level
-		}
 	}
-	return math.Max(least, mostGap*floor)
+	return math.Max(level, mostGap*floor)
 }
 
 // total is what one organisation asked for and was given by all daemons.
--- a/core/berylgate/share.go
+++ b/core/berylgate/share.go
@@ -60,9 +60,6 @@
 	// may all come to one small VM, whose processor bounds what it gets; others
 	// must not run away from it for that. Twice as much is what users bear.
 	mostGap = 1.7
-	// leastCap is the part of the max-min level that is left to everyone however
-	// little another one gets: its trouble may be its own.
-	leastCap = 0.5
 )
 
 func newShares() *shares {
