Split Submit, and let requests that go on after a failure go anywhere

A request that is sent again was let in already, so the share of its organisation no longer keeps it from a target.

--- a/core/berylgate/choose.go
+++ b/core/berylgate/choose.go
@@ -54,6 +54,8 @@
 // allowance is how long a request may be expected to wait for its first byte.
 type allowance struct {
 	limit float64
+	// times is how many times its max-min level the organisation was given.
+	times float64
 	// over says that the organisation is beyond its share. Its prompts leave
 	// their home only for a target where nobody waits: read elsewhere, they push
 	// out what others' prompts share. Capped organisations are so far ahead of
@@ -111,28 +113,14 @@
 	if again && request.sends >= request.Attempts {
 		return refused(berylspoke.ReasonTarget, shortWait)
 	}
-	over := gate.over(now, pool, request)
-	limit := gate.limit(now, request, over)
-	if again {
-		limit = math.Inf(1)
-	}
-	allowance := allowance{limit: limit, over: over > 1, capped: math.IsInf(over, 1), strict: gate.sampled()}
+	allowance := gate.allow(now, pool, request, again)
 	best, found := gate.best(now, pool, request, allowance)
 	if !found {
 		return refused(berylspoke.ReasonNoTarget, shortWait)
 	}
-	decision := Decision{
-		Target: best.target.Target, Connections: gate.connections(best.target),
-		Expected: duration(best.expected), Queue: best.target.backlog, Pace: best.target.pace,
-		Shared: sharedTokens(sharedParts(request.Parts)), Kept: best.kept,
-		Running: best.target.occupied(), Tokens: best.target.tokens + best.target.others.tokens,
-		Over: over,
-	}
-	if !again {
-		decision.Limit = duration(limit)
-	}
+	decision := gate.describe(request, best, allowance)
 	if !allowance.admits(best) {
-		decision.Refusal = gate.overloaded(best, limit, over)
+		decision.Refusal = gate.overloaded(best, allowance)
 		return decision
 	}
 	if again && !pool.budget.Spend(now, 1) {
@@ -145,6 +133,35 @@
 	return decision
 }
 
+// allow returns what a request may be expected to wait. One that goes on after a
+// failure was let in already.
+func (gate *Gate) allow(now time.Time, pool *pool, request *Request, again bool) allowance {
+	if again {
+		return allowance{limit: math.Inf(1), times: 1}
+	}
+	times := gate.over(now, pool, request)
+	return allowance{
+		limit: gate.limit(now, request, times), times: times,
+		over: times > 1, capped: math.IsInf(times, 1), strict: gate.sampled(),
+	}
+}
+
+// describe returns the decision for a target with the inputs that led to it.
+func (gate *Gate) describe(request *Request, best candidate, allowance allowance) Decision {
+	target := best.target
+	decision := Decision{
+		Target: target.Target, Connections: gate.connections(target),
+		Expected: duration(best.expected), Queue: target.backlog, Pace: target.pace,
+		Shared: sharedTokens(sharedParts(request.Parts)), Kept: best.kept,
+		Running: target.occupied(), Tokens: target.tokens + target.others.tokens,
+		Over: allowance.times,
+	}
+	if !math.IsInf(allowance.limit, 1) {
+		decision.Limit = duration(allowance.limit)
+	}
+	return decision
+}
+
 // ask counts a request once, before anything is decided on it.
 func (gate *Gate) ask(now time.Time, pool *pool, request *Request) {
 	request.tried = make(map[berylspoke.TargetID]bool)
@@ -319,9 +336,9 @@
 // overloaded refuses a request for which no target has room. The caller is told
 // to come back when the queue should have drained, at a time drawn at random so
 // that those refused together do not return together.
-func (gate *Gate) overloaded(best candidate, limit, over float64) *berylspoke.Refusal {
-	wait := shortWait + duration(max(best.expected-limit, 0))
-	if over > 1 {
+func (gate *Gate) overloaded(best candidate, allowance allowance) *berylspoke.Refusal {
+	wait := shortWait + duration(max(best.expected-allowance.limit, 0))
+	if allowance.over {
 		wait += overWait
 	}
 	wait += time.Duration(gate.random.Float64() * float64(wait))
