--- a/catalog.go
+++ b/catalog.go
@@ -85,7 +85,7 @@
 	TokensPerSecond Tokens
 }
 
-// Organisation is one tenant and the keys that prove it.
+// Organisation is one customer that shares capacity, and the keys that prove it.
 type Organisation struct {
 	ID   OrganisationID
 	Keys []string
--- a/core/berylgate/model.go
+++ b/core/berylgate/model.go
@@ -11,7 +11,7 @@
 const (
 	// prefillRate is the number of prompt tokens that an engine reads in a
 	// millisecond between the steps of its running requests. The fastest engines
-	// of the users' sheets read 140 and 92 alone; the pace of each target, learnt
+	// read 140 and 92 alone; the pace of each target, learnt
 	// from its answers, corrects the difference.
 	prefillRate = 110.0
 	// attentionCost is the time in milliseconds for a million pairs of tokens.
--- a/core/berylmodel/engine.go
+++ b/core/berylmodel/engine.go
@@ -27,7 +27,7 @@
 	EventTokens berylspoke.Tokens
 }
 
-// Kitamine returns the engine of the first deployment's sheet, Parish that of
+// Kitamine returns the engine of the first deployment, Parish that of
 // the second.
 func Kitamine() EngineOptions {
 	return EngineOptions{
@@ -37,7 +37,7 @@
 	}
 }
 
-// Parish returns the engine of the second deployment's sheet.
+// Parish returns the engine of the second deployment.
 func Parish() EngineOptions {
 	options := Kitamine()
 	options.PrefillRate, options.Step, options.Memory, options.EventTokens = 92, 3030*time.Microsecond, 432_000, 6
@@ -77,7 +77,7 @@
 type Uses map[uint64]time.Time
 
 // reuseWindow is the time after its last use in which a part that is read again
-// counts as wasted work, as the first deployment's sheet has it.
+// counts as wasted work, as the first deployment pays for it.
 const reuseWindow = 5900 * time.Millisecond
 
 type keptPart struct {
--- a/core/berylmodel/fleet.go
+++ b/core/berylmodel/fleet.go
@@ -36,8 +36,8 @@
 	ReportEvery, ReportLag time.Duration
 }
 
-// Today returns a fleet of the size of the first deployment.
-func Today(policy Policy) FleetOptions {
+// SmallFleet returns a fleet of the size of the first deployment.
+func SmallFleet(policy Policy) FleetOptions {
 	return FleetOptions{
 		Policy: policy, Entries: 8, Engines: 9, Engine: Kitamine(), TokensPerSecond: 350_000,
 		ReportEvery: 200 * time.Millisecond, ReportLag: 10 * time.Millisecond,
--- a/core/berylmodel/load.go
+++ b/core/berylmodel/load.go
@@ -28,7 +28,7 @@
 	Commons, Subjects int
 }
 
-// Kinds returns the three kinds of drafts of the deployments' sheets.
+// Kinds returns the three kinds of drafts of the deployments.
 func Kinds() []Kind {
 	return []Kind{
 		{Name: "dossier", Rate: 0.135, Objective: 800 * time.Millisecond, Own: 6610, Output: 384, Spread: 1, Common: 512, Commons: 3, Subject: 4870, Subjects: 147},
--- a/core/berylmodel/model_test.go
+++ b/core/berylmodel/model_test.go
@@ -76,7 +76,7 @@
 // reports. The estimate must be right at the median, as every decision to send
 // or refuse rests on it.
 func TestFirstTokenIsExpectedWell(t *testing.T) {
-	result := Run(Today(Gates), steady(1))
+	result := Run(SmallFleet(Gates), steady(1))
 	require.InDelta(t, median(result.Seen), median(result.Expected), 0.25*median(result.Seen))
 }
 
@@ -89,7 +89,7 @@
 	load.PerSecond = 200
 	load.Patterns = []Pattern{{From: 5 * time.Second, Until: 15 * time.Second, Flood: 10, Organisation: 1}}
 	served := func(policy Policy) float64 {
-		result := Run(Today(policy), load)
+		result := Run(SmallFleet(policy), load)
 		asked, inTime := 0, 0
 		for organisation, tally := range result.Organisations {
 			if organisation > 1 {
@@ -111,7 +111,7 @@
 	load := steady(3)
 	load.PerSecond = 250
 	part := func(policy Policy) float64 {
-		result := Run(Today(policy), load)
+		result := Run(SmallFleet(policy), load)
 		return float64(result.ReadAgain) / float64(result.Read)
 	}
 	require.Greater(t, part(LeastRunning), 0.2, "the load does not show the failure")
@@ -125,7 +125,7 @@
 	load := steady(4)
 	load.PerSecond = 200
 	load.Patterns = []Pattern{{From: 5 * time.Second, Until: 15 * time.Second, HotShare: 0.3}}
-	result := Run(Today(Gates), load)
+	result := Run(SmallFleet(Gates), load)
 	dossiers := result.Kinds[0]
 	require.Greater(t, float64(dossiers.InTime)/float64(dossiers.Asked), 0.85)
 }
@@ -136,7 +136,7 @@
 func TestOverloadKeepsEnginesBusy(t *testing.T) {
 	load := steady(5)
 	load.PerSecond = 1100
-	result := Run(Today(Gates), load)
+	result := Run(SmallFleet(Gates), load)
 	inTime, late := 0, 0
 	for _, tally := range result.Kinds {
 		inTime += tally.InTime
@@ -149,5 +149,5 @@
 func TestRunsRepeat(t *testing.T) {
 	load := steady(6)
 	load.Length = 3 * time.Second
-	require.Equal(t, Run(Today(Gates), load), Run(Today(Gates), load))
+	require.Equal(t, Run(SmallFleet(Gates), load), Run(SmallFleet(Gates), load))
 }
--- a/ids.go
+++ b/ids.go
@@ -17,7 +17,7 @@
 // Region names a set of failure domains joined by fast links.
 type Region string
 
-// OrganisationID names a tenant that shares capacity.
+// OrganisationID names a customer that shares capacity.
 type OrganisationID string
 
 // ServiceID names a declared service.
