--- /dev/null
+++ b/cmd/berylspoke/edge.go
@@ -0,0 +1,115 @@
+package main
+
+// This file defines the command that runs a daemon on the users' platform.
+
+import (
+	"bytes"
+	"context"
+	"flag"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/google/subcommands"
+	"go.uber.org/zap"
+
+	"berylspoke/io/beryledge"
+	"berylspoke/io/beryllog"
+	berylbinding "berylspoke/platform"
+)
+
+const (
+	// memoryShare is the part of the process's memory that the runtime may fill
+	// before it collects garbage eagerly; the rest is for stacks and the kernel's
+	// buffers.
+	memoryShare = 0.6
+	// settingsEvery is the time between two looks at the settings file, which may
+	// change without a signal.
+	settingsEvery = 2 * time.Second
+	// defaultFleetKey joins the daemons of one deployment where the platform
+	// hands out no secrets; its network is the only protection then.
+	defaultFleetKey = "berylspoke: no secret on this platform"
+)
+
+type edgeCommand struct{ settings, fleetKey, metrics, level string }
+
+func (*edgeCommand) Name() string     { return "edge" }
+func (*edgeCommand) Synopsis() string { return "run a daemon on the users' platform" }
+func (*edgeCommand) Usage() string {
+	return `edge [-settings FILE]
+
+Runs one daemon until SIGTERM, which drains it: it leaves the resolve answers and
+stops once its callers have left. SIGHUP reads the settings anew.
+
+`
+}
+
+func (command *edgeCommand) SetFlags(flags *flag.FlagSet) {
+	flags.StringVar(&command.settings, "settings", "", "settings `file` of the platform (default $"+berylbinding.SettingsVariable+")")
+	flags.StringVar(&command.fleetKey, "fleetKey", defaultFleetKey, "`key` that the daemons of one fleet share")
+	flags.StringVar(&command.metrics, "metrics", "", "further `port` for metrics")
+	flags.StringVar(&command.level, "logLevel", "info", "least `level` that is logged")
+}
+
+func (command *edgeCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	level, err := zap.ParseAtomicLevel(command.level)
+	if err != nil {
+		return fail(err)
+	}
+	path := command.settings
+	if path == "" {
+		if path, err = berylbinding.SettingsPath(); err != nil {
+			return fail(err)
+		}
+	}
+	settings, err := berylbinding.LoadSettings(path)
+	if err != nil {
+		return fail(err)
+	}
+	settings.FleetKey = command.fleetKey
+	if command.metrics != "" {
+		settings.Metrics = settings.VM.Host() + ":" + command.metrics
+	}
+	debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryBytes)))
+	log := beryllog.New(os.Stdout, level.Level())
+	defer func() { _ = log.Sync() }()
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+	store := berylbinding.NewStore(settings.Store)
+	daemon, err := beryledge.Start(settings, berylbinding.Dialect{}, store, berylbinding.Endpoints, log)
+	if err != nil {
+		return fail(err)
+	}
+	command.wait(path, daemon, signals, log)
+	daemon.Stop()
+	return subcommands.ExitSuccess
+}
+
+// wait applies changes of the settings until the process is asked to stop.
+func (command *edgeCommand) wait(path string, daemon *beryledge.Daemon, signals <-chan os.Signal, log *zap.Logger) {
+	ticker := time.NewTicker(settingsEvery)
+	defer ticker.Stop()
+	seen, _ := os.ReadFile(path)
+	for {
+		select {
+		case signalled := <-signals:
+			if signalled != syscall.SIGHUP {
+				return
+			}
+		case <-ticker.C:
+		}
+		body, err := os.ReadFile(path)
+		if err != nil || bytes.Equal(body, seen) {
+			continue
+		}
+		seen = body
+		settings, err := berylbinding.LoadSettings(path)
+		if err != nil {
+			log.Warn("changed settings are not used", zap.Error(err))
+			continue
+		}
+		daemon.Reload(settings)
+	}
+}
--- a/cmd/berylspoke/main.go
+++ b/cmd/berylspoke/main.go
@@ -22,7 +22,7 @@
 	commander.Register(commander.FlagsCommand(), "")
 	commander.Register(commander.CommandsCommand(), "")
 	commands := []subcommands.Command{
-		new(callCommand), new(checkCommand), new(demoCommand), new(dumpCommand),
+		new(callCommand), new(checkCommand), new(demoCommand), new(dumpCommand), new(edgeCommand),
 		new(loadCommand), new(patchCommand), new(planCommand), new(serveCommand), new(standCommand),
 	}
 	for _, command := range commands {
--- /dev/null
+++ b/core/berylcatalog/index.go
@@ -0,0 +1,84 @@
+package berylcatalog
+
+// This file defines the index of routes and keys.
+
+import (
+	"net"
+	"sort"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"berylspoke"
+)
+
+// Index answers which route a request takes and whose a key is.
+type Index struct {
+	catalog *berylspoke.Catalog
+	hosts   map[string][]*berylspoke.Route
+	keys    map[string]berylspoke.OrganisationID
+}
+
+// New indexes a catalog.
+func New(catalog *berylspoke.Catalog) *Index {
+	index := &Index{
+		catalog: catalog,
+		hosts:   make(map[string][]*berylspoke.Route),
+		keys:    make(map[string]berylspoke.OrganisationID),
+	}
+	for i := range catalog.Routes {
+		route := &catalog.Routes[i]
+		index.hosts[route.Host] = append(index.hosts[route.Host], route)
+	}
+	for _, routes := range index.hosts {
+		// The longest prefix comes first, so the first match is the closest.
+		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
+	}
+	for _, organisation := range catalog.Organisations {
+		for _, key := range organisation.Keys {
+			index.keys[key] = organisation.ID
+		}
+	}
+	return index
+}
+
+// Catalog returns the catalog that was indexed.
+func (index *Index) Catalog() *berylspoke.Catalog { return index.catalog }
+
+// Route returns the route of the longest prefix that begins the path, or nil.
+func (index *Index) Route(host, path string) *berylspoke.Route {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	for _, route := range index.hosts[strings.ToLower(host)] {
+		if strings.HasPrefix(path, route.Prefix) {
+			return route
+		}
+	}
+	return nil
+}
+
+// Organisation returns whose a key is.
+func (index *Index) Organisation(key string) (berylspoke.OrganisationID, bool) {
+	organisation, known := index.keys[key]
+	return organisation, known
+}
+
+// Service picks the service of a request by the weights of its route. The
+// request's id decides, so every look at one request picks the same.
+func Service(route *berylspoke.Route, id berylspoke.RequestID) berylspoke.ServiceID {
+	total := 0
+	for _, share := range route.Shares {
+		total += max(share.Weight, 0)
+	}
+	if total == 0 {
+		return ""
+	}
+	point := int(xxhash.Sum64String(string(id)) % uint64(total))
+	for _, share := range route.Shares {
+		if point -= max(share.Weight, 0); point < 0 {
+			return share.Service
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/core/berylgate/choose.go
@@ -0,0 +1,261 @@
+package berylgate
+
+// This file defines which target a request goes to and who is refused.
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"berylspoke"
+)
+
+const (
+	// headroom is the part of the objective that the expected time to the first
+	// token may take up: the rest covers the error of the model, whose spread at
+	// full load is about a tenth.
+	headroom = 0.9
+	// overPower is how fast the part of the objective that an organisation may use
+	// falls with the times that it was given its max-min level, and overLeast the
+	// part that is always left, as nobody waits while targets have room.
+	overPower = 0.6
+	overLeast = 0.25
+	// rereadWeight is how many times the work of reading a part again counts
+	// beside the wait: what is read twice is lost to all.
+	rereadWeight = 3.0
+	// errorPenalty is the milliseconds that a target which fails every request
+	// costs more than one that fails none.
+	errorPenalty = 2000.0
+	// farPenalty is the milliseconds by which a target in another region must be
+	// better beyond the longer way: the link is narrow and paid by volume.
+	farPenalty = 10.0
+	// fullPenalty is the milliseconds that a target without a free slot costs.
+	fullPenalty = 400.0
+	// homesBeyond is the shared tokens from which on a prompt has one home in
+	// the fleet and not one in each region: reading them again costs more than
+	// the way to the other region.
+	homesBeyond berylspoke.Tokens = 1000
+)
+
+// candidate is one target as a request sees it.
+type candidate struct {
+	target   *target
+	added    float64
+	expected float64
+	cost     float64
+}
+
+// Decision is what becomes of a request.
+type Decision struct {
+	// Target is where it goes; Refusal is set if it goes nowhere.
+	Target   berylspoke.Target
+	Refusal  *berylspoke.Refusal
+	Expected time.Duration
+	// Limit is the expected time up to which the request would be sent, and Over
+	// how far its organisation is beyond its share.
+	Limit time.Duration
+	Over  float64
+}
+
+// Submit decides on a request that is new or whose last attempt ended.
+func (gate *Gate) Submit(now time.Time, request *Request) Decision {
+	pool := gate.services[request.Service]
+	if pool == nil {
+		return refused(berylspoke.ReasonUnknown, shortWait)
+	}
+	again := request.sends > 0
+	if !again && request.tried == nil {
+		gate.ask(now, pool, request)
+	}
+	if again && request.sends >= request.Attempts {
+		return refused(berylspoke.ReasonTarget, shortWait)
+	}
+	best, found := gate.best(now, pool, request)
+	if !found {
+		return refused(berylspoke.ReasonNoTarget, shortWait)
+	}
+	over := gate.over(now, pool, request)
+	limit := gate.limit(now, request, over)
+	decision := Decision{Target: best.target.Target, Expected: duration(best.expected), Limit: duration(limit), Over: over}
+	if !again && best.expected > limit {
+		decision.Refusal = gate.overloaded(best, limit, over)
+		return decision
+	}
+	if again && !pool.budget.Spend(now, 1) {
+		return refused(berylspoke.ReasonOverload, shortWait)
+	}
+	gate.start(now, request, best)
+	if !again && pool.declared.Engine != nil {
+		gate.shares.usage(hashOf(string(request.Organisation))).given.add(now, tokensOf(request))
+	}
+	return decision
+}
+
+// ask counts a request once, before anything is decided on it.
+func (gate *Gate) ask(now time.Time, pool *pool, request *Request) {
+	request.tried = make(map[berylspoke.TargetID]bool)
+	pool.budget.Earn(retryEarn * gate.options.RetryRatio)
+	if pool.declared.Engine != nil {
+		gate.shares.usage(hashOf(string(request.Organisation))).asked.add(now, tokensOf(request))
+	}
+}
+
+// retryEarn is the part of the allowed ratio that requests earn; the rest is
+// for requests that end up at another daemon's count.
+const retryEarn = 0.8
+
+// tokensOf returns what a request counts in its organisation's share.
+func tokensOf(request *Request) berylspoke.Tokens {
+	return tokensRead*request.Input + tokensMade*request.Output
+}
+
+// over returns how many times its max-min level an organisation was given, one
+// at most for whoever is within it.
+func (gate *Gate) over(now time.Time, pool *pool, request *Request) float64 {
+	if pool.declared.Engine == nil {
+		return 1
+	}
+	level := gate.level(now)
+	if math.IsInf(level, 1) {
+		return 1
+	}
+	_, given := gate.fleet(now, hashOf(string(request.Organisation)))
+	return max(1, given/level)
+}
+
+// limit returns the expected milliseconds up to which a request is sent.
+func (gate *Gate) limit(now time.Time, request *Request, over float64) float64 {
+	left := millis(request.Arrived.Add(request.Objective).Sub(now))
+	factor := max(headroom*math.Pow(over, -overPower), overLeast)
+	return left * factor
+}
+
+// best returns the target of the lowest cost.
+func (gate *Gate) best(now time.Time, pool *pool, request *Request) (candidate, bool) {
+	shared := sharedParts(request.Parts)
+	global, local := gate.homes(pool, shared)
+	if sharedTokens(shared) >= homesBeyond {
+		local = global
+	}
+	var best, spare candidate
+	for _, target := range pool.targets {
+		if target.Leaving || request.tried[target.ID] {
+			continue
+		}
+		option := gate.weigh(now, target, request, shared, target == global || target == local)
+		if !target.usable(now) {
+			if spare.target == nil || option.cost < spare.cost {
+				spare = option
+			}
+			continue
+		}
+		if best.target == nil || option.cost < best.cost {
+			best = option
+		}
+	}
+	if best.target == nil {
+		// All targets failed lately. Refusing everything until one is tried again
+		// would turn a fault that hits each now and then into an outage.
+		best = spare
+	}
+	return best, best.target != nil
+}
+
+// weigh returns what a request costs at one target.
+func (gate *Gate) weigh(now time.Time, target *target, request *Request, shared []berylspoke.Part, home bool) candidate {
+	kept := target.cached(now, shared)
+	total := sharedTokens(shared)
+	if home {
+		kept = total
+	}
+	option := candidate{target: target}
+	if target.engine != nil {
+		option.added = work(request.Input, kept)
+	}
+	option.expected = target.expect(now, option.added)
+	if target.full(request.Input + request.Output) {
+		option.expected += fullPenalty
+	}
+	option.cost = option.expected + errorPenalty*target.errors
+	option.cost += rereadWeight * float64(total-kept) / prefillRate
+	if target.far {
+		option.cost += farPenalty
+	}
+	return option
+}
+
+// homes returns the targets that requests with these shared parts prefer, in
+// the fleet and in this region. Every daemon picks the same from the list of
+// targets, so a part is read once without any message about it.
+func (gate *Gate) homes(pool *pool, shared []berylspoke.Part) (global, local *target) {
+	if len(shared) == 0 {
+		return nil, nil
+	}
+	last := shared[len(shared)-1].ID
+	var top, near uint64
+	for _, target := range pool.targets {
+		if target.Leaving {
+			continue
+		}
+		score := mix(last, uint64(target.hash))
+		if global == nil || score > top {
+			global, top = target, score
+		}
+		if !target.far && (local == nil || score > near) {
+			local, near = target, score
+		}
+	}
+	return global, local
+}
+
+// mix hashes a part and a target for rendezvous hashing.
+func mix(part, target uint64) uint64 {
+	var key [16]byte
+	for i := range 8 {
+		key[i], key[8+i] = byte(part>>(8*i)), byte(target>>(8*i))
+	}
+	return xxhash.Sum64(key[:])
+}
+
+// sharedParts returns the parts that other prompts may begin with too.
+func sharedParts(parts []berylspoke.Part) []berylspoke.Part {
+	return parts[:max(len(parts)-1, 0)]
+}
+
+func sharedTokens(parts []berylspoke.Part) berylspoke.Tokens {
+	var total berylspoke.Tokens
+	for _, part := range parts {
+		total += part.Tokens
+	}
+	return total
+}
+
+const (
+	// shortWait is when a caller may come back after a refusal that says nothing
+	// of the load.
+	shortWait = 300 * time.Millisecond
+	// overWait is when one beyond its share may come back: its share is counted
+	// over some seconds.
+	overWait = 1500 * time.Millisecond
+	// waitMost bounds the time a caller is told to stay away.
+	waitMost = 3 * time.Second
+)
+
+// overloaded refuses a request for which no target has room. The caller is told
+// to come back when the queue should have drained, at a time drawn at random so
+// that those refused together do not return together.
+func (gate *Gate) overloaded(best candidate, limit, over float64) *berylspoke.Refusal {
+	wait := shortWait + duration(max(best.expected-limit, 0))
+	if over > 1 {
+		wait += overWait
+	}
+	wait += time.Duration(gate.random.Float64() * float64(wait))
+	return &berylspoke.Refusal{
+		Verdict: berylspoke.NotRun, Reason: berylspoke.ReasonOverload, RetryAfter: min(wait, waitMost),
+	}
+}
+
+func refused(reason berylspoke.Reason, wait time.Duration) Decision {
+	return Decision{Refusal: &berylspoke.Refusal{Verdict: berylspoke.NotRun, Reason: reason, RetryAfter: wait}}
+}
--- /dev/null
+++ b/core/berylgate/gate.go
@@ -0,0 +1,345 @@
+package berylgate
+
+// This file defines the gate and what moves its state.
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"berylspoke"
+	"berylspoke/core/berylroute"
+)
+
+// Options are the settings of a gate.
+type Options struct {
+	Incarnation berylspoke.Incarnation
+	// Region is this daemon's region; RegionOf maps failure domains to theirs.
+	Region   berylspoke.Region
+	RegionOf map[berylspoke.FailureDomain]berylspoke.Region
+	// RetryRatio and RetrySlack bound the sends beyond the first of each request
+	// over all daemons: a part of the requests, and a number.
+	RetryRatio, RetrySlack float64
+}
+
+// Request is one request of a caller.
+type Request struct {
+	ID           berylspoke.RequestID
+	Service      berylspoke.ServiceID
+	Organisation berylspoke.OrganisationID
+	Kind         berylspoke.Kind
+	Arrived      time.Time
+	// Objective is the time to the first byte within which the answer counts.
+	Objective time.Duration
+	Deadline  time.Time
+	// Attempts bounds the targets that the request may be sent to.
+	Attempts      int
+	Input, Output berylspoke.Tokens
+	Parts         []berylspoke.Part
+	// sends counts the targets that may have received the request; tried are
+	// those that it must not be sent to again.
+	sends int
+	tried map[berylspoke.TargetID]bool
+	live  *attempt
+}
+
+// attempt is one request at one target.
+type attempt struct {
+	request  *Request
+	target   *target
+	sent     time.Time
+	expected float64
+	queue    float64
+	added    float64
+	memory   berylspoke.Tokens
+	began    bool
+}
+
+// pool is the targets and the retry budget of one service.
+type pool struct {
+	declared berylspoke.Service
+	targets  []*target
+	budget   *berylroute.Budget
+}
+
+// Gate is the state of one daemon's decisions.
+type Gate struct {
+	options  Options
+	capacity berylspoke.Tokens
+	services map[berylspoke.ServiceID]*pool
+	targets  map[berylspoke.TargetID]*target
+	hashes   map[uint32]*target
+	shares   *shares
+	peers    map[berylspoke.VMID]*peer
+	daemons  int
+	random   *rand.Rand
+	ticked   time.Time
+}
+
+// New returns a gate that knows no targets.
+func New(options Options) *Gate {
+	return &Gate{
+		options:  options,
+		services: make(map[berylspoke.ServiceID]*pool),
+		targets:  make(map[berylspoke.TargetID]*target),
+		hashes:   make(map[uint32]*target),
+		shares:   newShares(),
+		peers:    make(map[berylspoke.VMID]*peer),
+		daemons:  leastDaemons,
+		random:   rand.New(rand.NewPCG(uint64(options.Incarnation), 0)),
+	}
+}
+
+// leastDaemons is how many daemons the retry budget is divided between before
+// the members are known; the smallest deployments have eight.
+const leastDaemons = 8
+
+// SetDaemons tells how many daemons the fleet has.
+func (gate *Gate) SetDaemons(now time.Time, count int) {
+	gate.daemons = max(count, 1)
+	for _, pool := range gate.services {
+		pool.budget = gate.newBudget(now, pool.budget.Left(now))
+	}
+}
+
+// newBudget returns a service's retry budget. Its bound holds over all daemons
+// together although they do not speak about it: each may save up its part of
+// the slack, and a daemon that starts has saved nothing, so restarts give none.
+func (gate *Gate) newBudget(now time.Time, level float64) *berylroute.Budget {
+	const reserve = 0.7
+	most := reserve * gate.options.RetrySlack / float64(max(gate.daemons, leastDaemons))
+	budget := berylroute.NewBudget(now, 0, most)
+	budget.Charge(now, max(most-level, 0))
+	return budget
+}
+
+// SetCatalog takes the declared services and the throughput to share.
+func (gate *Gate) SetCatalog(now time.Time, catalog *berylspoke.Catalog) {
+	gate.capacity = catalog.Limits.TokensPerSecond
+	services := make(map[berylspoke.ServiceID]*pool, len(catalog.Services))
+	for id, declared := range catalog.Services {
+		kept := gate.services[id]
+		if kept == nil {
+			kept = &pool{budget: gate.newBudget(now, 0)}
+		}
+		kept.declared = declared
+		services[id] = kept
+	}
+	gate.services = services
+	gate.arrange()
+}
+
+// SetTargets takes the targets that are published now. What is known of a
+// target stays unless it started anew.
+func (gate *Gate) SetTargets(now time.Time, declared []berylspoke.Target) {
+	targets := make(map[berylspoke.TargetID]*target, len(declared))
+	for _, item := range declared {
+		kept := gate.targets[item.ID]
+		if kept == nil || kept.Born != item.Born || kept.Address != item.Address || kept.Service != item.Service {
+			kept = newTarget(now, item)
+		}
+		kept.Target = item
+		kept.far = gate.options.RegionOf[item.FailureDomain] != gate.options.Region
+		if kept.way == 0 {
+			kept.way = nearWay
+			if kept.far {
+				kept.way = farWay
+			}
+		}
+		targets[item.ID] = kept
+	}
+	gate.targets = targets
+	gate.arrange()
+}
+
+// arrange derives the targets of each service and what is looked up.
+func (gate *Gate) arrange() {
+	gate.hashes = make(map[uint32]*target, len(gate.targets))
+	for _, pool := range gate.services {
+		pool.targets = nil
+	}
+	for _, target := range gate.targets {
+		gate.hashes[target.hash] = target
+		pool := gate.services[target.Service]
+		if pool == nil {
+			continue
+		}
+		target.engine, target.slots = pool.declared.Engine, target.Slots
+		if target.engine != nil && target.slots == 0 {
+			target.slots = target.engine.Slots
+		}
+		pool.targets = append(pool.targets, target)
+	}
+}
+
+// MaxConnections returns how many connections this daemon may hold to a target
+// so that all daemons together stay within the declared bound.
+func (gate *Gate) MaxConnections(id berylspoke.TargetID) int {
+	target := gate.targets[id]
+	if target == nil || gate.services[target.Service] == nil {
+		return 1
+	}
+	return max(1, gate.services[target.Service].declared.MaxConnections/max(gate.daemons, 1))
+}
+
+// Tick looks for targets that went silent and drops what is out of date.
+func (gate *Gate) Tick(now time.Time) {
+	elapsed := now.Sub(gate.ticked)
+	gate.ticked = now
+	for _, target := range gate.targets {
+		target.settleInflow(elapsed)
+		target.watch(now)
+		target.forget(now)
+	}
+	gate.sumOthers(now)
+}
+
+// TimedWay takes the time that a connection to a target took to open.
+func (gate *Gate) TimedWay(id berylspoke.TargetID, taken time.Duration) {
+	const weight = 0.2
+	if target := gate.targets[id]; target != nil {
+		target.way += weight * (millis(taken) - target.way)
+	}
+}
+
+// start notes that a request goes to a target now.
+func (gate *Gate) start(now time.Time, request *Request, candidate candidate) {
+	target := candidate.target
+	attempt := &attempt{
+		request: request, target: target, sent: now,
+		expected: candidate.expected, queue: target.backlog, added: candidate.added,
+		memory: request.Input + request.Output,
+	}
+	target.attempts[attempt] = true
+	target.running++
+	request.live = attempt
+	request.sends++
+	if request.tried == nil {
+		request.tried = make(map[berylspoke.TargetID]bool)
+	}
+	request.tried[target.ID] = true
+	if target.engine == nil {
+		return
+	}
+	target.tokens += attempt.memory
+	target.backlog += attempt.added
+	target.sentWork += attempt.added
+	target.hold(now, sharedParts(request.Parts))
+}
+
+// Began notes the first byte of an answer.
+func (gate *Gate) Began(now time.Time, request *Request, load *berylspoke.EngineLoad) {
+	attempt := request.live
+	if attempt == nil || attempt.began {
+		return
+	}
+	attempt.began = true
+	target := attempt.target
+	target.worked(now)
+	if target.engine == nil {
+		return
+	}
+	seen := millis(now.Sub(attempt.sent))
+	gate.observe(now, attempt, seen)
+	if load != nil && load.Slots > 0 {
+		target.slots = load.Slots
+	}
+}
+
+// observe corrects the estimate of a target by the time that one request took
+// to its first token: the queue by what it waited beyond the model, and the
+// pace of the target by the ratio of the two.
+func (gate *Gate) observe(now time.Time, attempt *attempt, seen float64) {
+	target := attempt.target
+	target.drain(now)
+	ratio := max(seen-target.way, 1) / max(attempt.expected-target.way, 1)
+	target.pace = min(max(target.pace*(1+paceWeight*(min(ratio, 3)-1)), paceLeast), paceMost)
+	excess := (seen - attempt.expected) / target.pace
+	target.backlog = max(0, target.backlog+observerGain*min(excess, attempt.queue+attempt.added))
+}
+
+// Outcome is how an attempt ended.
+type Outcome uint8
+
+// The outcomes of an attempt.
+const (
+	// Succeeded answers came whole.
+	Succeeded Outcome = iota
+	// Turned says that the target did not run the request.
+	Turned
+	// Unreached says that no connection was made, so nothing was sent.
+	Unreached
+	// Crowded says that all connections to the target are in use.
+	Crowded
+	// Broken answers were cut, garbled or never came.
+	Broken
+	// Erred answers came whole and say that the target failed.
+	Erred
+	// Abandoned attempts were ended by the caller or by its time limit.
+	Abandoned
+	// Outcomes is the number of outcomes.
+	Outcomes
+)
+
+// String returns the outcome as logged.
+func (outcome Outcome) String() string {
+	return [...]string{"succeeded", "turned", "unreached", "crowded", "broken", "erred", "abandoned"}[outcome]
+}
+
+// Ended notes the end of the live attempt of a request.
+func (gate *Gate) Ended(now time.Time, request *Request, outcome Outcome) {
+	attempt := request.live
+	if attempt == nil {
+		return
+	}
+	request.live = nil
+	target := attempt.target
+	delete(target.attempts, attempt)
+	target.running--
+	if target.engine != nil {
+		target.tokens -= attempt.memory
+	}
+	gate.judge(now, attempt, outcome)
+	if outcome == Unreached || outcome == Crowded || outcome == Turned {
+		gate.unsend(now, attempt, outcome)
+	}
+}
+
+// judge takes what an outcome says of the target.
+func (gate *Gate) judge(now time.Time, attempt *attempt, outcome Outcome) {
+	target := attempt.target
+	switch outcome {
+	case Succeeded:
+		target.worked(now)
+		if target.engine == nil {
+			const weight = 0.1
+			target.mean += weight * (millis(now.Sub(attempt.sent)) - target.way - target.mean)
+			target.mean = max(target.mean, 1)
+		}
+	case Unreached, Broken:
+		target.failed(now)
+	case Erred:
+		target.heard = now
+		target.errors += errorWeight * (1 - target.errors)
+	case Turned:
+		target.heard = now
+	}
+}
+
+// unsend takes back the work of a request that the target did not run. An
+// engine that turns a request away is full whatever the model says, so the
+// estimate of its queue rises by a step.
+func (gate *Gate) unsend(now time.Time, attempt *attempt, outcome Outcome) {
+	const step = 60.0
+	target := attempt.target
+	if outcome != Turned {
+		attempt.request.sends--
+	}
+	if target.engine == nil {
+		return
+	}
+	target.drain(now)
+	target.backlog = max(0, target.backlog-attempt.added)
+	if outcome == Turned {
+		target.backlog += step
+	}
+}
--- /dev/null
+++ b/core/berylgate/target.go
@@ -0,0 +1,204 @@
+package berylgate
+
+// This file defines what the gate believes of one target.
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"berylspoke"
+)
+
+const (
+	// pauseFirst is the time a target is left alone after a failure; it doubles
+	// with each failure in a row up to pauseMost, which is what a crashed target
+	// needs to return or to vanish from the list (three heartbeats).
+	pauseFirst = 300 * time.Millisecond
+	pauseMost  = 4 * time.Second
+	// errorWeight is the part of one outcome in the error rate: about the last
+	// twenty requests count.
+	errorWeight = 0.05
+	// paceWeight is the part of one observation in a target's pace.
+	paceWeight = 0.08
+	paceLeast  = 0.4
+	paceMost   = 12.0
+	// observerGain is the part of the difference between the expected and the
+	// seen queue that corrects the estimate: a full correction would follow the
+	// noise of single steps.
+	observerGain = 0.5
+	// silentLeast is the shortest silence that makes a target suspect.
+	silentLeast = 700 * time.Millisecond
+	// silentFactor is how many times the expected time to the first byte may
+	// pass in silence.
+	silentFactor = 3
+	// plainWork is the first guess of a plain service's time for one request.
+	plainWork = 50.0
+	// nearWay and farWay are the round trips in milliseconds within and between
+	// regions that are assumed before any connection was timed.
+	nearWay = 3.0
+	farWay  = 60.0
+)
+
+// target is one back end as this daemon believes it to be.
+type target struct {
+	berylspoke.Target
+	hash   uint32
+	far    bool
+	engine *berylspoke.EngineSpec
+	slots  int
+	// backlog is the prefill work in milliseconds that lies before the target at
+	// the time of asOf, at the pace of the model.
+	backlog float64
+	asOf    time.Time
+	// sentWork is all work that this daemon ever sent there.
+	sentWork float64
+	// running and tokens are this daemon's requests there and their memory.
+	running int
+	tokens  berylspoke.Tokens
+	others  occupancy
+	// inflow is the work in milliseconds a millisecond that other daemons send
+	// there, from what they reported in the last while.
+	inflow   float64
+	reported float64
+	pace     float64
+	mean     float64
+	way      float64
+	errors   float64
+	// failures counts failures in a row; the target is left alone until paused.
+	failures int
+	paused   time.Time
+	heard    time.Time
+	suspect  bool
+	attempts map[*attempt]bool
+	held     map[uint64]time.Time
+}
+
+// occupancy is what other daemons have at a target.
+type occupancy struct {
+	running int
+	tokens  berylspoke.Tokens
+}
+
+func newTarget(now time.Time, declared berylspoke.Target) *target {
+	return &target{
+		Target: declared, hash: hashOf(string(declared.ID)), asOf: now, pace: 1, mean: plainWork, heard: now,
+		attempts: make(map[*attempt]bool), held: make(map[uint64]time.Time),
+	}
+}
+
+// hashOf names a target or an organisation in reports.
+func hashOf(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
+
+// drain advances the estimate of the queue to the present.
+func (target *target) drain(now time.Time) {
+	if elapsed := now.Sub(target.asOf); elapsed > 0 {
+		target.backlog = math.Max(0, target.backlog-millis(elapsed)/target.pace)
+		target.asOf = now
+	}
+}
+
+// occupied returns the requests that run or wait there, of all daemons.
+func (target *target) occupied() int { return target.running + target.others.running }
+
+// expect returns the expected milliseconds to the first byte of a request that
+// adds the given work.
+func (target *target) expect(now time.Time, added float64) float64 {
+	target.drain(now)
+	if target.engine != nil {
+		return target.way + target.pace*(firstToken+target.backlog+unheard*target.inflow+added)
+	}
+	waiting := math.Max(0, float64(target.occupied()+1-target.slots))
+	return target.way + target.mean*(1+waiting/float64(max(target.slots, 1)))
+}
+
+// unheard is the mean age in milliseconds of what this daemon knows of the
+// others' dispatches: half the time between two reports, and their way.
+const unheard = 110.0
+
+// settleInflow takes what was reported in the last while as the rate of inflow.
+func (target *target) settleInflow(elapsed time.Duration) {
+	const weight = 0.3
+	target.inflow += weight * (target.reported/max(millis(elapsed), 1) - target.inflow)
+	target.reported = 0
+}
+
+// full says whether one more request would have to wait for a slot or would
+// push others out of the engine's memory.
+func (target *target) full(need berylspoke.Tokens) bool {
+	if target.engine == nil {
+		return target.occupied() >= 3*target.slots
+	}
+	if target.occupied() >= target.slots {
+		return true
+	}
+	const memoryShare = 0.9
+	memory := berylspoke.Tokens(memoryShare * float64(target.engine.Memory))
+	return memory > 0 && target.tokens+target.others.tokens+need > memory
+}
+
+// usable says whether a request may go there.
+func (target *target) usable(now time.Time) bool {
+	return !target.Leaving && !target.suspect && !now.Before(target.paused)
+}
+
+// failed leaves the target alone for a while, longer with each failure in a row.
+func (target *target) failed(now time.Time) {
+	target.paused = now.Add(min(pauseFirst<<min(target.failures, 8), pauseMost))
+	target.failures++
+	target.errors += errorWeight * (1 - target.errors)
+}
+
+// worked ends the pause.
+func (target *target) worked(now time.Time) {
+	target.failures, target.paused, target.heard, target.suspect = 0, time.Time{}, now, false
+	target.errors -= errorWeight * target.errors
+}
+
+// watch makes the target suspect while requests wait there in silence for much
+// longer than expected: an engine that went dark takes connections and says
+// nothing, and only this shows it before the callers' time is up.
+func (target *target) watch(now time.Time) {
+	target.suspect = false
+	for attempt := range target.attempts {
+		patience := max(silentLeast, silentFactor*duration(attempt.expected))
+		if !attempt.began && now.Sub(attempt.sent) > patience && target.heard.Before(attempt.sent.Add(patience/2)) {
+			target.suspect = true
+			return
+		}
+	}
+}
+
+// holdFor is how long a part is believed to stay in an engine's memory after
+// its last use here; the least recently used yield, and at full load an engine
+// reads its whole memory in about eight seconds.
+const holdFor = 8 * time.Second
+
+// cached returns how much of a prompt the target is believed to keep.
+func (target *target) cached(now time.Time, parts []berylspoke.Part) berylspoke.Tokens {
+	var kept berylspoke.Tokens
+	for _, part := range parts {
+		if seen, known := target.held[part.ID]; !known || now.Sub(seen) > holdFor {
+			break
+		}
+		kept += part.Tokens
+	}
+	return kept
+}
+
+// hold remembers the shared parts of a prompt that was sent there.
+func (target *target) hold(now time.Time, parts []berylspoke.Part) {
+	for _, part := range parts {
+		target.held[part.ID] = now
+	}
+}
+
+// forget drops what the target no longer keeps.
+func (target *target) forget(now time.Time) {
+	for part, seen := range target.held {
+		if now.Sub(seen) > holdFor {
+			delete(target.held, part)
+		}
+	}
+}
--- a/core/berylmember/rumour.go
+++ b/core/berylmember/rumour.go
@@ -28,6 +28,15 @@
 	Counter uint32
 	Status  Status
 	Leaving bool
+	// Place is where the daemon stands; it is empty where the platform lists VMs.
+	Place Place
+}
+
+// Place is what a daemon says of itself to a fleet without a list of VMs.
+type Place struct {
+	FailureDomain berylspoke.FailureDomain
+	// CallAddress takes callers' requests.
+	CallAddress string
 }
 
 func (rumour Rumour) overrides(old Rumour) bool {
--- a/core/berylmember/table.go
+++ b/core/berylmember/table.go
@@ -19,6 +19,10 @@
 	DeadAfter time.Duration
 	// ReviveEvery is the time between two heartbeats to a dead neighbour.
 	ReviveEvery time.Duration
+	// Open tables have no list of VMs: whoever is heard of belongs to the fleet,
+	// until it has been dead for ForgetAfter.
+	Open        bool
+	ForgetAfter time.Duration
 }
 
 // DefaultOptions detects a lost daemon in about four seconds.
@@ -28,6 +32,7 @@
 		SuspectAfter: 2500 * time.Millisecond,
 		DeadAfter:    time.Second,
 		ReviveEvery:  4 * time.Second,
+		ForgetAfter:  time.Minute,
 	}
 }
 
@@ -68,7 +73,11 @@
 // NewTable returns the table of a daemon that knows only itself.
 func NewTable(now time.Time, vm berylspoke.VM, incarnation berylspoke.Incarnation, options Options) *Table {
 	process := berylspoke.Process{VM: vm.ID, Incarnation: incarnation}
-	self := &Member{VM: vm, Rumour: Rumour{Process: process}, Listed: true, Heard: now, Serving: true}
+	rumour := Rumour{Process: process}
+	if options.Open {
+		rumour.Place = Place{FailureDomain: vm.FailureDomain, CallAddress: vm.CallAddress}
+	}
+	self := &Member{VM: vm, Rumour: rumour, Listed: true, Heard: now, Serving: true}
 	table := &Table{
 		options: options,
 		self:    self,
@@ -115,10 +124,21 @@
 	table.relink(now)
 }
 
+// Join adds VMs that may belong to the fleet; they are greeted until they answer
+// or count as dead.
+func (table *Table) Join(now time.Time, vms []berylspoke.VMID) {
+	for _, vm := range vms {
+		if member := table.member(vm); member.Heard.IsZero() {
+			member.Listed, member.Heard = true, now
+		}
+	}
+	table.relink(now)
+}
+
 func (table *Table) member(id berylspoke.VMID) *Member {
 	member := table.members[id]
 	if member == nil {
-		member = &Member{VM: berylspoke.VM{ID: id}, Rumour: Rumour{Process: berylspoke.Process{VM: id}}}
+		member = &Member{VM: berylspoke.VM{ID: id}, Rumour: Rumour{Process: berylspoke.Process{VM: id}}, Listed: table.options.Open}
 		table.members[id] = member
 	}
 	return member
@@ -138,6 +158,21 @@
 // Live returns the listed VMs that are neither leaving nor dead, sorted by id.
 func (table *Table) Live() []berylspoke.VMID { return table.live }
 
+// Announce tells the fleet where this daemon takes callers' requests.
+func (table *Table) Announce(callAddress string) {
+	table.self.Rumour.Place.CallAddress = callAddress
+	table.self.VM.CallAddress = callAddress
+	table.self.Rumour.Counter++
+	table.spread(table.self.VM.ID)
+}
+
+// Sync returns a heartbeat that asks its receiver for all it knows.
+func (table *Table) Sync() Heartbeat {
+	beat := table.beat(nil)
+	beat.Sync = true
+	return beat
+}
+
 // Links returns the VMs this daemon exchanges heartbeats with.
 func (table *Table) Links() []berylspoke.VMID {
 	seen := make(map[berylspoke.VMID]bool)
@@ -205,7 +240,13 @@
 		member = table.member(from)
 	}
 	if beat.Self.Process.Incarnation < member.Rumour.Process.Incarnation {
-		return nil
+		if !table.options.Open {
+			return nil
+		}
+		// The clock of the VM went back before its daemon started anew. Unless it
+		// hears of its earlier incarnation, nobody would believe it.
+		reply := table.beat([]Rumour{member.Rumour})
+		return &reply
 	}
 	member.Heard, member.Number, member.Serving = now, beat.Number, beat.Serving
 	wronged := member.Rumour.Status != Alive && member.Rumour.Process == beat.Self.Process &&
@@ -259,10 +300,16 @@
 		return
 	}
 	member := table.members[id]
+	if member == nil && table.options.Open && rumour.Status != Dead {
+		member = table.member(id)
+	}
 	if member == nil || !rumour.overrides(member.Rumour) {
 		return
 	}
 	member.Rumour, member.Changed = rumour, now
+	if rumour.Place.CallAddress != "" {
+		member.VM.FailureDomain, member.VM.CallAddress = rumour.Place.FailureDomain, rumour.Place.CallAddress
+	}
 	if rumour.Status == Alive {
 		member.Heard = now
 	}
@@ -273,6 +320,11 @@
 // refute answers a rumour that wrongs this daemon: a monitor behind a cut link,
 // or a pause of ours, made the fleet believe us dead.
 func (table *Table) refute(rumour Rumour) {
+	if table.options.Open && rumour.Process.Incarnation > table.self.Rumour.Process.Incarnation {
+		table.self.Rumour.Process.Incarnation = rumour.Process.Incarnation + 1
+		table.spread(table.self.VM.ID)
+		return
+	}
 	if rumour.Process.Incarnation != table.self.Rumour.Process.Incarnation || rumour.Status == Alive {
 		return
 	}
@@ -346,10 +398,14 @@
 			table.mark(now, member, Suspect)
 		}
 	}
-	for _, member := range table.members {
+	for id, member := range table.members {
 		if member.Rumour.Status == Suspect && now.Sub(member.Changed) > table.options.DeadAfter {
 			table.mark(now, member, Dead)
 		}
+		if table.options.Open && member.Rumour.Status == Dead && now.Sub(member.Changed) > table.options.ForgetAfter {
+			delete(table.members, id)
+			delete(table.pending, id)
+		}
 	}
 }
 
--- a/ids.go
+++ b/ids.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"net"
 	"strconv"
 )
 
@@ -75,3 +76,12 @@
 
 // EntryNumber is the platform's position of a published patch.
 type EntryNumber uint64
+
+// Host returns the host of a VM that is named by its address.
+func (vm VMID) Host() string {
+	host, _, err := net.SplitHostPort(string(vm))
+	if err != nil {
+		return string(vm)
+	}
+	return host
+}
--- /dev/null
+++ b/io/beryledge/attempt.go
@@ -0,0 +1,234 @@
+package beryledge
+
+// This file defines one attempt of a request at one target.
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"berylspoke"
+	"berylspoke/core/berylgate"
+	"berylspoke/io/berylconn"
+)
+
+const (
+	// answerBytes bounds the answer of a plain service, which is held whole
+	// before any of it is passed on.
+	answerBytes = 16 << 20
+	// patienceLeast and patienceFactor give the time without a first byte after
+	// which a request that may be repeated goes elsewhere: what is expected, many
+	// times over, and longer than a lost packet takes.
+	patienceLeast  = 900 * time.Millisecond
+	patienceFactor = 4
+)
+
+var errImpatient = errors.New("target is silent")
+
+// attempt sends the request to the decided target and passes the answer on. It
+// returns false if the request may go on elsewhere.
+func (call *call) attempt(decision berylgate.Decision) bool {
+	ctx, cancel := context.WithCancelCause(call.ctx)
+	defer cancel(nil)
+	if call.repeatable() && call.request.Attempts > 1 {
+		patience := max(patienceLeast, patienceFactor*decision.Expected)
+		timer := time.AfterFunc(patience, func() { cancel(errImpatient) })
+		defer timer.Stop()
+		call.stream.impatience = timer
+	}
+	target := decision.Target
+	exchange, err := call.daemon.pool.Send(ctx, target.Address, call.daemon.connections(target), call.outgoing(target), call.mine)
+	if err != nil {
+		return call.failed(decision, err)
+	}
+	if exchange.Opened > 0 {
+		call.daemon.tell(timedWay{target.ID, exchange.Opened})
+	}
+	reply := call.daemon.dialect.Reply(exchange.Response.StatusCode, exchange.Response.Header)
+	if reply.NotRun {
+		call.drain(exchange)
+		call.end(decision, berylgate.Turned, nil)
+		return false
+	}
+	if call.route.Kind == berylspoke.Streaming && exchange.Response.StatusCode == http.StatusOK {
+		return call.passStream(decision, exchange, reply)
+	}
+	return call.passWhole(decision, exchange, reply)
+}
+
+// failed notes an attempt without an answer.
+func (call *call) failed(decision berylgate.Decision, err error) bool {
+	var failure *berylconn.Failure
+	unsent := errors.As(err, &failure) && failure.Unsent
+	switch {
+	case errors.Is(err, berylconn.ErrBusy):
+		call.end(decision, berylgate.Crowded, err)
+	case call.ctx.Err() != nil:
+		call.mayHaveRun = call.mayHaveRun || !unsent
+		call.end(decision, berylgate.Abandoned, err)
+	case unsent:
+		call.end(decision, berylgate.Unreached, err)
+	default:
+		return call.broken(decision, err)
+	}
+	return false
+}
+
+// broken notes an attempt that may have run and brought no whole answer.
+func (call *call) broken(decision berylgate.Decision, err error) bool {
+	call.mayHaveRun = true
+	outcome := berylgate.Broken
+	if call.ctx.Err() != nil {
+		outcome = berylgate.Abandoned
+	}
+	call.end(decision, outcome, err)
+	if call.repeatable() || outcome == berylgate.Abandoned {
+		return false
+	}
+	if call.stream.begun {
+		call.daemon.meters.brokenOff.Inc()
+		panic(http.ErrAbortHandler)
+	}
+	call.answer(http.StatusBadGateway, berylspoke.ReasonTarget, 0)
+	return true
+}
+
+// end tells the core and the log how an attempt ended.
+func (call *call) end(decision berylgate.Decision, outcome berylgate.Outcome, err error) {
+	call.daemon.tell(ended{call.request, outcome})
+	call.daemon.meters.outcomes[outcome].Inc()
+	fields := []zap.Field{
+		zap.String("target", string(decision.Target.ID)), zap.Stringer("outcome", outcome),
+		zap.Duration("expected", decision.Expected), zap.Float64("over", decision.Over),
+	}
+	if err != nil {
+		fields = append(fields, zap.String("error", err.Error()))
+	}
+	call.log("attempt ended", fields...)
+}
+
+// outgoing builds the request for a target. Path and query are those that the
+// caller sent, byte for byte.
+func (call *call) outgoing(target berylspoke.Target) *http.Request {
+	header := call.daemon.dialect.Onward(call.in.Header, berylspoke.Onward{
+		TimeLeft: time.Until(call.request.Deadline), Target: target.ID, Organisation: call.organisation,
+		Resume: call.stream.begun, LastEvent: call.stream.last,
+	})
+	if _, stated := header["User-Agent"]; !stated {
+		header["User-Agent"] = []string{""}
+	}
+	path, query, _ := strings.Cut(call.in.RequestURI, "?")
+	request := &http.Request{
+		Method: call.in.Method, Host: call.in.Host, Header: header,
+		URL: &url.URL{Opaque: path, RawQuery: query, ForceQuery: strings.HasSuffix(call.in.RequestURI, "?")},
+	}
+	if len(call.body) > 0 || call.in.ContentLength == 0 && call.in.Method == http.MethodPost {
+		request.Body, request.ContentLength = io.NopCloser(bytes.NewReader(call.body)), int64(len(call.body))
+	}
+	if len(call.body) == 0 {
+		request.Body = http.NoBody
+	}
+	return request
+}
+
+// mine says whether an answer belongs to this request. A refusal may come
+// before the target has read the id.
+func (call *call) mine(response *http.Response) bool {
+	reply := call.daemon.dialect.Reply(response.StatusCode, response.Header)
+	return reply.ID == call.ask.ID || reply.ID == "" && !reply.Sealed
+}
+
+// drain reads the rest of a small answer so that its connection can be kept.
+func (call *call) drain(exchange *berylconn.Exchange) {
+	const most = 64 << 10
+	read, err := io.Copy(io.Discard, io.LimitReader(exchange.Response.Body, most))
+	if err != nil || read == most {
+		exchange.Discard()
+		return
+	}
+	exchange.Done()
+}
+
+// passWhole passes on an answer once all of it is here, so that one that is cut
+// never reaches the caller.
+func (call *call) passWhole(decision berylgate.Decision, exchange *berylconn.Exchange, reply berylspoke.Reply) bool {
+	call.daemon.tell(began{call.request, reply.Load})
+	response := exchange.Response
+	body, err := io.ReadAll(io.LimitReader(response.Body, answerBytes))
+	if err == nil {
+		err = faultOf(response, reply)
+	}
+	if err != nil {
+		exchange.Discard()
+		return call.broken(decision, err)
+	}
+	exchange.Done()
+	call.mayHaveRun = true
+	if response.StatusCode >= http.StatusInternalServerError {
+		call.end(decision, berylgate.Erred, nil)
+		if call.route.Kind == berylspoke.Idempotent && call.anew(decision) {
+			return false
+		}
+	} else {
+		call.end(decision, berylgate.Succeeded, nil)
+	}
+	call.daemon.meters.answered(call.route.Kind, time.Since(call.arrived))
+	call.copyHeader(response)
+	call.writer.WriteHeader(response.StatusCode)
+	_, _ = call.writer.Write(body)
+	return true
+}
+
+// anew takes an idempotent request to another target where one may still be
+// tried, rather than pass on the failure of the first.
+func (call *call) anew(first berylgate.Decision) bool {
+	decision := call.daemon.decide(call.request)
+	if decision.Refusal != nil {
+		return false
+	}
+	call.log("request goes on elsewhere", zap.String("failed", string(first.Target.ID)), zap.String("target", string(decision.Target.ID)))
+	call.next = &decision
+	return true
+}
+
+// faultOf returns why an answer is not a target's own.
+func faultOf(response *http.Response, reply berylspoke.Reply) error {
+	switch status := response.StatusCode; {
+	case !reply.Sealed:
+		return errors.Errorf("answer %d without the target's seal", status)
+	case response.Header.Get("Content-Encoding") != "":
+		return errors.New("answer in an encoding that nobody asked for")
+	case status == http.StatusTooManyRequests, status == http.StatusServiceUnavailable, status == http.StatusRequestTimeout:
+		// To the caller these promise that the request did not run, and this
+		// target did not say so.
+		return errors.Errorf("answer %d from a target that may have run the request", status)
+	}
+	return nil
+}
+
+// copyHeader passes on the headers of an answer.
+func (call *call) copyHeader(response *http.Response) {
+	header := call.writer.Header()
+	closing := header["Connection"]
+	call.daemon.dialect.Back(header, response.Header)
+	if closing != nil {
+		header["Connection"] = closing
+	}
+	if _, stated := header["Content-Type"]; !stated {
+		header["Content-Type"] = nil
+	}
+}
+
+// connections returns how many connections this daemon may open to a target.
+func (daemon *Daemon) connections(target berylspoke.Target) int {
+	index := daemon.index.Load()
+	most := index.Catalog().Services[target.Service].MaxConnections
+	return max(1, most/max(len(daemon.entries.Load().domains), 1))
+}
--- /dev/null
+++ b/io/beryledge/meters.go
@@ -0,0 +1,101 @@
+package beryledge
+
+// This file defines the metrics and the dump of a daemon.
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"berylspoke"
+	"berylspoke/core/berylgate"
+)
+
+// meters are the metrics of one daemon.
+type meters struct {
+	set         *metrics.Set
+	storeCalls  *metrics.Counter
+	brokenOff   *metrics.Counter
+	callersLeft *metrics.Counter
+	outcomes    [berylgate.Outcomes]*metrics.Counter
+	latency     map[berylspoke.Kind]*metrics.Histogram
+}
+
+func newMeters(daemon *Daemon) *meters {
+	set := metrics.NewSet()
+	meters := &meters{
+		set:         set,
+		storeCalls:  set.NewCounter("berylspoke_store_calls_total"),
+		brokenOff:   set.NewCounter("berylspoke_streams_broken_off_total"),
+		callersLeft: set.NewCounter("berylspoke_callers_left_total"),
+		latency:     make(map[berylspoke.Kind]*metrics.Histogram),
+	}
+	for outcome := range meters.outcomes {
+		name := fmt.Sprintf("berylspoke_attempts_total{outcome=%q}", berylgate.Outcome(outcome))
+		meters.outcomes[outcome] = set.NewCounter(name)
+	}
+	for _, kind := range []berylspoke.Kind{berylspoke.NonIdempotent, berylspoke.Idempotent, berylspoke.Streaming} {
+		meters.latency[kind] = set.NewHistogram(fmt.Sprintf("berylspoke_first_byte_seconds{kind=%q}", kind))
+	}
+	set.NewGauge("berylspoke_requests_active", func() float64 { return float64(daemon.active.Load()) })
+	set.NewGauge("berylspoke_connections_opened_total", func() float64 { return float64(daemon.pool.Opened()) })
+	return meters
+}
+
+func (meters *meters) refusal(reason berylspoke.Reason) *metrics.Counter {
+	return meters.set.GetOrCreateCounter(fmt.Sprintf("berylspoke_refusals_total{reason=%q}", reason))
+}
+
+func (meters *meters) answered(kind berylspoke.Kind, taken time.Duration) {
+	meters.latency[kind].Update(taken.Seconds())
+}
+
+// Dump is the state of a daemon's process.
+type Dump struct {
+	VM      string                         `json:"vm"`
+	Ready   bool                           `json:"ready"`
+	Active  int64                          `json:"active"`
+	Version berylspoke.ConfigVersion       `json:"version"`
+	Entries map[string][]string            `json:"entries"`
+	Members []string                       `json:"members"`
+	Feeds   map[string]berylspoke.Revision `json:"feeds"`
+	Gate    berylgate.Dump                 `json:"gate"`
+}
+
+// Dump returns the state of the daemon.
+func (daemon *Daemon) Dump() Dump {
+	dump := Dump{
+		VM: daemon.settings.Name, Ready: daemon.Ready(), Active: daemon.active.Load(),
+		Entries: make(map[string][]string), Feeds: make(map[string]berylspoke.Revision),
+	}
+	if index := daemon.index.Load(); index != nil {
+		dump.Version = index.Catalog().Version
+	}
+	for domain, addresses := range daemon.entries.Load().byDomain {
+		dump.Entries[string(domain)] = addresses
+	}
+	daemon.look(func(now time.Time, core *core) {
+		for _, member := range core.table.All() {
+			dump.Members = append(dump.Members, fmt.Sprintf("%s %s", member.VM.ID, member.Rumour.Status))
+		}
+		dump.Feeds["configuration"], dump.Feeds["targets"] = core.feeds[0].AsOf(), core.feeds[1].AsOf()
+		dump.Gate = core.gate.Dump(now)
+	})
+	return dump
+}
+
+// operators serves the metrics and the dump.
+func (daemon *Daemon) operators() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(writer http.ResponseWriter, _ *http.Request) {
+		daemon.meters.set.WritePrometheus(writer)
+	})
+	mux.HandleFunc("GET /state", func(writer http.ResponseWriter, _ *http.Request) {
+		writer.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(writer).Encode(daemon.Dump())
+	})
+	return mux
+}
--- a/io/berylpeer/codec.go
+++ b/io/berylpeer/codec.go
@@ -26,6 +26,11 @@
 	kindSettleRequest
 	kindCloseRequest
 	kindSettleAnswer
+	kindPull
+	kindDelta
+	kindReport
+	// kindsEnd is one beyond the last kind.
+	kindsEnd
 )
 
 // kindNames are the kinds as metric labels.
@@ -34,6 +39,7 @@
 	kindAsk: "ask", kindLease: "lease", kindReports: "reports", kindTotals: "totals",
 	kindPermitRequest: "permitRequest", kindPermitAnswer: "permitAnswer",
 	kindSettleRequest: "settleRequest", kindCloseRequest: "closeRequest", kindSettleAnswer: "settleAnswer",
+	kindPull: "pull", kindDelta: "delta", kindReport: "report",
 }
 
 // wireMessage is the wire form of one kind of message.
@@ -86,6 +92,9 @@
 	kindSettleRequest: func() wireMessage { return new(wireSettleRequest) },
 	kindCloseRequest:  func() wireMessage { return new(wireCloseRequest) },
 	kindSettleAnswer:  func() wireMessage { return new(wireSettleAnswer) },
+	kindPull:          func() wireMessage { return new(wirePull) },
+	kindDelta:         func() wireMessage { return new(wireDelta) },
+	kindReport:        func() wireMessage { return new(wireDispatches) },
 }
 
 // encode returns the wire form of a message.
--- a/io/berylpeer/count.go
+++ b/io/berylpeer/count.go
@@ -35,7 +35,7 @@
 // Traffic counts packets and bytes sent and received by link.
 type Traffic struct {
 	Sent, Received, Packets [links]atomic.Uint64
-	messages, payload       [kindSettleAnswer + 1]atomic.Uint64
+	messages, payload       [kindsEnd]atomic.Uint64
 }
 
 // SentKind is the number of messages of a kind and of their bytes without headers.
--- a/io/berylpeer/peer_test.go
+++ b/io/berylpeer/peer_test.go
@@ -13,6 +13,8 @@
 
 	"berylspoke"
 	"berylspoke/core/berylconfig"
+	"berylspoke/core/berylfeed"
+	"berylspoke/core/berylgate"
 	"berylspoke/core/berylmember"
 	"berylspoke/core/berylshare"
 	"berylspoke/core/berylslot"
@@ -50,6 +52,16 @@
 		berylticket.SettleRequest{ID: id, Token: 77},
 		berylticket.CloseRequest{ID: id, Token: 78},
 		berylticket.SettleAnswer{ID: id, Token: 78, Standing: berylticket.StandsMayHaveRun, ByWitness: true},
+		berylfeed.Pull{Feed: berylfeed.Targets, After: 17},
+		berylfeed.Delta{Feed: berylfeed.Targets, After: 17, AsOf: 21, Changes: []berylfeed.Change{{
+			Item:  berylspoke.Item{Key: "pen-1", Value: []byte("{}"), Revision: 20, Deleted: true},
+			Grace: 1500 * time.Millisecond,
+		}}},
+		berylgate.Report{
+			Incarnation: 5, Feeds: []berylspoke.Revision{20, 21}, Contact: true,
+			Targets:       []berylgate.TargetReport{{Target: 9, Work: 1_200, Running: 3, Tokens: 24_000}},
+			Organisations: []berylgate.OrganisationReport{{Organisation: 8, Asked: 9_000, Given: 4_000}},
+		},
 	}
 }
 
--- a/io/berylpeer/wire.go
+++ b/io/berylpeer/wire.go
@@ -7,6 +7,8 @@
 
 	"berylspoke"
 	"berylspoke/core/berylconfig"
+	"berylspoke/core/berylfeed"
+	"berylspoke/core/berylgate"
 	"berylspoke/core/berylmember"
 	"berylspoke/core/berylshare"
 	"berylspoke/core/berylslot"
@@ -20,12 +22,15 @@
 	Counter     uint32
 	Status      uint8
 	Leaving     bool
+	Domain      string
+	CallAddress string
 }
 
 func rumourToWire(rumour berylmember.Rumour) wireRumour {
 	return wireRumour{
 		VM: string(rumour.Process.VM), Incarnation: uint64(rumour.Process.Incarnation),
 		Counter: rumour.Counter, Status: uint8(rumour.Status), Leaving: rumour.Leaving,
+		Domain: string(rumour.Place.FailureDomain), CallAddress: rumour.Place.CallAddress,
 	}
 }
 
@@ -33,6 +38,9 @@
 	return berylmember.Rumour{
 		Process: process(berylspoke.VMID(wire.VM), wire.Incarnation),
 		Counter: wire.Counter, Status: min(berylmember.Status(wire.Status), berylmember.Dead), Leaving: wire.Leaving,
+		Place: berylmember.Place{
+			FailureDomain: berylspoke.FailureDomain(wire.Domain), CallAddress: wire.CallAddress,
+		},
 	}
 }
 
@@ -372,6 +380,12 @@
 			wire.Entries = append(wire.Entries, wireEntry{Number: uint64(entry.Number), Body: entry.Body})
 		}
 		return wire, kindPullAnswer
+	case berylfeed.Pull:
+		return &wirePull{Feed: uint8(message.Feed), After: uint64(message.After)}, kindPull
+	case berylfeed.Delta:
+		return deltaToWire(message), kindDelta
+	case berylgate.Report:
+		return dispatchesToWire(message), kindReport
 	case berylslot.Ask:
 		return askToWire(message), kindAsk
 	case berylslot.Lease:
--- /dev/null
+++ b/io/berylpeer/wirefeed.go
@@ -0,0 +1,124 @@
+package berylpeer
+
+// This file defines the wire forms of what daemons tell each other of the
+// published items and of their dispatches.
+
+import (
+	"time"
+
+	"berylspoke"
+	"berylspoke/core/berylfeed"
+	"berylspoke/core/berylgate"
+)
+
+type wirePull struct {
+	_     struct{} `cbor:",toarray"`
+	Feed  uint8
+	After uint64
+}
+
+func (wire *wirePull) message(berylspoke.VMID) berylspoke.Message {
+	return berylfeed.Pull{Feed: berylfeed.Name(wire.Feed), After: berylspoke.Revision(wire.After)}
+}
+
+type wireChange struct {
+	_           struct{} `cbor:",toarray"`
+	Key         string
+	Value       []byte
+	Revision    uint64
+	Deleted     bool
+	GraceMillis uint32
+}
+
+type wireDelta struct {
+	_       struct{} `cbor:",toarray"`
+	Feed    uint8
+	After   uint64
+	AsOf    uint64
+	Changes []wireChange
+}
+
+func deltaToWire(delta berylfeed.Delta) *wireDelta {
+	wire := &wireDelta{Feed: uint8(delta.Feed), After: uint64(delta.After), AsOf: uint64(delta.AsOf)}
+	for _, change := range delta.Changes {
+		wire.Changes = append(wire.Changes, wireChange{
+			Key: change.Item.Key, Value: change.Item.Value, Revision: uint64(change.Item.Revision),
+			Deleted: change.Item.Deleted, GraceMillis: uint32(change.Grace.Milliseconds()),
+		})
+	}
+	return wire
+}
+
+func (wire *wireDelta) message(berylspoke.VMID) berylspoke.Message {
+	delta := berylfeed.Delta{
+		Feed: berylfeed.Name(wire.Feed), After: berylspoke.Revision(wire.After), AsOf: berylspoke.Revision(wire.AsOf),
+	}
+	for _, change := range wire.Changes {
+		delta.Changes = append(delta.Changes, berylfeed.Change{
+			Item: berylspoke.Item{
+				Key: change.Key, Value: change.Value, Revision: berylspoke.Revision(change.Revision), Deleted: change.Deleted,
+			},
+			Grace: time.Duration(change.GraceMillis) * time.Millisecond,
+		})
+	}
+	return delta
+}
+
+type wireTargetReport struct {
+	_       struct{} `cbor:",toarray"`
+	Target  uint32
+	Work    uint64
+	Running int
+	Tokens  int64
+}
+
+type wireOrganisationReport struct {
+	_            struct{} `cbor:",toarray"`
+	Organisation uint32
+	Asked, Given uint32
+}
+
+type wireDispatches struct {
+	_             struct{} `cbor:",toarray"`
+	Incarnation   uint64
+	Feeds         []uint64
+	Contact       bool
+	Targets       []wireTargetReport
+	Organisations []wireOrganisationReport
+}
+
+func dispatchesToWire(report berylgate.Report) *wireDispatches {
+	wire := &wireDispatches{Incarnation: uint64(report.Incarnation), Contact: report.Contact}
+	for _, revision := range report.Feeds {
+		wire.Feeds = append(wire.Feeds, uint64(revision))
+	}
+	for _, item := range report.Targets {
+		wire.Targets = append(wire.Targets, wireTargetReport{
+			Target: item.Target, Work: item.Work, Running: item.Running, Tokens: int64(item.Tokens),
+		})
+	}
+	for _, item := range report.Organisations {
+		wire.Organisations = append(wire.Organisations, wireOrganisationReport{
+			Organisation: item.Organisation, Asked: item.Asked, Given: item.Given,
+		})
+	}
+	return wire
+}
+
+func (wire *wireDispatches) message(berylspoke.VMID) berylspoke.Message {
+	report := berylgate.Report{Incarnation: berylspoke.Incarnation(wire.Incarnation), Contact: wire.Contact}
+	for _, revision := range wire.Feeds {
+		report.Feeds = append(report.Feeds, berylspoke.Revision(revision))
+	}
+	for _, item := range wire.Targets {
+		report.Targets = append(report.Targets, berylgate.TargetReport{
+			Target: item.Target, Work: item.Work, Running: item.Running, Tokens: berylspoke.Tokens(item.Tokens),
+		})
+	}
+	for _, item := range wire.Organisations {
+		report.Organisations = append(report.Organisations, berylgate.OrganisationReport{
+			Organisation: item.Organisation, Asked: item.Asked, Given: item.Given,
+		})
+	}
+	return report
+}
