--- a/core/berylgate/choose.go
+++ b/core/berylgate/choose.go
@@ -158,22 +158,29 @@
 }
 
 // over returns how many times its max-min level an organisation was given, one
-// at most for whoever is within it.
+// at most for whoever is within it, and without bound for whoever is too far
+// ahead of the others.
 func (gate *Gate) over(now time.Time, pool *pool, request *Request) float64 {
 	if pool.declared.Engine == nil {
 		return 1
 	}
-	level := gate.level(now)
-	if math.IsInf(level, 1) {
+	gate.refreshLevels(now)
+	if math.IsInf(gate.shares.level, 1) {
 		return 1
 	}
 	_, given := gate.fleet(now, hashOf(string(request.Organisation)))
-	return max(1, given/level)
+	if given > gate.shares.cap {
+		return math.Inf(1)
+	}
+	return max(1, given/gate.shares.level)
 }
 
 // limit returns the expected milliseconds up to which a request is sent.
 func (gate *Gate) limit(now time.Time, request *Request, over float64) float64 {
 	left := millis(request.Arrived.Add(request.Objective).Sub(now))
+	if math.IsInf(over, 1) {
+		return 0
+	}
 	factor := max(headroom*math.Pow(over, -overPower), overLeast)
 	return left * factor
 }
--- a/core/berylgate/dump.go
+++ b/core/berylgate/dump.go
@@ -32,7 +32,7 @@
 
 // Dump returns the state of the gate.
 func (gate *Gate) Dump(now time.Time) Dump {
-	dump := Dump{Daemons: gate.daemons, Level: gate.level(now)}
+	dump := Dump{Daemons: gate.daemons, Level: gate.shares.level}
 	if math.IsInf(dump.Level, 1) {
 		dump.Level = -1
 	}
--- a/core/berylgate/gate.go
+++ b/core/berylgate/gate.go
@@ -82,6 +82,8 @@
 	live, daemons int
 	random        *rand.Rand
 	ticked        time.Time
+	// reported is when the last report was made.
+	reported time.Time
 }
 
 // New returns a gate that knows no targets.
@@ -187,6 +189,9 @@
 	}
 }
 
+// Sampled says whether the fleet is so large that reports need not be frequent.
+func (gate *Gate) Sampled() bool { return gate.sampled() }
+
 // connections returns how many connections this daemon may hold to a target. An
 // equal part of the declared bound is always its own. Callers of one hot
 // organisation may all come to one daemon, so it may take more while the others
@@ -252,7 +257,7 @@
 }
 
 // Began notes the first byte of an answer.
-func (gate *Gate) Began(now time.Time, request *Request, load *berylspoke.EngineLoad) {
+func (gate *Gate) Began(now time.Time, request *Request, told *berylspoke.EngineLoad) {
 	attempt := request.live
 	if attempt == nil || attempt.began {
 		return
@@ -265,8 +270,13 @@
 	}
 	seen := millis(now.Sub(attempt.sent))
 	gate.observe(now, attempt, seen)
-	if load != nil {
-		target.loaded(now, *load)
+	switch {
+	case told == nil:
+	case gate.sampled():
+		target.tell(now, load{now, now, told.Running, told.Waiting})
+		target.slots = told.Slots
+	default:
+		target.loaded(now, *told)
 	}
 }
 
--- a/core/berylgate/report.go
+++ b/core/berylgate/report.go
@@ -16,6 +16,8 @@
 	// reportStale is the age at which a peer's report no longer counts: its
 	// daemon is gone or out of reach.
 	reportStale = 2 * time.Second
+	// loadTold is the age up to which a target's load is passed on.
+	loadTold = 600 * time.Millisecond
 	// rateLeast is the rate in tokens a second below which it is not reported.
 	rateLeast = 20.0
 )
@@ -25,9 +27,14 @@
 	Incarnation berylspoke.Incarnation
 	// Feeds are the revisions that the sender is complete up to.
 	Feeds []berylspoke.Revision
-	// Contact says whether the store answered the sender lately.
-	Contact       bool
+	// Contact is how long ago the store answered the sender, or a daemon that it
+	// heard of.
+	Contact time.Duration
+	// Targets is what the sender has at the targets; Loads are what targets told
+	// of themselves, to it or to others. A large fleet tells only loads, as a
+	// daemon would hear of a small part of what the others sent.
 	Targets       []TargetReport
+	Loads         []LoadReport
 	Organisations []OrganisationReport
 }
 
@@ -44,6 +51,13 @@
 	Pending uint32
 }
 
+// LoadReport is the load that a target told with an answer some time ago.
+type LoadReport struct {
+	Target           uint32
+	Running, Waiting int
+	Age              time.Duration
+}
+
 // OrganisationReport is a daemon's usage by one organisation in tokens a second.
 type OrganisationReport struct {
 	Organisation uint32
@@ -66,8 +80,16 @@
 // Report returns this daemon's report.
 func (gate *Gate) Report(now time.Time) Report {
 	report := Report{Incarnation: gate.options.Incarnation}
+	news := gate.reported
+	gate.reported = now
 	for _, target := range gate.sorted {
-		if target.sentWork > 0 || target.running > 0 {
+		age := now.Sub(target.told.at)
+		if gate.sampled() && age < loadTold && target.told.learnt.After(news) {
+			report.Loads = append(report.Loads, LoadReport{
+				Target: target.hash, Running: target.told.running, Waiting: target.told.waiting, Age: age,
+			})
+		}
+		if !gate.sampled() && (target.sentWork > 0 || target.running > 0) {
 			report.Targets = append(report.Targets, TargetReport{
 				Target: target.hash, Work: uint64(target.sentWork), Running: target.running, Tokens: target.tokens, Pending: uint32(target.pending),
 			})
@@ -96,12 +118,17 @@
 		before, seen := known.work[item.Target]
 		known.work[item.Target] = item.Work
 		if target != nil && seen && item.Work > before {
-			sent := float64(item.Work-before) * gate.scale()
+			sent := float64(item.Work - before)
 			target.drain(now)
 			target.backlog += sent
 			target.reported += sent
 		}
 	}
+	for _, item := range report.Loads {
+		if target := gate.hashes[item.Target]; target != nil {
+			target.tell(now, load{now.Add(-item.Age), now, item.Running, item.Waiting})
+		}
+	}
 	known.report, known.at = report, now
 	gate.sumOthers(now)
 }
@@ -123,11 +150,15 @@
 	return fresh
 }
 
-// scale is how many daemons each heard one stands for. Small fleets hear all of
-// them, and one that is not heard is gone or cut off; in a large fleet a daemon
-// hears only a sample of the others.
+// sampled says whether the fleet is so large that a daemon hears only some of
+// the others.
+func (gate *Gate) sampled() bool { return gate.live-1 > FullMesh }
+
+// scale is how many daemons each heard one stands for in the rates of
+// organisations. Small fleets hear all, and one that is not heard is gone or
+// cut off.
 func (gate *Gate) scale() float64 {
-	if gate.live-1 <= FullMesh {
+	if !gate.sampled() {
 		return 1
 	}
 	return math.Max(1, float64(gate.live-1)/math.Max(1, float64(len(gate.peers))))
@@ -141,6 +172,9 @@
 func (gate *Gate) sumOthers(now time.Time) {
 	for _, target := range gate.sorted {
 		target.others = occupancy{}
+		if gate.sampled() {
+			target.others = target.toldOthers(now)
+		}
 	}
 	gate.peers = slices.DeleteFunc(gate.peers, func(peer *peer) bool { return now.Sub(peer.at) > reportStale })
 	for _, peer := range gate.peers {
@@ -152,13 +186,6 @@
 			}
 		}
 	}
-	if scale := gate.scale(); scale > 1 {
-		for _, target := range gate.sorted {
-			target.others.running = int(scale * float64(target.others.running))
-			target.others.tokens = berylspoke.Tokens(scale * float64(target.others.tokens))
-			target.others.pending *= scale
-		}
-	}
 }
 
 // fleet returns what an organisation asked for and was given by all daemons.
@@ -177,32 +204,47 @@
 	return usage.asked.now(now) + scale*asked, usage.given.now(now) + scale*given
 }
 
-// levelEvery is the time between two computations of the max-min level.
+// levelEvery is the time between two computations of the levels.
 const levelEvery = 100 * time.Millisecond
 
-// level returns the max-min level in tokens a second.
-func (gate *Gate) level(now time.Time) float64 {
+// refreshLevels computes the max-min level and the cap in tokens a second.
+func (gate *Gate) refreshLevels(now time.Time) {
 	if now.Sub(gate.shares.levels) < levelEvery {
-		return gate.shares.level
+		return
 	}
 	gate.shares.levels = now
-	total := make(map[uint32]float64)
+	totals := gate.totals(now)
+	asked := make([]float64, 0, len(totals))
+	floor := math.Inf(1)
+	for _, total := range totals {
+		asked = append(asked, total.asked)
+		if total.given < squeezed*total.asked {
+			floor = math.Min(floor, total.given)
+		}
+	}
+	gate.shares.level, gate.shares.cap = math.Inf(1), math.Inf(1)
+	if gate.capacity > 0 {
+		gate.shares.level = waterLevel(asked, float64(gate.capacity))
+		gate.shares.cap = math.Max(gate.shares.level, mostGap*floor)
+	}
+}
+
+// total is what one organisation asked for and was given by all daemons.
+type total struct{ asked, given float64 }
+
+func (gate *Gate) totals(now time.Time) map[uint32]total {
+	totals := make(map[uint32]total)
 	for organisation, usage := range gate.shares.own {
-		total[organisation] = usage.asked.now(now)
+		totals[organisation] = total{usage.asked.now(now), usage.given.now(now)}
 	}
 	scale := gate.scale()
 	for _, peer := range gate.peers {
 		for _, item := range peer.report.Organisations {
-			total[item.Organisation] += scale * float64(item.Asked)
+			sum := totals[item.Organisation]
+			sum.asked += scale * float64(item.Asked)
+			sum.given += scale * float64(item.Given)
+			totals[item.Organisation] = sum
 		}
 	}
-	asked := make([]float64, 0, len(total))
-	for _, want := range total {
-		asked = append(asked, want)
-	}
-	gate.shares.level = math.Inf(1)
-	if capacity := gate.capacity; capacity > 0 {
-		gate.shares.level = waterLevel(asked, float64(capacity))
-	}
-	return gate.shares.level
+	return totals
 }
--- a/core/berylgate/share.go
+++ b/core/berylgate/share.go
@@ -43,12 +43,26 @@
 
 // shares holds the usage of all organisations at this daemon and the others.
 type shares struct {
-	own    map[uint32]*usage
-	level  float64
-	levels time.Time
+	own map[uint32]*usage
+	// level is the max-min level, cap the most that anyone beyond it may get.
+	level, cap float64
+	levels     time.Time
 }
 
-func newShares() *shares { return &shares{own: make(map[uint32]*usage), level: math.Inf(1)} }
+const (
+	// squeezed is the part of what an organisation asks for below which it counts
+	// as backlogged in the fleet.
+	squeezed = 0.6
+	// mostGap is how many times what the least served backlogged organisation
+	// gets another one beyond its level may get. The callers of one organisation
+	// may all come to one small VM, whose processor bounds what it gets; others
+	// must not run away from it for that. Twice as much is what users bear.
+	mostGap = 1.7
+)
+
+func newShares() *shares {
+	return &shares{own: make(map[uint32]*usage), level: math.Inf(1), cap: math.Inf(1)}
+}
 
 func (shares *shares) usage(organisation uint32) *usage {
 	found := shares.own[organisation]
--- a/core/berylgate/target.go
+++ b/core/berylgate/target.go
@@ -72,6 +72,9 @@
 	running int
 	tokens  berylspoke.Tokens
 	others  occupancy
+	// told is the newest load that the target told with an answer to any daemon
+	// that was heard.
+	told load
 	// inflow is the work in milliseconds a millisecond that other daemons send
 	// there, from what they reported in the last while.
 	inflow   float64
@@ -139,18 +142,67 @@
 
 // loaded takes the load that a target tells with an answer. What waits there
 // beyond all that the daemons told each other was sent by someone who is gone.
-func (target *target) loaded(now time.Time, load berylspoke.EngineLoad) {
-	if load.Slots > 0 {
-		target.slots = load.Slots
+func (target *target) loaded(now time.Time, told berylspoke.EngineLoad) {
+	if told.Slots > 0 {
+		target.slots = told.Slots
 	}
 	target.drain(now)
-	excess := float64(load.Waiting)*target.meanAdded - target.backlog
+	excess := float64(told.Waiting)*target.meanAdded - target.backlog
 	if excess > 0 {
 		target.hidden += excess
 		target.backlog += excess
 	}
 }
 
+// load is what a target told of itself at a time, and when it was learnt here.
+type load struct {
+	at, learnt       time.Time
+	running, waiting int
+}
+
+// tell takes a load that the target told to this daemon or another one, if it
+// is news, as the truth about its queue.
+func (target *target) tell(now time.Time, told load) {
+	if !told.at.After(target.told.at) {
+		return
+	}
+	target.told = told
+	target.drain(now)
+	queue := float64(told.waiting)*math.Max(target.meanAdded, workUnknown) - millis(now.Sub(told.at))/target.pace
+	queue = math.Max(queue, 0)
+	// What this daemon sent after that is not in it.
+	for attempt := range target.attempts {
+		if !attempt.began && attempt.sent.After(told.at) {
+			queue += attempt.added
+		}
+	}
+	target.backlog, target.hidden = queue, queue
+}
+
+// workUnknown is the work in milliseconds of a request before any was sent.
+const workUnknown = 20.0
+
+// toldFor is how long a told load says how full a target is.
+const toldFor = 1500 * time.Millisecond
+
+// toldOthers returns what others have at the target by its own word.
+func (target *target) toldOthers(now time.Time) occupancy {
+	if now.Sub(target.told.at) > toldFor {
+		return occupancy{}
+	}
+	running := target.told.running + target.told.waiting
+	for attempt := range target.attempts {
+		if attempt.sent.Before(target.told.at) {
+			running--
+		}
+	}
+	others := occupancy{running: max(running, 0)}
+	if target.running > 0 {
+		others.tokens = target.tokens / berylspoke.Tokens(target.running) * berylspoke.Tokens(others.running)
+	}
+	return others
+}
+
 // occupied returns the requests that run or wait there, of all daemons.
 func (target *target) occupied() int { return target.running + target.others.running }
 
--- a/core/berylmember/rumour.go
+++ b/core/berylmember/rumour.go
@@ -37,6 +37,8 @@
 	FailureDomain berylspoke.FailureDomain
 	// CallAddress takes callers' requests.
 	CallAddress string
+	// Capacity is the processor time that the daemon has, in hundredths of a core.
+	Capacity uint16
 }
 
 func (rumour Rumour) overrides(old Rumour) bool {
--- a/core/berylmember/table.go
+++ b/core/berylmember/table.go
@@ -158,8 +158,10 @@
 // Live returns the listed VMs that are neither leaving nor dead, sorted by id.
 func (table *Table) Live() []berylspoke.VMID { return table.live }
 
-// Announce tells the fleet where this daemon takes callers' requests.
-func (table *Table) Announce(callAddress string) {
+// Announce tells the fleet where this daemon takes callers' requests, and with
+// how much processor time.
+func (table *Table) Announce(callAddress string, capacity uint16) {
+	table.self.Rumour.Place.Capacity = capacity
 	table.self.Rumour.Place.CallAddress = callAddress
 	table.self.VM.CallAddress = callAddress
 	table.self.Rumour.Counter++
@@ -307,7 +309,7 @@
 		return
 	}
 	member.Rumour, member.Changed = rumour, now
-	if rumour.Place.CallAddress != "" {
+	if rumour.Place.FailureDomain != "" {
 		member.VM.FailureDomain, member.VM.CallAddress = rumour.Place.FailureDomain, rumour.Place.CallAddress
 	}
 	if rumour.Status == Alive {
--- a/io/beryledge/actor.go
+++ b/io/beryledge/actor.go
@@ -25,6 +25,9 @@
 	// reportEvery is the time between two reports to peers. What a daemon does
 	// not know of the others' dispatches is half of this on average.
 	reportEvery = 200 * time.Millisecond
+	// reportSampled is the same in a large fleet, where engines' own word counts
+	// and the rates of organisations change slowly.
+	reportSampled = 400 * time.Millisecond
 	// syncEvery is the time between two full exchanges of the membership with a
 	// seed or a peer.
 	syncEvery = 5 * time.Second
@@ -33,6 +36,8 @@
 	// behindFor is how long a peer's news may be missing at a watcher before it
 	// asks for them: the store tells both at about the same time.
 	behindFor = 250 * time.Millisecond
+	// contactUnknown is told where no contact with the store is known of.
+	contactUnknown = time.Hour
 	// pauseAfter is the gap between ticks that shows that the process slept.
 	pauseAfter = time.Second
 )
@@ -80,15 +85,17 @@
 
 // core is the actor.
 type core struct {
-	daemon   *Daemon
-	gate     *berylgate.Gate
-	table    *berylmember.Table
-	feeds    [berylfeed.Count]*berylfeed.Feed
-	behind   [berylfeed.Count]time.Time
-	regrace  time.Time
-	ticked   time.Time
-	reported time.Time
-	synced   time.Time
+	daemon  *Daemon
+	gate    *berylgate.Gate
+	table   *berylmember.Table
+	feeds   [berylfeed.Count]*berylfeed.Feed
+	behind  [berylfeed.Count]time.Time
+	regrace time.Time
+	ticked  time.Time
+	// withdrawn is until when callers are not told of this daemon.
+	withdrawn time.Time
+	reported  time.Time
+	synced    time.Time
 }
 
 var _ actor.Actor = (*core)(nil)
@@ -149,15 +156,21 @@
 		core.table.Resume(now)
 		core.daemon.log.Warn("process slept", zap.Duration("for", now.Sub(core.ticked)))
 	}
+	core.daemon.strain.observe(now.Sub(core.ticked) - tickEvery)
 	core.ticked = now
 	for _, due := range core.table.Tick(now) {
 		for _, to := range due.To {
 			core.daemon.transport.Send(to, due.Beat)
 		}
 	}
+	core.withdraw(now)
 	core.syncMembers(now)
 	core.gate.Tick(now)
-	if now.Sub(core.reported) >= reportEvery {
+	every := reportEvery
+	if core.gate.Sampled() {
+		every = reportSampled
+	}
+	if now.Sub(core.reported) >= every {
 		core.reported = now
 		core.report(now)
 	}
@@ -208,7 +221,7 @@
 	for _, feed := range core.feeds {
 		report.Feeds = append(report.Feeds, feed.Last())
 	}
-	report.Contact = core.inContact(now)
+	report.Contact = core.contactAge(now)
 	to := core.others()
 	if len(to) > berylgate.FullMesh {
 		to = core.table.Links()
@@ -218,6 +231,23 @@
 	}
 }
 
+// contactAge returns how long ago the store answered this daemon or one that it
+// heard of. It is passed on from daemon to daemon, so that a large fleet needs no
+// more watchers than a small one.
+func (core *core) contactAge(now time.Time) time.Duration {
+	if core.inContact(now) {
+		return 0
+	}
+	return min(max(now.Sub(time.Unix(0, core.daemon.fed.Load())), 0), contactUnknown)
+}
+
+// fed notes that a daemon was in contact with the store so long ago.
+func (core *core) fed(now time.Time, age time.Duration) {
+	if at := now.Add(-age).UnixNano(); at > core.daemon.fed.Load() {
+		core.daemon.fed.Store(at)
+	}
+}
+
 // inContact says whether the store answers this daemon on all feeds.
 func (core *core) inContact(now time.Time) bool {
 	for _, feed := range core.feeds {
@@ -236,9 +266,7 @@
 		}
 	case berylgate.Report:
 		core.gate.Heard(now, from, message)
-		if message.Contact {
-			core.daemon.fed.Store(now.UnixNano())
-		}
+		core.fed(now, message.Contact)
 		core.compare(now, from, message.Feeds)
 	case berylfeed.Pull:
 		if message.Feed >= berylfeed.Count {
@@ -276,6 +304,8 @@
 func (core *core) merge(now time.Time, from berylspoke.VMID, delta berylfeed.Delta) {
 	feed := core.feeds[delta.Feed]
 	if feed.Merge(now, delta) {
+		// Those that hear from this daemon have waited for it already.
+		core.reported = time.Time{}
 		core.daemon.log.Info("news from a peer", zap.String("peer", string(from)),
 			zap.Uint8("feed", uint8(delta.Feed)), zap.Uint64("asOf", uint64(delta.AsOf)), zap.Int("changes", len(delta.Changes)))
 		core.refresh(now, delta.Feed)
@@ -363,7 +393,7 @@
 		return
 	}
 	daemon.ready.Store(true)
-	core.table.Announce(daemon.settings.Callers)
+	core.table.Announce(daemon.settings.Callers, daemon.settings.Capacity)
 	daemon.log.Info("ready for callers")
 }
 
--- a/io/beryledge/callers.go
+++ b/io/beryledge/callers.go
@@ -60,7 +60,7 @@
 	daemon.active.Add(1)
 	defer daemon.active.Add(-1)
 	daemon.lastRequest.Store(arrived.UnixNano())
-	if daemon.stopping.Load() {
+	if daemon.stopping.Load() || daemon.strain.high() {
 		writer.Header().Set("Connection", "close")
 	}
 	call := &call{daemon: daemon, writer: writer, in: in, arrived: arrived}
@@ -70,6 +70,11 @@
 	ctx, cancel := context.WithDeadline(in.Context(), call.request.Deadline)
 	defer cancel()
 	call.ctx = ctx
+	if callerLeft(in.Context()) {
+		call.log("caller left before its request was read")
+		daemon.meters.callersLeft.Inc()
+		panic(http.ErrAbortHandler)
+	}
 	call.run()
 }
 
@@ -192,9 +197,12 @@
 
 // decide asks the core what becomes of a request now.
 func (daemon *Daemon) decide(request *berylgate.Request) berylgate.Decision {
-	decision := make(chan berylgate.Decision, 1)
-	daemon.tell(submit{request, decision})
-	return <-decision
+	asked := time.Now()
+	answer := make(chan berylgate.Decision, 1)
+	daemon.tell(submit{request, answer})
+	decision := <-answer
+	daemon.strain.observe(time.Since(asked))
+	return decision
 }
 
 // giveUp ends a request that goes nowhere. Only if no target can have run it the
--- a/io/beryledge/daemon.go
+++ b/io/beryledge/daemon.go
@@ -8,11 +8,13 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
 
 	"berylspoke"
 	"berylspoke/core/berylcatalog"
@@ -52,6 +54,7 @@
 	transport   *berylpeer.Transport
 	pool        *berylconn.Pool
 	idle        *idleConns
+	strain      strain
 	index       atomic.Pointer[berylcatalog.Index]
 	entries     atomic.Pointer[entries]
 	ready       atomic.Bool
@@ -118,7 +121,7 @@
 		return err
 	}
 	daemon.transport = transport
-	daemon.callers, err = daemon.serve(daemon.settings.Callers, http.HandlerFunc(daemon.serveCaller))
+	daemon.callers, err = daemon.serve(daemon.settings.Callers, http.HandlerFunc(daemon.serveCaller), true)
 	if err != nil {
 		return err
 	}
@@ -131,31 +134,58 @@
 		if address == "" {
 			continue
 		}
-		if _, err := daemon.serve(address, handler); err != nil {
+		if _, err := daemon.serve(address, handler, false); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (daemon *Daemon) serve(address string, handler http.Handler) (*http.Server, error) {
-	listening := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: callersIdle, Interval: callersEvery, Count: callersLost,
-	}}
+// serve answers on an address; that of callers is accepted from slowly while the
+// processor is short.
+func (daemon *Daemon) serve(address string, handler http.Handler, paced bool) (*http.Server, error) {
+	listening := net.ListenConfig{KeepAlive: -1, Control: keepAlive}
 	listener, err := listening.Listen(daemon.ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "address %s cannot be opened", address)
 	}
+	if paced {
+		listener = &pacedListener{listener, daemon}
+	}
 	server := &http.Server{
 		Handler: handler, MaxHeaderBytes: headerBytes,
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		ErrorLog: zap.NewStdLog(zap.NewNop()), ConnState: daemon.idle.observe,
+		ErrorLog: zap.NewStdLog(zap.NewNop()), ConnState: daemon.idle.observe, ConnContext: withConn,
 	}
 	daemon.servers = append(daemon.servers, server)
 	go func() { _ = server.Serve(listener) }()
 	return server, nil
 }
 
+// keepAlive sets the keep-alive on a listening socket, from which accepted ones
+// inherit it. Set on each accepted one it costs four system calls, a quarter of
+// what a refused caller costs in all, and a flood of them starves a small VM.
+func keepAlive(_, _ string, raw syscall.RawConn) error {
+	options := []struct{ level, name, value int }{
+		{unix.SOL_SOCKET, unix.SO_KEEPALIVE, 1},
+		{unix.IPPROTO_TCP, unix.TCP_KEEPIDLE, int(callersIdle.Seconds())},
+		{unix.IPPROTO_TCP, unix.TCP_KEEPINTVL, int(callersEvery.Seconds())},
+		{unix.IPPROTO_TCP, unix.TCP_KEEPCNT, callersLost},
+	}
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		for _, option := range options {
+			if err := unix.SetsockoptInt(int(fd), option.level, option.name, option.value); err != nil {
+				failed = err
+			}
+		}
+	})
+	if err != nil {
+		return err
+	}
+	return errors.Wrap(failed, "keep-alive cannot be set")
+}
+
 // PeerAddress implements berylpeer.Locator; VMs are named by their address.
 func (daemon *Daemon) PeerAddress(vm berylspoke.VMID) string { return string(vm) }
 
--- a/io/beryledge/entries.go
+++ b/io/beryledge/entries.go
@@ -24,17 +24,45 @@
 		byDomain: make(map[berylspoke.FailureDomain][]string),
 		domains:  make(map[berylspoke.VMID]berylspoke.FailureDomain),
 	}
+	least := leastCapacity(table)
 	for _, vm := range table.Live() {
 		member := table.Member(vm)
-		entries.domains[vm] = member.VM.FailureDomain
-		if member.VM.CallAddress != "" {
-			domain := member.VM.FailureDomain
+		domain := member.VM.FailureDomain
+		entries.domains[vm] = domain
+		if member.VM.CallAddress == "" {
+			continue
+		}
+		for range weight(member.Rumour.Place.Capacity, least) {
 			entries.byDomain[domain] = append(entries.byDomain[domain], member.VM.CallAddress)
 		}
 	}
 	return entries
 }
 
+// maxWeight bounds how often one address is told.
+const maxWeight = 5
+
+// weight returns how often an address is told: callers pick one at random, and
+// a VM with four times the processor time of another is to be picked four times
+// as often.
+func weight(capacity, least uint16) int {
+	if least == 0 || capacity == 0 {
+		return 1
+	}
+	return min(max(int(float64(capacity)/float64(least)+0.5), 1), maxWeight)
+}
+
+// leastCapacity returns the processor time of the smallest VM.
+func leastCapacity(table *berylmember.Table) uint16 {
+	var least uint16
+	for _, vm := range table.Live() {
+		if capacity := table.Member(vm).Rumour.Place.Capacity; capacity > 0 && (least == 0 || capacity < least) {
+			least = capacity
+		}
+	}
+	return least
+}
+
 // Entries returns the addresses for a caller that stands in a failure domain:
 // those of the same domain, else of its region, else all. Traffic between
 // domains is paid, and callers drop an address that fails them by themselves.
--- a/io/beryledge/follow.go
+++ b/io/beryledge/follow.go
@@ -10,6 +10,7 @@
 
 	"berylspoke"
 	"berylspoke/core/berylfeed"
+	"berylspoke/core/berylgate"
 )
 
 const (
@@ -24,9 +25,12 @@
 	// contactFor is the age of the store's last answer up to which a daemon
 	// counts as in contact: one watch, and the time that a slow answer takes.
 	contactFor = watchFor + 600*time.Millisecond
-	// fedFor is how long a daemon that is not a watcher goes without word from
-	// one in contact before it watches by itself: four reports.
-	fedFor = 4 * reportEvery
+	// fedFor is how old the last contact of any daemon may be before one that is
+	// no watcher watches by itself: the reports of as many hops as the largest
+	// fleet has, and two lost ones.
+	fedFor = 1400 * time.Millisecond
+	// fedSampled is the same where reports are less frequent.
+	fedSampled = 2200 * time.Millisecond
 	// fedLook is the time between two looks whether that is so.
 	fedLook = 100 * time.Millisecond
 	// retryLeast and retryMost bound the pause after a failed call. A store that
@@ -66,7 +70,11 @@
 	if daemon.watcher[feed].Load() || !daemon.known[feed].Load() {
 		return true
 	}
-	return now.Sub(time.Unix(0, daemon.fed.Load())) > fedFor
+	patience := fedFor
+	if len(daemon.entries.Load().domains) > berylgate.FullMesh {
+		patience = fedSampled
+	}
+	return now.Sub(time.Unix(0, daemon.fed.Load())) > patience
 }
 
 // read makes one call, or the calls of one list. A watch goes on from the last
--- a/io/beryledge/settings.go
+++ b/io/beryledge/settings.go
@@ -29,6 +29,8 @@
 	// MemoryBytes and Descriptors bound the process.
 	MemoryBytes int64
 	Descriptors int
+	// Capacity is the processor time of the VM in hundredths of a core.
+	Capacity uint16
 	// StopWithin is the time after which a process that was asked to stop is
 	// killed.
 	StopWithin time.Duration
--- a/io/berylpeer/wire.go
+++ b/io/berylpeer/wire.go
@@ -24,13 +24,14 @@
 	Leaving     bool
 	Domain      string
 	CallAddress string
+	Capacity    uint16
 }
 
 func rumourToWire(rumour berylmember.Rumour) wireRumour {
 	return wireRumour{
 		VM: string(rumour.Process.VM), Incarnation: uint64(rumour.Process.Incarnation),
 		Counter: rumour.Counter, Status: uint8(rumour.Status), Leaving: rumour.Leaving,
-		Domain: string(rumour.Place.FailureDomain), CallAddress: rumour.Place.CallAddress,
+		Domain: string(rumour.Place.FailureDomain), CallAddress: rumour.Place.CallAddress, Capacity: rumour.Place.Capacity,
 	}
 }
 
@@ -39,7 +40,7 @@
 		Process: process(berylspoke.VMID(wire.VM), wire.Incarnation),
 		Counter: wire.Counter, Status: min(berylmember.Status(wire.Status), berylmember.Dead), Leaving: wire.Leaving,
 		Place: berylmember.Place{
-			FailureDomain: berylspoke.FailureDomain(wire.Domain), CallAddress: wire.CallAddress,
+			FailureDomain: berylspoke.FailureDomain(wire.Domain), CallAddress: wire.CallAddress, Capacity: wire.Capacity,
 		},
 	}
 }
--- a/io/berylpeer/wirefeed.go
+++ b/io/berylpeer/wirefeed.go
@@ -73,6 +73,13 @@
 	Pending uint32
 }
 
+type wireLoadReport struct {
+	_                struct{} `cbor:",toarray"`
+	Target           uint32
+	Running, Waiting int
+	AgeMillis        uint32
+}
+
 type wireOrganisationReport struct {
 	_            struct{} `cbor:",toarray"`
 	Organisation uint32
@@ -83,13 +90,14 @@
 	_             struct{} `cbor:",toarray"`
 	Incarnation   uint64
 	Feeds         []uint64
-	Contact       bool
+	ContactMillis uint32
 	Targets       []wireTargetReport
+	Loads         []wireLoadReport
 	Organisations []wireOrganisationReport
 }
 
 func dispatchesToWire(report berylgate.Report) *wireDispatches {
-	wire := &wireDispatches{Incarnation: uint64(report.Incarnation), Contact: report.Contact}
+	wire := &wireDispatches{Incarnation: uint64(report.Incarnation), ContactMillis: uint32(report.Contact.Milliseconds())}
 	for _, revision := range report.Feeds {
 		wire.Feeds = append(wire.Feeds, uint64(revision))
 	}
@@ -98,6 +106,11 @@
 			Target: item.Target, Work: item.Work, Running: item.Running, Tokens: int64(item.Tokens), Pending: item.Pending,
 		})
 	}
+	for _, item := range report.Loads {
+		wire.Loads = append(wire.Loads, wireLoadReport{
+			Target: item.Target, Running: item.Running, Waiting: item.Waiting, AgeMillis: uint32(item.Age.Milliseconds()),
+		})
+	}
 	for _, item := range report.Organisations {
 		wire.Organisations = append(wire.Organisations, wireOrganisationReport{
 			Organisation: item.Organisation, Asked: item.Asked, Given: item.Given,
@@ -107,7 +120,7 @@
 }
 
 func (wire *wireDispatches) message(berylspoke.VMID) berylspoke.Message {
-	report := berylgate.Report{Incarnation: berylspoke.Incarnation(wire.Incarnation), Contact: wire.Contact}
+	report := berylgate.Report{Incarnation: berylspoke.Incarnation(wire.Incarnation), Contact: time.Duration(wire.ContactMillis) * time.Millisecond}
 	for _, revision := range wire.Feeds {
 		report.Feeds = append(report.Feeds, berylspoke.Revision(revision))
 	}
@@ -116,6 +129,12 @@
 			Target: item.Target, Work: item.Work, Running: item.Running, Tokens: berylspoke.Tokens(item.Tokens), Pending: item.Pending,
 		})
 	}
+	for _, item := range wire.Loads {
+		report.Loads = append(report.Loads, berylgate.LoadReport{
+			Target: item.Target, Running: item.Running, Waiting: item.Waiting,
+			Age: time.Duration(item.AgeMillis) * time.Millisecond,
+		})
+	}
 	for _, item := range wire.Organisations {
 		report.Organisations = append(report.Organisations, berylgate.OrganisationReport{
 			Organisation: item.Organisation, Asked: item.Asked, Given: item.Given,
