Add a fault soak of the real program, and doubles of the platform

The edge program was only ever harmed inside the users' bench. soak/ starts it as separate processes on loopback, with relays before callers, store and targets that delay, reset, cut one way and silence, and signals that stop, pause, kill and restart; plans are drawn from seeds, in series that overlap. Callers and targets judge: at most once, true refusals, whole answers, keys and paths, leaving targets, versions that never go back, planned work that cuts nothing, and service and the newest configuration after the last fault. The metrics address serves a processor profile.

--- a/io/beryledge/meters.go
+++ b/io/beryledge/meters.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -95,6 +96,8 @@
 	mux.HandleFunc("GET /metrics", func(writer http.ResponseWriter, _ *http.Request) {
 		daemon.meters.set.WritePrometheus(writer)
 	})
+	// Where processor time goes is the first question about a small VM.
+	mux.HandleFunc("GET /profile", pprof.Profile)
 	mux.HandleFunc("GET /state", func(writer http.ResponseWriter, _ *http.Request) {
 		writer.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(writer).Encode(daemon.Dump())
--- a/io/berylstand/relay.go
+++ b/io/berylstand/packetrelay.go
@@ -1,12 +1,11 @@
 package berylstand
 
-// This file defines relays that cut or swallow what passes between processes.
+// This file defines relays of packets, which cut or swallow what passes between
+// processes.
 
 import (
-	"io"
 	"net"
 	"sync"
-	"sync/atomic"
 
 	"github.com/pkg/errors"
 )
@@ -129,99 +128,3 @@
 		_ = session.Close()
 	}
 }
-
-// StreamRelay carries TCP connections to one address and can forget them: what
-// passes is then swallowed without an error, while new connections work.
-type StreamRelay struct {
-	listener net.Listener
-	back     string
-	mutex    sync.Mutex
-	open     []*relayed
-}
-
-type relayed struct {
-	front, back net.Conn
-	forgotten   atomic.Bool
-}
-
-// NewStreamRelay listens on front and relays to back.
-func NewStreamRelay(front, back string) (*StreamRelay, error) {
-	listener, err := net.Listen("tcp", front)
-	if err != nil {
-		return nil, errors.Wrap(err, "relay cannot listen")
-	}
-	relay := &StreamRelay{listener: listener, back: back}
-	go relay.accept()
-	return relay, nil
-}
-
-func (relay *StreamRelay) accept() {
-	for {
-		front, err := relay.listener.Accept()
-		if err != nil {
-			return
-		}
-		back, err := net.Dial("tcp", relay.back)
-		if err != nil {
-			_ = front.Close()
-			continue
-		}
-		pair := &relayed{front: front, back: back}
-		relay.mutex.Lock()
-		relay.open = append(relay.open, pair)
-		relay.mutex.Unlock()
-		go pair.pipe(front, back)
-		go pair.pipe(back, front)
-	}
-}
-
-// pipe copies until an end; a forgotten connection goes on reading and passes
-// nothing on, not even its end.
-func (pair *relayed) pipe(from, to net.Conn) {
-	buffer := make([]byte, 32<<10)
-	for {
-		size, err := from.Read(buffer)
-		if pair.forgotten.Load() {
-			if err != nil {
-				return
-			}
-			continue
-		}
-		if size > 0 {
-			if _, failed := to.Write(buffer[:size]); failed != nil {
-				err = failed
-			}
-		}
-		if err == io.EOF {
-			_ = to.(*net.TCPConn).CloseWrite()
-			return
-		}
-		if err != nil {
-			_ = to.Close()
-			return
-		}
-	}
-}
-
-// Forget makes all open connections silent for good and returns their number.
-func (relay *StreamRelay) Forget() int {
-	relay.mutex.Lock()
-	defer relay.mutex.Unlock()
-	for _, pair := range relay.open {
-		pair.forgotten.Store(true)
-	}
-	count := len(relay.open)
-	relay.open = nil
-	return count
-}
-
-// Close stops the relay and its connections.
-func (relay *StreamRelay) Close() {
-	_ = relay.listener.Close()
-	relay.mutex.Lock()
-	defer relay.mutex.Unlock()
-	for _, pair := range relay.open {
-		_ = pair.front.Close()
-		_ = pair.back.Close()
-	}
-}
--- /dev/null
+++ b/soak/cost_test.go
@@ -0,0 +1,88 @@
+package berylsoak
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"berylspoke/platform/beryldouble"
+)
+
+// BenchmarkDraft measures what one daemon spends on a draft of twelve events:
+// processor time in the process and in the kernel for it. Callers keep their
+// connections; the targets are doubles in this process.
+func BenchmarkDraft(b *testing.B) {
+	benchmarkRequests(b, beryldouble.Ask{
+		Host: "h.example", Path: pathDraft, Key: keyOf(0, 0), Method: http.MethodPost, TimeLeft: 8 * time.Second,
+		Body: 3000, Input: 3000, Output: 96, Parts: "a:700,b:700,c:1600",
+	}, 30)
+}
+
+// BenchmarkLook does the same for a short request without a stream.
+func BenchmarkLook(b *testing.B) {
+	benchmarkRequests(b, beryldouble.Ask{
+		Host: "h.example", Path: pathLook, Key: keyOf(0, 0), Method: http.MethodGet, TimeLeft: 3 * time.Second,
+	}, 10)
+}
+
+func benchmarkRequests(b *testing.B, ask beryldouble.Ask, parallel int) {
+	world, err := NewWorld(program, b.TempDir(), Size{VMs: 1, Engines: 30, Desks: 10, MemoryMB: 184})
+	if world != nil {
+		defer world.Close()
+	}
+	require.NoError(b, err)
+	process := world.processes[0]
+	var failed atomic.Int64
+	var sending sync.WaitGroup
+	jobs := make(chan int)
+	for i := range parallel {
+		caller := beryldouble.NewCaller(uint64(i), "north-a", "north", nil, nil)
+		defer caller.Close()
+		sending.Go(func() {
+			for job := range jobs {
+				own := ask
+				own.ID = fmt.Sprintf("bench-%d", job)
+				world.judge.asks(own.ID, &asked{path: ask.Path, organisation: organisationName(0)})
+				if answer := caller.Send(context.Background(), process.vm.Callers(), own); !answer.Served() {
+					failed.Add(1)
+				}
+			}
+		})
+	}
+	user, system := spent(b, process)
+	b.ResetTimer()
+	for i := range b.N {
+		jobs <- i
+	}
+	close(jobs)
+	sending.Wait()
+	b.StopTimer()
+	userAfter, systemAfter := spent(b, process)
+	b.ReportMetric(float64(userAfter-user)/float64(b.N)*1e3, "user-us/op")
+	b.ReportMetric(float64(systemAfter-system)/float64(b.N)*1e3, "system-us/op")
+	b.ReportMetric(float64(failed.Load()), "failed")
+}
+
+// spent returns the processor time of a process in milliseconds.
+func spent(b *testing.B, process *process) (user, system int64) {
+	b.Helper()
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", process.command.Process.Pid))
+	require.NoError(b, err)
+	// The name of the program, in brackets, may hold blanks.
+	fields := strings.Fields(string(text[strings.LastIndexByte(string(text), ')')+1:]))
+	const userField, systemField, tick = 11, 12, 10
+	user, err = strconv.ParseInt(fields[userField], 10, 64)
+	require.NoError(b, err)
+	system, err = strconv.ParseInt(fields[systemField], 10, 64)
+	require.NoError(b, err)
+	return user * tick, system * tick
+}
