Close connections beyond a strained VM's pace unread, instead of letting them wait

One asked for 1,500 requests/s of a VM of 0.19 cores. It accepted 25 connections/s and let the rest wait: 7,533 requests ended without a connection, 15,914 at their time limit, and came back to the same VM.

Change: a strained daemon takes as many connections as a quarter of its processor time serves and resets the others at once, unread; the caller then leaves that address out and goes to another daemon. Served callers keep their connections, refused ones are closed.

--- a/io/beryledge/callers.go
+++ b/io/beryledge/callers.go
@@ -60,7 +60,7 @@
 	daemon.active.Add(1)
 	defer daemon.active.Add(-1)
 	daemon.lastRequest.Store(arrived.UnixNano())
-	if daemon.stopping.Load() || daemon.strain.high() {
+	if daemon.stopping.Load() {
 		writer.Header().Set("Connection", "close")
 	}
 	call := &call{daemon: daemon, writer: writer, in: in, arrived: arrived}
@@ -264,7 +264,10 @@
 	if wait > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 2, 64))
 	}
-	if call.daemon.crowded() {
+	// A caller that was served keeps its connection also while the processor is
+	// short, as a new one costs half as much as a request. One that was refused
+	// would only come back to be refused.
+	if call.daemon.crowded() || call.daemon.strain.high() {
 		header.Set("Connection", "close")
 	}
 	header.Set("Content-Type", "text/plain; charset=utf-8")
--- a/io/beryledge/daemon.go
+++ b/io/beryledge/daemon.go
@@ -141,7 +141,7 @@
 	return nil
 }
 
-// serve answers on an address; that of callers is accepted from slowly
+// serve answers on an address; at that of callers only some connections are taken
 // while the processor is short.
 func (daemon *Daemon) serve(address string, handler http.Handler, callers bool) (*http.Server, error) {
 	listening := net.ListenConfig{KeepAlive: -1, Control: keepAlive}
@@ -150,9 +150,9 @@
 		return nil, errors.Wrapf(err, "address %s cannot be opened", address)
 	}
 	if callers {
-		paced := &pacedListener{TCPListener: listener.(*net.TCPListener), daemon: daemon}
-		paced.bound(false)
-		listener = paced
+		listener = &pacedListener{
+			TCPListener: listener.(*net.TCPListener), daemon: daemon, pace: newAcceptPace(daemon.settings.Capacity),
+		}
 	}
 	server := &http.Server{
 		Handler: handler, MaxHeaderBytes: headerBytes,
--- a/io/beryledge/listener.go
+++ b/io/beryledge/listener.go
@@ -12,68 +12,69 @@
 	"golang.org/x/sys/unix"
 )
 
-const (
-	// waitingConns bounds the connections that wait to be accepted. A caller gives
-	// a new connection one second, and a longer queue at the smallest VM holds only
-	// those that left.
-	waitingConns = 32
-	// waitingStrained is the same while the processor is short.
-	waitingStrained = 16
-	// strainedAccept is the time between two connections that a strained daemon
-	// accepts.
-	strainedAccept = 40 * time.Millisecond
-)
+// acceptsPerCore is the connections a second that a strained daemon takes for each
+// core of its VM. A request costs about two milliseconds of processor time with
+// its connection, so these are a quarter of what the VM can serve; the rest comes
+// over the connections that callers keep.
+const acceptsPerCore = 125
 
-// pacedListener accepts slowly while the daemon is strained. Callers whose
-// requests time out come back over new connections, each of which costs as much
-// as a request, so a daemon that accepts them all never catches up: it works for
-// callers who have left. One that is not accepted costs nothing, and its caller
-// goes to another daemon after a second.
+// pacedListener takes few connections while the daemon is strained and closes the
+// others at once, unread. All callers of one organisation may come to one small
+// VM with ten times what it can serve, whatever the resolve answers say. A
+// connection that waits here costs its caller a second, until it gives up, and
+// comes back to the same VM. One that is closed unread shows the caller that
+// nothing was taken in: it goes to another daemon, and its request is served.
 type pacedListener struct {
 	*net.TCPListener
 	daemon *Daemon
-	short  bool
+	pace   acceptPace
 }
 
 // Accept implements net.Listener.
 func (listener *pacedListener) Accept() (net.Conn, error) {
 	for {
-		strained := listener.daemon.strain.high()
-		if strained != listener.short {
-			listener.short = strained
-			listener.bound(strained)
-		}
-		if strained {
-			listener.daemon.sleep(strainedAccept)
+		conn, err := listener.AcceptTCP()
+		if err != nil {
+			return nil, err
 		}
-		conn, err := listener.TCPListener.Accept()
-		if err != nil || !hungUp(conn) {
-			return conn, err
+		admitted := listener.pace.admits(time.Now(), listener.daemon.strain.high())
+		if admitted && !hungUp(conn) {
+			return conn, nil
 		}
 		listener.daemon.meters.shed.Inc()
+		// Without a lingering close the caller is reset, and what it sent is lost
+		// unread; it learns so in one round trip.
+		_ = conn.SetLinger(0)
 		_ = conn.Close()
 	}
 }
 
-// bound sets how many connections may wait to be accepted.
-func (listener *pacedListener) bound(strained bool) {
-	waiting := waitingConns
-	if strained {
-		waiting = waitingStrained
-	}
-	raw, err := listener.SyscallConn()
-	if err == nil {
-		err = raw.Control(func(fd uintptr) { _ = unix.Listen(int(fd), waiting) })
-	}
-	if err != nil {
-		listener.daemon.log.Warn("queue of connections not bounded", cause(err))
+// acceptPace bounds the connections that are taken while processor time is short.
+type acceptPace struct {
+	// every is the least time between two of them, last when one was taken.
+	every time.Duration
+	last  time.Time
+}
+
+// newAcceptPace returns the pace of a VM with so many hundredths of a core.
+func newAcceptPace(capacity uint16) acceptPace {
+	const hundredths = 100
+	return acceptPace{every: time.Second * hundredths / (acceptsPerCore * time.Duration(max(capacity, 1)))}
+}
+
+// admits says whether a connection that came now is taken.
+func (pace *acceptPace) admits(now time.Time, strained bool) bool {
+	if strained && now.Sub(pace.last) < pace.every {
+		return false
 	}
+	pace.last = now
+	return true
 }
 
 // hungUp says whether the other end of a connection has closed it, although
 // what it sent before may not have been read yet.
-func hungUp(conn net.Conn) bool {
-	raw, err := conn.(*net.TCPConn).SyscallConn()
+func hungUp(conn *net.TCPConn) bool {
+	raw, err := conn.SyscallConn()
 	if err != nil {
 		return true
 	}
--- a/io/beryledge/strain_test.go
+++ b/io/beryledge/strain_test.go
@@ -1,6 +1,8 @@
 package beryledge
 
 import (
+	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
@@ -44,3 +46,45 @@
 	}})
 	require.Equal(t, []string{"10.0.0.2:1", "10.0.0.2:1", "10.0.0.2:1", "10.0.0.2:1", "10.0.0.1:1"}, newEntries(table).byDomain["a"])
 }
+
+// Pattern: one organisation's callers all come to one VM of 0.19 cores, with some
+// thousand new connections a second, ten times what it serves. It takes 24 a
+// second, which is what a quarter of its processor time serves, and one with four
+// times the processor time takes four times as many.
+func TestFloodOfConnectionsIsTakenAtThePaceOfTheVM(t *testing.T) {
+	for capacity, most := range map[uint16]int{19: 24, 80: 100} {
+		pace, now, taken := newAcceptPace(capacity), time.Unix(0, 0), 0
+		for range 1000 {
+			now = now.Add(time.Millisecond)
+			if pace.admits(now, true) {
+				taken++
+			}
+		}
+		require.InDelta(t, most, taken, 1)
+	}
+	calm := newAcceptPace(19)
+	require.True(t, calm.admits(time.Unix(0, 0), false))
+	require.True(t, calm.admits(time.Unix(0, 0), false), "whoever has time takes all")
+}
+
+// The callers of a strained VM wait for a second in its queue, leave, and come
+// back to wait again, so nobody serves them. A connection beyond the pace must end
+// at once and unread, which lets the caller go elsewhere even with a filing.
+func TestConnectionsBeyondThePaceEndUnread(t *testing.T) {
+	target := newTestTarget(t, "d1", sealed(http.StatusOK, "done"))
+	daemon, _ := startServing(t, map[string]*testTarget{"desk": target})
+	// The mean falls with each calm decision and tick, so it starts far above.
+	daemon.strain.observe(time.Hour)
+	served, ended := 0, 0
+	for i := range 20 {
+		response, _, err := ask(t, daemon, http.MethodPost, "/file/x", fmt.Sprintf("id-%d", i), "a letter")
+		switch {
+		case err != nil:
+			ended++
+		case response.StatusCode == http.StatusOK:
+			served++
+		}
+	}
+	require.Positive(t, ended, "beyond the pace")
+	require.EqualValues(t, served, target.seen.Load(), "none of those that ended was sent on")
+}
