Reports of large fleets hold only news

Cause: with more than 13 daemons each report went to eight links every 0.4 s and carried all engines' loads heard from anywhere, all organisations and all heavy usage.

Change: loads only as engines told them to the sender since its last report; organisations every 0.8 s, above a five-thousandth of the throughput; heavy usage only as learnt since.

--- a/core/berylgate/gate.go
+++ b/core/berylgate/gate.go
@@ -84,8 +84,9 @@
 	live, daemons int
 	random        *rand.Rand
 	ticked        time.Time
-	// reported is when the last report was made.
-	reported time.Time
+	// reported is when the last report was made, usageTold when the last one that
+	// told of organisations.
+	reported, usageTold time.Time
 }
 
 // New returns a gate that knows no targets.
@@ -276,7 +277,8 @@
 	switch {
 	case told == nil:
 	case gate.sampled():
-		target.tell(now, load{now, now, told.Running, told.Waiting})
+		target.toldHere = load{now, told.Running, told.Waiting}
+		target.tell(now, target.toldHere)
 		target.slots = told.Slots
 	default:
 		target.loaded(now, *told)
--- a/core/berylgate/gate_test.go
+++ b/core/berylgate/gate_test.go
@@ -186,6 +186,38 @@
 	require.InDelta(t, 1.7*150_000, gate.shares.cap, 1000)
 }
 
+// Pattern: 73 daemons, 30 organisations at each, 90 engines of which a daemon
+// hears some thirty a second. Passing on all that is known to eight links cost
+// each daemon above 20 KB a second, seven times what control may take. A report
+// holds only what engines told its sender since the last one, and organisations
+// each other time; those told before still count meanwhile.
+func TestReportsOfALargeFleetHoldOnlyNews(t *testing.T) {
+	now := time.Unix(0, 0)
+	gate, peer := newGate(now, 1, 4, false), newGate(now, 2, 4, false)
+	gate.SetDaemons(now, 73)
+	peer.SetDaemons(now, 73)
+	gate.Report(now)
+	now = now.Add(time.Millisecond)
+	request := newRequest(now, "o", berylspoke.Part{ID: 1, Tokens: 6000})
+	require.Nil(t, gate.Submit(now, request).Refusal)
+	gate.Began(now, request, &berylspoke.EngineLoad{Running: 7, Waiting: 2, Slots: 12})
+	now = now.Add(usageEvery)
+	full := gate.Report(now)
+	require.Len(t, full.Loads, 1)
+	require.Len(t, full.Organisations, 1)
+	peer.Heard(now, "vm-1", full)
+	now = now.Add(usageEvery / 2)
+	empty := gate.Report(now)
+	require.Empty(t, empty.Loads)
+	require.Empty(t, empty.Organisations)
+	peer.Heard(now, "vm-1", empty)
+	require.Positive(t, peer.totals(now)[hashOf("o")].given)
+	require.Empty(t, peer.Report(now).Loads, "what others told is not passed on")
+	now = now.Add(2 * usageStale)
+	peer.Heard(now, "vm-1", empty)
+	require.Zero(t, peer.totals(now)[hashOf("o")].given)
+}
+
 // The level gives those who ask for little all of it, and shares the rest evenly.
 func TestWaterLevel(t *testing.T) {
 	require.InDelta(t, 40, waterLevel([]float64{10, 100, 60}, 90), 0.001)
--- a/core/berylgate/heavy.go
+++ b/core/berylgate/heavy.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	// heavyFor is how long heavy usage counts after its daemon told it: some
+	// heavyFor is how long heavy usage counts after its daemon told it: four
 	// reports on the way, and one that was lost.
-	heavyFor = 2500 * time.Millisecond
+	heavyFor = 5 * usageEvery
 	// heavyMost bounds what one report tells on.
 	heavyMost = 24
 )
@@ -21,10 +21,11 @@
 // place names one organisation at one daemon.
 type place struct{ origin, organisation uint32 }
 
-// heavyUsage is the last word on one place and when it was true.
+// heavyUsage is the last word on one place, when it was true and when it was
+// learnt here.
 type heavyUsage struct {
 	asked, given uint32
-	at           time.Time
+	at, learnt   time.Time
 }
 
 // heavyUsages are the places of heavy usage. A sample of daemons says nothing of
@@ -47,12 +48,13 @@
 			delete(usages, key)
 			continue
 		}
-		usages[key] = heavyUsage{item.Asked, item.Given, at}
+		usages[key] = heavyUsage{item.Asked, item.Given, at, now}
 	}
 }
 
-// newest returns the heaviest usages that are still true.
-func (usages heavyUsages) newest(now time.Time) []OrganisationReport {
+// newest returns the heaviest usages that are still true and were learnt after
+// some time.
+func (usages heavyUsages) newest(now, after time.Time) []OrganisationReport {
 	var list []OrganisationReport
 	for key, usage := range usages {
 		age := now.Sub(usage.at)
@@ -60,6 +62,9 @@
 			delete(usages, key)
 			continue
 		}
+		if !usage.learnt.After(after) {
+			continue
+		}
 		list = append(list, OrganisationReport{
 			Origin: key.origin, Organisation: key.organisation, Asked: usage.asked, Given: usage.given, Age: age,
 		})
--- a/core/berylgate/report.go
+++ b/core/berylgate/report.go
@@ -16,8 +16,16 @@
 	// reportStale is the age at which a peer's report no longer counts: its
 	// daemon is gone or out of reach.
 	reportStale = 2 * time.Second
-	// loadTold is the age up to which a target's load is passed on.
-	loadTold = 600 * time.Millisecond
+	// usageEvery is the time between two reports of organisations' usage in a large
+	// fleet. Rates are means over shareWindow, so more would say little; each costs
+	// some hundred bytes to each peer, half of all control traffic.
+	usageEvery = 800 * time.Millisecond
+	// usageStale is the age at which the usage that a peer told no longer counts:
+	// two reports were lost.
+	usageStale = 3*usageEvery + 200*time.Millisecond
+	// usageLeast is the part of the throughput below which a large fleet's daemons
+	// do not report what an organisation asks them for.
+	usageLeast = 0.0002
 	// rateLeast is the rate in tokens a second below which it is not reported.
 	rateLeast = 20.0
 )
@@ -31,10 +39,12 @@
 	// heard of.
 	Contact time.Duration
 	// Targets is what the sender has at the targets; Loads are what targets told
-	// of themselves, to it or to others. A large fleet tells only loads, as a
+	// it of themselves since its last report. A large fleet tells only loads, as a
 	// daemon would hear of a small part of what the others sent.
-	Targets       []TargetReport
-	Loads         []LoadReport
+	Targets []TargetReport
+	Loads   []LoadReport
+	// Organisations is empty in most reports of a large fleet, which says nothing
+	// new.
 	Organisations []OrganisationReport
 }
 
@@ -78,41 +88,80 @@
 	report Report
 	at     time.Time
 	work   map[uint32]uint64
+	// usage is what the peer told last of organisations, and when.
+	usage   []OrganisationReport
+	usageAt time.Time
 }
 
 // Report returns this daemon's report.
 func (gate *Gate) Report(now time.Time) Report {
 	report := Report{Incarnation: gate.options.Incarnation}
-	news := gate.reported
+	if gate.sampled() {
+		report.Loads = gate.newLoads(now, gate.reported)
+	} else {
+		report.Targets = gate.dispatches()
+	}
 	gate.reported = now
+	if !gate.sampled() || now.Sub(gate.usageTold) >= usageEvery {
+		report.Organisations = gate.usages(now, gate.usageTold)
+		gate.usageTold = now
+	}
+	return report
+}
+
+// newLoads returns what targets told this daemon itself after some time. What
+// others told is not passed on: eight peers' own word covers each target about
+// twice a second at the sizes that are planned, and passing on would multiply
+// the bytes by the number of links.
+func (gate *Gate) newLoads(now, after time.Time) []LoadReport {
+	var loads []LoadReport
 	for _, target := range gate.sorted {
-		age := now.Sub(target.told.at)
-		if gate.sampled() && age < loadTold && target.told.learnt.After(news) {
-			report.Loads = append(report.Loads, LoadReport{
-				Target: target.hash, Running: target.told.running, Waiting: target.told.waiting, Age: age,
+		if own := target.toldHere; own.at.After(after) {
+			loads = append(loads, LoadReport{
+				Target: target.hash, Running: own.running, Waiting: own.waiting, Age: now.Sub(own.at),
 			})
 		}
-		if !gate.sampled() && (target.sentWork > 0 || target.running > 0) {
-			report.Targets = append(report.Targets, TargetReport{
+	}
+	return loads
+}
+
+// dispatches returns what this daemon has at the targets.
+func (gate *Gate) dispatches() []TargetReport {
+	var reports []TargetReport
+	for _, target := range gate.sorted {
+		if target.sentWork > 0 || target.running > 0 {
+			reports = append(reports, TargetReport{
 				Target: target.hash, Work: uint64(target.sentWork), Running: target.running, Tokens: target.tokens, Pending: uint32(target.pending),
 			})
 		}
 	}
+	return reports
+}
+
+// usages returns what organisations ask this daemon for and are given, and in a
+// large fleet the heavy usage elsewhere that was learnt after some time.
+func (gate *Gate) usages(now, after time.Time) []OrganisationReport {
+	var reports []OrganisationReport
+	least := rateLeast
+	if gate.sampled() {
+		least = max(least, usageLeast*float64(gate.capacity))
+	}
 	for _, organisation := range slices.Sorted(maps.Keys(gate.shares.own)) {
 		usage := gate.shares.own[organisation]
 		asked, given := usage.asked.now(now), usage.given.now(now)
 		if asked < rateLeast {
 			delete(gate.shares.own, organisation)
-			continue
 		}
-		report.Organisations = append(report.Organisations, OrganisationReport{
-			Organisation: organisation, Asked: uint32(asked), Given: uint32(given),
-		})
+		if asked >= least {
+			reports = append(reports, OrganisationReport{
+				Organisation: organisation, Asked: uint32(asked), Given: uint32(given),
+			})
+		}
 	}
 	if gate.sampled() {
-		report.Organisations = append(report.Organisations, gate.heavy.newest(now)...)
+		reports = append(reports, gate.heavy.newest(now, after)...)
 	}
-	return report
+	return reports
 }
 
 // Heard takes a peer's report. The work that it sent since its last one is
@@ -132,11 +181,14 @@
 	}
 	for _, item := range report.Loads {
 		if target := gate.hashes[item.Target]; target != nil {
-			target.tell(now, load{now.Add(-item.Age), now, item.Running, item.Waiting})
+			target.tell(now, load{now.Add(-item.Age), item.Running, item.Waiting})
 		}
 	}
 	gate.heavy.learn(now, from, hashOf(string(gate.options.VM)), gate.heavyRate(), report.Organisations)
 	known.report, known.at = report, now
+	if len(report.Organisations) > 0 || !gate.sampled() {
+		known.usage, known.usageAt = report.Organisations, now
+	}
 	gate.sumOthers(now)
 }
 
@@ -251,14 +303,17 @@
 		heavy = gate.heavyRate()
 	}
 	for _, peer := range gate.peers {
-		for _, item := range peer.report.Organisations {
+		if now.Sub(peer.usageAt) > usageStale {
+			continue
+		}
+		for _, item := range peer.usage {
 			if item.Origin == 0 && float64(item.Asked) < heavy {
 				others[item.Organisation] = others[item.Organisation].plus(scale, item)
 			}
 		}
 	}
 	if gate.sampled() {
-		for _, item := range gate.heavy.newest(now) {
+		for _, item := range gate.heavy.newest(now, time.Time{}) {
 			others[item.Organisation] = others[item.Organisation].plus(1, item)
 		}
 	}
--- a/core/berylgate/target.go
+++ b/core/berylgate/target.go
@@ -73,8 +73,8 @@
 	tokens  berylspoke.Tokens
 	others  occupancy
 	// told is the newest load that the target told with an answer to any daemon
-	// that was heard.
-	told load
+	// that was heard, toldHere the newest that it told this one.
+	told, toldHere load
 	// inflow is the work in milliseconds a millisecond that other daemons send
 	// there, from what they reported in the last while.
 	inflow   float64
@@ -154,9 +154,9 @@
 	}
 }
 
-// load is what a target told of itself at a time, and when it was learnt here.
+// load is what a target told of itself at a time.
 type load struct {
-	at, learnt       time.Time
+	at               time.Time
 	running, waiting int
 }
 
--- a/io/beryledge/entries.go
+++ b/io/beryledge/entries.go
@@ -87,6 +87,16 @@
 
 func clip(addresses []string) []string { return addresses[:min(len(addresses), maxEntries)] }
 
+// count returns how many addresses callers are told in all, each as often as it
+// is told.
+func (entries *entries) count() int {
+	count := 0
+	for _, addresses := range entries.byDomain {
+		count += len(addresses)
+	}
+	return count
+}
+
 func (old *entries) equal(fresh *entries) bool {
 	return maps.Equal(old.domains, fresh.domains) &&
 		maps.EqualFunc(old.byDomain, fresh.byDomain, slices.Equal[[]string])
--- a/io/beryledge/members.go
+++ b/io/beryledge/members.go
@@ -63,5 +63,5 @@
 	// tell the others that it has all news.
 	chosen := berylmember.Ranked("watcher", core.table.Live(), watchers)
 	core.daemon.watcher.Store(slices.Contains(chosen, core.daemon.settings.VM))
-	core.daemon.log.Info("members changed", zap.Int("live", live), zap.Any("entries", fresh.byDomain))
+	core.daemon.log.Info("members changed", zap.Int("live", live), zap.Int("entries", fresh.count()))
 }
--- a/io/beryledge/meters.go
+++ b/io/beryledge/meters.go
@@ -13,6 +13,7 @@
 
 	"berylspoke"
 	"berylspoke/core/berylgate"
+	"berylspoke/io/berylpeer"
 )
 
 // meters are the metrics of one daemon.
@@ -45,9 +46,31 @@
 	}
 	set.NewGauge("berylspoke_requests_active", func() float64 { return float64(daemon.active.Load()) })
 	set.NewGauge("berylspoke_connections_opened_total", func() float64 { return float64(daemon.pool.Opened()) })
+	meters.countPeers(daemon)
 	return meters
 }
 
+// countPeers adds the bytes sent to other daemons, with their headers by link and
+// without them by message.
+func (meters *meters) countPeers(daemon *Daemon) {
+	traffic := func(read func(*berylpeer.Traffic) uint64) func() float64 {
+		return func() float64 {
+			if daemon.transport == nil {
+				return 0
+			}
+			return float64(read(daemon.transport.Traffic()))
+		}
+	}
+	for _, link := range []berylpeer.Link{berylpeer.WithinDomain, berylpeer.AcrossDomains, berylpeer.AcrossRegions} {
+		meters.set.NewGauge(fmt.Sprintf("berylspoke_peer_bytes_sent_total{link=%q}", link),
+			traffic(func(traffic *berylpeer.Traffic) uint64 { return traffic.Sent[link].Load() }))
+	}
+	for _, message := range []string{"heartbeat", "report", "pull", "delta"} {
+		meters.set.NewGauge(fmt.Sprintf("berylspoke_peer_message_bytes_total{message=%q}", message),
+			traffic(func(traffic *berylpeer.Traffic) uint64 { return traffic.Kinds()[message].Bytes }))
+	}
+}
+
 func (meters *meters) refusal(reason berylspoke.Reason) *metrics.Counter {
 	return meters.set.GetOrCreateCounter(fmt.Sprintf("berylspoke_refusals_total{reason=%q}", reason))
 }
