Answer callers that a strained VM turns away

Change: a strained listener works in rounds of 20 ms, takes connections at the pace and answers the requests on all others 503 with a time to come back, with four system calls each.

--- a/io/beryledge/daemon.go
+++ b/io/beryledge/daemon.go
@@ -49,6 +49,7 @@
 	store       berylspoke.Store
 	log         *zap.Logger
 	incarnation berylspoke.Incarnation
+	started     time.Time
 	system      *actor.ActorSystem
 	core        *actor.PID
 	transport   *berylpeer.Transport
@@ -81,8 +82,8 @@
 	daemon := &Daemon{
 		settings: settings, dialect: dialect, store: store,
 		log:         log.With(zap.String("vm", settings.Name)),
-		incarnation: berylspoke.Incarnation(now.UnixMicro()),
-		pool:        berylconn.NewPool(), idle: newIdleConns(),
+		incarnation: berylspoke.Incarnation(now.UnixMicro()), started: now,
+		pool: berylconn.NewPool(), idle: newIdleConns(),
 	}
 	daemon.meters = newMeters(daemon)
 	daemon.entries.Store(new(entries))
@@ -152,6 +153,7 @@
 	if callers {
 		listener = &pacedListener{
 			TCPListener: listener.(*net.TCPListener), daemon: daemon, pace: newAcceptPace(daemon.settings.Capacity),
+			buffer: make([]byte, turnedBytes),
 		}
 	}
 	server := &http.Server{
--- a/io/beryledge/listener.go
+++ b/io/beryledge/listener.go
@@ -5,48 +5,154 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
+	"os"
+	"strconv"
 	"syscall"
 	"time"
 
+	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
 )
 
-// acceptsPerCore is the connections a second that a strained daemon takes for each
-// core of its VM. A request costs about two milliseconds of processor time with
-// its connection, so these are a quarter of what the VM can serve; the rest comes
-// over the connections that callers keep.
-const acceptsPerCore = 125
-
-// pacedListener takes few connections while the daemon is strained and closes the
-// others at once, unread. All callers of one organisation may come to one small
-// VM with ten times what it can serve, whatever the resolve answers say. A
-// connection that waits here costs its caller a second, until it gives up, and
-// comes back to the same VM. One that is closed unread shows the caller that
-// nothing was taken in: it goes to another daemon, and its request is served.
+const (
+	// acceptsPerCore is the connections a second that a strained daemon takes for
+	// each core of its VM. A request costs about two milliseconds of processor time
+	// with its connection, so these are a quarter of what the VM can serve; the rest
+	// comes over the connections that callers keep.
+	acceptsPerCore = 125
+	// turnedWait is when a caller that was turned away may come back, at least;
+	// a random time up to as much again is added. The shares and the load that
+	// decide then are means over about this time.
+	turnedWait = time.Second
+	// turnedBytes is what is read at most of a request that is turned away: the
+	// largest that arrive with the first packets of a connection.
+	turnedBytes = 16 << 10
+	// roundEvery is the time between two rounds of a strained listener. The request
+	// on a new connection comes a round trip of some milliseconds after it, so what
+	// one round accepts is answered by the next.
+	roundEvery = 20 * time.Millisecond
+	// roundMost bounds the connections that one round accepts: the queue of the
+	// socket keeps the others.
+	roundMost = 128
+	// toldEvery is the time between two log lines on callers turned away.
+	toldEvery = time.Second
+)
+
+// pacedListener takes few connections while the daemon is strained and turns the
+// others away at once. All callers of one organisation may come to one small VM
+// with ten times what it can serve, whatever the resolve answers say and whether
+// it fails them or not. A connection that waits here costs its caller a second,
+// until it gives up and comes back. One that is only closed brings its caller back
+// at once, four times for each request, which took three quarters of the
+// processor time. So the answer says that nothing was run and when to come back;
+// it takes four system calls, no parsing, and no goroutine of its own.
 type pacedListener struct {
 	*net.TCPListener
 	daemon *Daemon
 	pace   acceptPace
+	// waiting are the descriptors that the last round accepted to turn away.
+	waiting []int
+	buffer  []byte
+	// turned counts the connections turned away since told.
+	turned int
+	told   time.Time
 }
 
 // Accept implements net.Listener.
 func (listener *pacedListener) Accept() (net.Conn, error) {
 	for {
-		conn, err := listener.AcceptTCP()
-		if err != nil {
-			return nil, err
+		if !listener.daemon.strain.high() && len(listener.waiting) == 0 {
+			conn, err := listener.AcceptTCP()
+			if err != nil || !hungUp(conn) {
+				return conn, err
+			}
+			_ = conn.Close()
+			continue
+		}
+		listener.daemon.sleep(roundEvery)
+		conn, err := listener.round(time.Now())
+		if conn != nil || err != nil {
+			return conn, err
 		}
-		admitted := listener.pace.admits(time.Now(), listener.daemon.strain.high())
-		if admitted && !hungUp(conn) {
-			return conn, nil
+	}
+}
+
+// round answers those whom the last round accepted to turn away, accepts who
+// came since, and returns the connection that is taken, if any.
+func (listener *pacedListener) round(now time.Time) (net.Conn, error) {
+	for _, descriptor := range listener.waiting {
+		listener.refuse(descriptor)
+	}
+	listener.tell(now)
+	accepted, err := listener.acceptAll()
+	listener.waiting = accepted
+	if err != nil || len(accepted) == 0 || !listener.pace.admits(now, listener.daemon.strain.high()) {
+		return nil, err
+	}
+	listener.waiting = accepted[1:]
+	return newConn(accepted[0])
+}
+
+// acceptAll accepts all connections that wait, without waiting for more.
+func (listener *pacedListener) acceptAll() ([]int, error) {
+	raw, err := listener.SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	var accepted []int
+	err = raw.Control(func(socket uintptr) {
+		for len(accepted) < roundMost {
+			descriptor, _, failure := unix.Accept4(int(socket), unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+			if failure != nil {
+				// Nobody waits any more, or descriptors are short: those turned
+				// away free them.
+				return
+			}
+			accepted = append(accepted, descriptor)
 		}
-		listener.daemon.meters.shed.Inc()
-		// Without a lingering close the caller is reset, and what it sent is lost
-		// unread; it learns so in one round trip.
-		_ = conn.SetLinger(0)
-		_ = conn.Close()
+	})
+	return accepted, err
+}
+
+// newConn makes a connection of a descriptor.
+func newConn(descriptor int) (net.Conn, error) {
+	file := os.NewFile(uintptr(descriptor), "connection")
+	conn, err := net.FileConn(file)
+	// The connection has a descriptor of its own.
+	_ = file.Close()
+	if err != nil {
+		return nil, nil // the caller has left meanwhile
+	}
+	return conn, nil
+}
+
+// refuse answers a request that was not looked at, and closes its connection. One
+// that has not come yet is reset as it comes, which says the same to its caller.
+func (listener *pacedListener) refuse(descriptor int) {
+	listener.turned++
+	listener.daemon.meters.shed.Inc()
+	if read, err := unix.Read(descriptor, listener.buffer); err == nil && read > 0 {
+		wait := turnedWait.Seconds() * (1 + rand.Float64())
+		answer := append(listener.buffer[:0], turnedAnswer...)
+		answer = strconv.AppendFloat(answer, wait, 'f', 2, 64)
+		// A caller that has left needs no answer.
+		_, _ = unix.Write(descriptor, append(answer, "\r\n\r\n"...))
+	}
+	_ = unix.Close(descriptor)
+}
+
+// turnedAnswer is the answer to those turned away, up to when they may come back.
+const turnedAnswer = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\nRetry-After: "
+
+// tell logs now and then how many callers were turned away.
+func (listener *pacedListener) tell(now time.Time) {
+	if listener.turned == 0 || now.Sub(listener.told) < toldEvery {
+		return
 	}
+	listener.daemon.log.Warn("callers turned away, processor short", zap.Int("count", listener.turned))
+	listener.turned, listener.told = 0, now
 }
 
 // acceptPace bounds the connections that are taken while processor time is short.
