Ask the store less at a start, pull news once, and keep platform names inside

Daemons that are no seed now wait 2.5 s for peers at the fleet's first start, and a pull is repeated after 250 ms only. The soak named two of the platform's paths outside platform/ since it landed, which TestNoOtherPackageKnowsThePlatformsNames failed on; both moved into the doubles.

--- a/io/beryledge/follow.go
+++ b/io/beryledge/follow.go
@@ -31,6 +31,11 @@
 	fedFor = 1400 * time.Millisecond
 	// fedSampled is the same where reports are less frequent.
 	fedSampled = 2200 * time.Millisecond
+	// peersFirst is how long a daemon that starts together with the whole fleet
+	// waits for peers to tell it what is published before it asks the store: the
+	// seeds ask at once, and the fleet hears of it within about a second. Without it
+	// each start of a fleet costs two lists a daemon at one moment.
+	peersFirst = 2500 * time.Millisecond
 	// fedLook is the time between two looks whether that is so.
 	fedLook = 100 * time.Millisecond
 	// retryLeast and retryMost bound the pause after a failed call. A store that
@@ -67,7 +72,10 @@
 // mustWatch says whether this daemon has to ask the store itself: it is one of
 // the watchers, knows nothing yet, or hears from no daemon in contact.
 func (daemon *Daemon) mustWatch(feed berylfeed.Name, now time.Time) bool {
-	if daemon.watcher.Load() || !daemon.known[feed].Load() {
+	if !daemon.known[feed].Load() {
+		return !daemon.settings.waitsForPeers() || now.Sub(daemon.started) > peersFirst
+	}
+	if daemon.watcher.Load() {
 		return true
 	}
 	patience := fedFor
--- a/io/beryledge/news.go
+++ b/io/beryledge/news.go
@@ -21,10 +21,13 @@
 			core.behind[name] = time.Time{}
 			continue
 		}
-		if core.behind[name].IsZero() {
+		// All links tell of the same news within milliseconds, and a daemon that
+		// pulled it from each would get it eight times over.
+		first := core.behind[name].IsZero()
+		if first {
 			core.behind[name] = now
 		}
-		if now.Sub(core.behind[name]) >= behindFor || !core.daemon.watcher.Load() {
+		if now.Sub(core.behind[name]) >= behindFor || first && !core.daemon.watcher.Load() {
 			core.behind[name] = now
 			core.daemon.transport.Send(from, berylfeed.Pull{Feed: berylfeed.Name(name), After: feed.AsOf()})
 		}
--- a/io/beryledge/settings.go
+++ b/io/beryledge/settings.go
@@ -4,6 +4,7 @@
 
 import (
 	"net"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -22,6 +23,8 @@
 	RegionOf      map[berylspoke.FailureDomain]berylspoke.Region
 	// Seeds are VMs that may belong to the fleet.
 	Seeds []berylspoke.VMID
+	// FirstStart is set when the whole fleet starts for the first time.
+	FirstStart bool
 	// Callers, Ready, Resolve, Operators and Metrics are the addresses for
 	// callers' requests, the platform's question whether the daemon takes them,
 	// callers' question where to connect, the dump, and the metrics.
@@ -66,3 +69,9 @@
 	}
 	return nil
 }
+
+// waitsForPeers says whether a daemon lets its peers tell it first what is
+// published: all start at this moment, and it is none of those that ask for all.
+func (settings *Settings) waitsForPeers() bool {
+	return settings.FirstStart && len(settings.Seeds) > 0 && !slices.Contains(settings.Seeds, settings.VM)
+}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -160,7 +160,7 @@
 	chosen.Crash()
 	chosen.relay.Close()
 	time.Sleep(step.lasts)
-	world.store.Delete("servers/" + chosen.ID())
+	chosen.Expire()
 	_, _ = world.addTarget(chosen.service)
 }
 
--- a/soak/world.go
+++ b/soak/world.go
@@ -4,7 +4,6 @@
 
 import (
 	"fmt"
-	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -223,22 +222,11 @@
 	return address
 }
 
-// ready asks a process whether it takes requests.
-func (process *process) ready() bool {
-	client := http.Client{Timeout: time.Second}
-	response, err := client.Get("http://" + process.vm.Ready() + "/readyz")
-	if err != nil {
-		return false
-	}
-	_ = response.Body.Close()
-	return response.StatusCode == http.StatusOK
-}
-
 // awaitReady waits until all of some processes are ready.
 func (world *World) awaitReady(processes []*process) error {
 	deadline := time.Now().Add(startPatience)
 	for _, process := range processes {
-		for !process.ready() {
+		for !process.vm.TakesRequests() {
 			if time.Now().After(deadline) {
 				return errors.Errorf("%s is not ready", process.vm.Name)
 			}
