Turn nobody away once the strain is over

A round that began strained and found the strain gone refused all but one of those it had accepted. It now leaves them in the queue to be accepted as usual. Found by reading; not shown by a test.

--- a/io/beryledge/listener.go
+++ b/io/beryledge/listener.go
@@ -79,16 +79,20 @@
 	}
 }
 
-// round answers those whom the last round accepted to turn away, accepts who
-// came since, and returns the connection that is taken, if any.
+// round answers those whom the last round accepted to turn away. While the daemon
+// is strained it accepts who came since, and returns the one that is taken, if any.
 func (listener *pacedListener) round(now time.Time) (net.Conn, error) {
 	for _, descriptor := range listener.waiting {
 		listener.refuse(descriptor)
 	}
+	listener.waiting = nil
 	listener.tell(now)
+	if !listener.daemon.strain.high() {
+		return nil, nil
+	}
 	accepted, err := listener.acceptAll()
-	listener.waiting = accepted
-	if err != nil || len(accepted) == 0 || !listener.pace.admits(now, listener.daemon.strain.high()) {
+	if err != nil || len(accepted) == 0 || !listener.pace.admits(now) {
+		listener.waiting = accepted
 		return nil, err
 	}
 	listener.waiting = accepted[1:]
@@ -169,8 +173,8 @@
 }
 
 // admits says whether a connection that came now is taken.
-func (pace *acceptPace) admits(now time.Time, strained bool) bool {
-	if strained && now.Sub(pace.last) < pace.every {
+func (pace *acceptPace) admits(now time.Time) bool {
+	if now.Sub(pace.last) < pace.every {
 		return false
 	}
 	pace.last = now
