Tell all members only to daemons that believe something else

Cause: each daemon asks a peer for the whole membership every five seconds, about 60 bytes a member, so control grew with the fleet: heartbeats 295, 336, 537, 924 B/s a daemon at 9, 15, 30, 60 processes. Change: the question carries a digest of what is believed of the live daemons, and equal digests need no answer.

--- a/core/berylmember/open_test.go
+++ b/core/berylmember/open_test.go
@@ -29,6 +29,29 @@
 	require.Contains(t, seed.Live(), berylspoke.VMID("newcomer"))
 }
 
+// Pattern: 340 daemons ask one peer each five seconds for all it knows: 20 KB in
+// each answer, more than all other control traffic. Those that know the same must
+// not tell each other; one that missed the news of a stop, or of an incarnation,
+// must still hear of it.
+func TestOnlyTablesThatDifferAreTold(t *testing.T) {
+	now := time.Unix(0, 0)
+	one, other, third := openTable(now, "one", 1), openTable(now, "other", 1), openTable(now, "third", 1)
+	for range 2 {
+		for _, pair := range [][2]*Table{{one, other}, {one, third}, {other, one}, {third, one}, {other, third}, {third, other}} {
+			if reply := pair[0].Hear(now, pair[1].Sync()); reply != nil {
+				pair[1].Hear(now, *reply)
+			}
+		}
+	}
+	require.Nil(t, one.Hear(now, other.Sync()))
+	third.Leave(now)
+	one.Hear(now, third.Sync())
+	reply := one.Hear(now, other.Sync())
+	require.NotNil(t, reply)
+	other.Hear(now, *reply)
+	require.True(t, other.Member("third").Rumour.Leaving)
+}
+
 // The clock of a VM goes back by seconds and its daemon starts anew, so its
 // incarnation is lower than the one that its peers knew. Unless it is told, they
 // would take it for an old message and for dead for good.
--- a/core/berylmember/rumour.go
+++ b/core/berylmember/rumour.go
@@ -56,7 +56,10 @@
 	Self    Rumour
 	Number  berylspoke.EntryNumber
 	Serving bool
+	// Sync asks the receiver for all it knows, unless Digest, if set, shows that
+	// both know the same.
 	Sync    bool
+	Digest  uint64
 	Rumours []Rumour
 }
 
--- a/core/berylmember/table.go
+++ b/core/berylmember/table.go
@@ -3,9 +3,12 @@
 // This file defines the membership table of one daemon.
 
 import (
+	"fmt"
 	"sort"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"berylspoke"
 )
 
@@ -168,13 +171,30 @@
 	table.spread(table.self.VM.ID)
 }
 
-// Sync returns a heartbeat that asks its receiver for all it knows.
+// Sync returns a heartbeat that asks its receiver for all it knows if that differs
+// from what is known here.
 func (table *Table) Sync() Heartbeat {
 	beat := table.beat(nil)
-	beat.Sync = true
+	beat.Sync, beat.Digest = true, table.digest()
 	return beat
 }
 
+// digest returns a hash of what is believed of the live daemons. Two that believe
+// the same need not tell each other: in steady state that is nearly always so, and
+// all that is known grows with the fleet.
+func (table *Table) digest() uint64 {
+	var digest uint64
+	for id, member := range table.members {
+		rumour := member.Rumour
+		if rumour.Process.Incarnation == 0 || rumour.Status != Alive {
+			continue
+		}
+		// The order of the members must not matter.
+		digest ^= xxhash.Sum64String(fmt.Sprint(id, rumour.Process.Incarnation, rumour.Counter, rumour.Leaving))
+	}
+	return digest
+}
+
 // Links returns the VMs this daemon exchanges heartbeats with.
 func (table *Table) Links() []berylspoke.VMID {
 	seen := make(map[berylspoke.VMID]bool)
@@ -259,6 +279,9 @@
 	for _, rumour := range beat.Rumours {
 		table.accept(now, rumour)
 	}
+	if beat.Sync && beat.Digest != 0 && beat.Digest == table.digest() {
+		return nil
+	}
 	if beat.Sync {
 		reply := table.beat(table.rumours(len(table.members)))
 		return &reply
--- a/io/berylpeer/wire.go
+++ b/io/berylpeer/wire.go
@@ -55,13 +55,14 @@
 	Number  uint64
 	Serving bool
 	Sync    bool
+	Digest  uint64
 	Rumours []wireRumour
 }
 
 func (wire *wireHeartbeat) message(from berylspoke.VMID) berylspoke.Message {
 	beat := berylmember.Heartbeat{
 		Self: wire.Self.rumour(), Number: berylspoke.EntryNumber(wire.Number),
-		Serving: wire.Serving, Sync: wire.Sync,
+		Serving: wire.Serving, Sync: wire.Sync, Digest: wire.Digest,
 	}
 	beat.Self.Process.VM = from
 	for _, rumour := range wire.Rumours {
@@ -367,7 +368,7 @@
 	case berylmember.Heartbeat:
 		wire := &wireHeartbeat{
 			Self: rumourToWire(message.Self), Number: uint64(message.Number),
-			Serving: message.Serving, Sync: message.Sync,
+			Serving: message.Serving, Sync: message.Sync, Digest: message.Digest,
 		}
 		for _, rumour := range message.Rumours {
 			wire.Rumours = append(wire.Rumours, rumourToWire(rumour))
--- a/soak/control_test.go
+++ b/soak/control_test.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -14,11 +16,18 @@
 	"github.com/stretchr/testify/require"
 )
 
-// BenchmarkControl measures the bytes a second that a daemon of a fleet of thirty
-// sends to the others, by message, while callers are served.
+// BenchmarkControl measures the bytes a second that a daemon of fleets of several
+// sizes sends to the others, by message, while callers are served.
 func BenchmarkControl(b *testing.B) {
+	for _, vms := range []int{9, 15, 30, 60} {
+		b.Run(strconv.Itoa(vms), func(b *testing.B) { benchmarkControl(b, vms) })
+	}
+}
+
+func benchmarkControl(b *testing.B, vms int) {
 	const settle, measured = 5 * time.Second, 10 * time.Second
-	world, err := NewWorld(program, b.TempDir(), Size{VMs: 30, Engines: 30, Desks: 6, MemoryMB: 134, Rate: 200})
+	const rateEach = 4
+	world, err := NewWorld(program, b.TempDir(), Size{VMs: vms, Engines: vms, Desks: 6, MemoryMB: 134, Rate: rateEach * float64(vms)})
 	if world != nil {
 		defer world.Close()
 	}
@@ -35,10 +44,9 @@
 	seconds := time.Since(began).Seconds()
 	cancel()
 	sending.Wait()
-	for name, value := range after {
-		if strings.HasPrefix(name, "berylspoke_peer_") {
-			each := (value - before[name]) / seconds / float64(len(world.processes))
-			b.Logf("%-60s %8.0f B/s a daemon", name, each)
+	for _, name := range slices.Sorted(maps.Keys(after)) {
+		if each := (after[name] - before[name]) / seconds / float64(vms); strings.HasPrefix(name, "berylspoke_peer_") && each > 0 {
+			b.Logf("%2d daemons  %-60s %6.0f B/s a daemon", vms, name, each)
 		}
 	}
 }
