--- a/soak/faults.go
+++ b/soak/faults.go
@@ -104,8 +104,8 @@
 	return world.processes[step.pick%len(world.processes)]
 }
 
-// target returns one of the targets that are published, in the order of their
-// ids; one is always left of each service.
+// target returns the target that a step picks among those of the world, in the
+// order of their ids.
 func (world *World) target(step step) *target {
 	world.mutex.Lock()
 	defer world.mutex.Unlock()
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -53,17 +53,22 @@
 
 // Judge holds what callers and targets saw against the promises.
 type Judge struct {
-	mutex      sync.Mutex
-	began      time.Time
-	requests   map[string]*asked
-	left       map[string]time.Time
-	blind      time.Time
-	unplanned  bool
-	newest     declared
+	mutex    sync.Mutex
+	began    time.Time
+	requests map[string]*asked
+	// left is when targets said that they leave; until blind no process reaches
+	// the store.
+	left  map[string]time.Time
+	blind time.Time
+	// unplanned is set once something else than planned work is done.
+	unplanned bool
+	newest    declared
+	// seen is what each run of a process showed of the configuration.
 	seen       map[string]shown
 	violations []Violation
 	served     int
-	counts     map[string]int
+	// counts are the answers by status.
+	counts map[string]int
 }
 
 func newJudge() *Judge {
@@ -86,14 +91,15 @@
 	judge.violate("process runs on", "%s ended by itself: %v", vm, err)
 }
 
-// harming notes that unplanned faults begin; storeLost that the store was harmed
-// for all until then.
+// harming notes that unplanned faults begin.
 func (judge *Judge) harming() {
 	judge.mutex.Lock()
 	defer judge.mutex.Unlock()
 	judge.unplanned = true
 }
 
+// storeLost notes that no process reaches the store until some time, so that
+// nobody can hear of a leaving target.
 func (judge *Judge) storeLost(until time.Time) {
 	judge.mutex.Lock()
 	defer judge.mutex.Unlock()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -28,7 +28,7 @@
 )
 
 // Run plays the plan of a seed on a world, and says on out what it does.
-func Run(world *World, seed uint64, out io.Writer) (Result, error) {
+func Run(world *World, seed uint64, out io.Writer) Result {
 	random := rand.New(rand.NewPCG(seed, 0))
 	plan := newPlan(random, world.size)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -43,7 +43,7 @@
 	if recovered != nil {
 		result.Violations = append(result.Violations, Violation{time.Since(world.judge.began), "service returns", recovered.Error()})
 	}
-	return result, nil
+	return result
 }
 
 // play does the faults of a plan at their times and heals all that lasts.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -52,8 +52,7 @@
 	}
 	require.NoError(t, err)
 	var steps strings.Builder
-	result, err := Run(world, seed, &steps)
-	require.NoError(t, err)
+	result := Run(world, seed, &steps)
 	t.Logf("seed %d: %d requests, %d served, %v", seed, result.Requests, result.Served, result.Counts)
 	for _, violation := range result.Violations {
 		t.Errorf("seed %d: %s", seed, violation)
