--- a/core/berylgate/report.go
+++ b/core/berylgate/report.go
@@ -83,11 +83,9 @@
 		report.Loads = gate.newLoads(now, gate.reported)
 	} else {
 		report.Targets = gate.dispatches()
-	}
-	gate.reported = now
-	if !gate.sampled() {
 		report.Organisations = gate.newUsage(DaemonUsage, gate.ownUsage(now)).Organisations
 	}
+	gate.reported = now
 	return report
 }
 
