Capped organisations get nothing more; others beyond their level may use idle engines

From the trace, seconds 5 to 11: the organisation whose callers all come to one VM had 248 of 397 requests refused, as its limit was a third of the objective; the capped one, which five times its level was given, was let in 265 times at idle engines for which that limit does not count. It got three times as much.

Change: capped means nothing more, in small fleets too; whoever is beyond its level but not capped may use an idle engine that keeps its parts up to the limit of all; 1.7 in small fleets, whose sums are exact and fresh, 1.45 in large ones.

--- a/core/berylgate/choose.go
+++ b/core/berylgate/choose.go
@@ -61,27 +61,35 @@
 // allowance is how long a request may be expected to wait for its first byte.
 type allowance struct {
 	limit float64
+	// idleLimit is the limit at a target where nobody waits.
+	idleLimit float64
 	// times is how many times its max-min level the organisation was given.
 	times float64
 	// over says that the organisation is beyond its share. Its prompts leave
 	// their home only for a target where nobody waits: read elsewhere, they push
 	// out what others' prompts share. Capped organisations are so far ahead of
-	// another that waits that they get only what nobody else could use. In a
-	// large fleet, where one small VM may bound what the other one gets, they get
-	// nothing more (strict), or the gap would grow with the idle engines.
-	over, capped, strict bool
+	// another that waits that they get nothing more for now: what they got at idle
+	// engines widened the gap to three times.
+	over, capped bool
 }
 
 // admits says whether a candidate is good enough. A prompt so large that it
 // alone exceeds the limit would never be served; it is sent where nobody waits.
+// Whoever is over its share but not capped may use a target where nobody waits and
+// its parts are kept up to the limit of all: with the shorter one, the least served
+// of those beyond their level was refused at idle engines.
 func (allowance allowance) admits(option candidate) bool {
-	if allowance.capped {
-		return !allowance.strict && option.lacks == 0 && option.target.idle()
-	}
-	if option.expected <= allowance.limit {
-		return !allowance.over || option.lacks == 0 || option.target.idle()
+	idle := option.target.idle()
+	switch {
+	case allowance.capped:
+		return false
+	case option.expected <= allowance.limit:
+		return !allowance.over || option.lacks == 0 || idle
+	case allowance.over:
+		return idle && option.lacks == 0 && option.expected <= allowance.idleLimit
+	default:
+		return idle && option.alone > allowance.limit
 	}
-	return !allowance.over && option.alone > allowance.limit && option.target.idle()
 }
 
 // Decision is what becomes of a request.
@@ -148,8 +156,8 @@
 	}
 	times := gate.over(now, pool, request)
 	return allowance{
-		limit: gate.limit(now, request, times), times: times,
-		over: times > 1, capped: math.IsInf(times, 1), strict: gate.sampled(),
+		limit: gate.limit(now, request, times), idleLimit: gate.limit(now, request, 1), times: times,
+		over: times > 1, capped: math.IsInf(times, 1),
 	}
 }
 
--- a/core/berylgate/report.go
+++ b/core/berylgate/report.go
@@ -204,20 +204,28 @@
 	gate.shares.level, gate.shares.cap = math.Inf(1), math.Inf(1)
 	if gate.capacity > 0 {
 		gate.shares.level = waterLevel(asked, float64(gate.capacity)-gate.shares.rest)
-		gate.shares.cap = capOf(gate.shares.level, totals)
+		gate.shares.cap = capOf(gate.shares.level, gate.mostGap(), totals)
 	}
 }
 
-// capOf returns the most that an organisation beyond its level may get: mostGap
+// mostGap returns how far an organisation may be ahead of a backlogged one.
+func (gate *Gate) mostGap() float64 {
+	if gate.sampled() {
+		return sampledGap
+	}
+	return mostGap
+}
+
+// capOf returns the most that an organisation beyond its level may get: so many
 // times what the least served backlogged one gets.
-func capOf(level float64, totals map[uint32]total) float64 {
+func capOf(level, gap float64, totals map[uint32]total) float64 {
 	floor := math.Inf(1)
 	for _, total := range totals {
 		if total.given < squeezed*total.asked {
 			floor = math.Min(floor, total.given)
 		}
 	}
-	return math.Max(level, mostGap*floor)
+	return math.Max(level, gap*floor)
 }
 
 // total is what one organisation asked for and was given by all daemons.
--- a/core/berylgate/share.go
+++ b/core/berylgate/share.go
@@ -121,12 +121,12 @@
 	// as backlogged in the fleet.
 	squeezed = 0.6
 	// mostGap is how many times what the least served backlogged organisation
-	// gets another one beyond its level may get. The callers of one organisation
-	// may all come to one small VM, whose processor bounds what it gets; others
-	// must not run away from it for that. Users bear twice as much over six
-	// seconds; a flood gets a quarter more than its cap in them, as its first
-	// second passes before the sums show it, and a tenth is left for their error.
-	mostGap = 1.45
+	// gets another one beyond its level may get, sampledGap the same in a large
+	// fleet. The callers of one organisation may all come to one small VM, whose
+	// processor bounds what it gets; others must not run away from it for that.
+	// Users bear twice as much over six seconds. In a large fleet sums are a second
+	// old, and a flood gets a quarter more than its cap before they show it.
+	mostGap, sampledGap = 1.7, 1.45
 )
 
 func newShares() *shares {
