--- a/core/berylgate/gate_test.go
+++ b/core/berylgate/gate_test.go
@@ -339,6 +339,31 @@
 	}
 }
 
+// Pattern: two organisations are backlogged in a fleet of eight, both beyond the
+// level, one with three times what the other gets. The least served one was refused
+// at an idle engine for its limit of a third of the objective, and the other was let
+// in there. It must be the other way round.
+func TestIdleEnginesServeTheLeastServedFirst(t *testing.T) {
+	now := time.Unix(0, 0)
+	gate := newGate(now, 1, 1, false)
+	gate.SetDaemons(now, 8)
+	gate.capacity = 60_000
+	for organisation, given := range map[string]berylspoke.Tokens{"behind": 100_000, "ahead": 300_000} {
+		gate.shares.usage(hashOf(organisation)).asked.add(now, 4*given)
+		gate.shares.usage(hashOf(organisation)).given.add(now, given)
+	}
+	ask := func(organisation string) Decision {
+		request := newRequest(now, organisation, berylspoke.Part{ID: 1, Tokens: 100}, berylspoke.Part{ID: 2, Tokens: 6_000})
+		request.Objective = 250 * time.Millisecond
+		return gate.Submit(now, request)
+	}
+	require.NotNil(t, ask("ahead").Refusal)
+	behind := ask("behind")
+	require.Greater(t, behind.Over, 2.0, "beyond its level")
+	require.Greater(t, behind.Expected, behind.Limit, "too late for its own limit")
+	require.Nil(t, behind.Refusal)
+}
+
 // Pattern: 73 daemons, 30 organisations at each, 90 engines of which a daemon
 // hears some thirty a second. Passing on all that is known to eight links cost
 // each daemon above 20 KB a second, seven times what control may take. A report
