Break off a stream that goes on at a target which only says that it failed

Cause: a resumable draft whose engine crashed midway went on at another one, which answered 500. That answer was written into the begun stream, which then ended as if whole.

Change: an answer that is no stream cannot follow a begun one; the stream is broken off. The test fails before ("the stream seems whole").

--- a/io/beryledge/attempt.go
+++ b/io/beryledge/attempt.go
@@ -101,8 +101,7 @@
 		return false
 	}
 	if call.stream.begun {
-		call.daemon.meters.brokenOff.Inc()
-		panic(http.ErrAbortHandler)
+		call.breakOff()
 	}
 	call.answer(http.StatusBadGateway, berylspoke.ReasonTarget, 0)
 	return true
@@ -198,6 +197,13 @@
 	} else {
 		call.end(decision, berylgate.Succeeded, nil)
 	}
+	if call.stream.begun {
+		// The caller has the header and some events of a stream that was to go on
+		// here. This answer cannot follow them, and an end without an error would
+		// make the stream look whole.
+		call.log("stream broken off", zap.String("target", string(decision.Target.ID)), zap.Int("status", response.StatusCode))
+		call.breakOff()
+	}
 	call.daemon.meters.answered(call.route.Kind, time.Since(call.arrived))
 	call.copyHeader(response)
 	call.writer.WriteHeader(response.StatusCode)
--- a/io/beryledge/callers.go
+++ b/io/beryledge/callers.go
@@ -216,8 +216,7 @@
 	}
 	if call.stream.begun {
 		call.log("stream broken off", fields...)
-		call.daemon.meters.brokenOff.Inc()
-		panic(http.ErrAbortHandler)
+		call.breakOff()
 	}
 	status, wait := http.StatusServiceUnavailable, refusal.RetryAfter
 	if call.mayHaveRun {
@@ -234,8 +233,7 @@
 	}
 	call.log("time over", zap.Bool("mayHaveRun", call.mayHaveRun), zap.Bool("begun", call.stream.begun))
 	if call.stream.begun {
-		call.daemon.meters.brokenOff.Inc()
-		panic(http.ErrAbortHandler)
+		call.breakOff()
 	}
 	if call.mayHaveRun {
 		call.answer(http.StatusGatewayTimeout, berylspoke.ReasonWaitedTooLong, 0)
@@ -244,6 +242,12 @@
 	call.answer(http.StatusServiceUnavailable, berylspoke.ReasonWaitedTooLong, startingWait)
 }
 
+// breakOff ends a begun stream so that its caller sees that it is not whole.
+func (call *call) breakOff() {
+	call.daemon.meters.brokenOff.Inc()
+	panic(http.ErrAbortHandler)
+}
+
 // left ends a request whose caller is gone; there is nobody to answer.
 func (call *call) left() {
 	call.log("caller left", zap.Bool("mayHaveRun", call.mayHaveRun))
--- a/io/beryledge/daemon_test.go
+++ b/io/beryledge/daemon_test.go
@@ -120,6 +120,30 @@
 	require.Positive(t, failing.seen.Load(), "the test never met the failing engine")
 }
 
+// A draft stops midway as its engine crashes, and the engine at which it goes on
+// answers that it failed. The caller has a header and some events by then. The
+// failure's text must not be joined to them, nor the stream end as if it were whole:
+// the caller must see that it broke off.
+func TestStreamThatFailsAsItGoesOnIsBrokenOff(t *testing.T) {
+	crashing := newTestTarget(t, "e1", events(3))
+	failing := newTestTarget(t, "e2", func(writer http.ResponseWriter, request *http.Request) {
+		if request.Header.Get("X-Last") == "" {
+			events(3)(writer, request)
+			return
+		}
+		sealed(http.StatusInternalServerError, "failed")(writer, request)
+	})
+	daemon, _ := startServing(t, map[string]*testTarget{"engines#1": crashing, "engines#2": failing})
+	met := false
+	for i := range 6 {
+		_, text, err := ask(t, daemon, http.MethodPost, "/resume/x", fmt.Sprint("id-", i), "prompt")
+		require.Error(t, err, "the stream seems whole")
+		require.NotContains(t, text, "failed")
+		met = met || failing.seen.Load() > 0 && crashing.seen.Load() > 0
+	}
+	require.True(t, met, "the test never met both engines")
+}
+
 // All targets are full and say that they did not run the filing. So it is
 // refused truthfully, and the caller is told when to come back.
 func TestTurnedFilingIsRefusedTruthfully(t *testing.T) {
