Soak: a caller's own time limit is no cut; keep the seed that showed it

The logs of all its processes say that they did not run for 1 to 13 s at a time; the daemon passed both answers on whole after 5.2 and 5.5 s.

--- a/soak/judge_test.go
+++ b/soak/judge_test.go
@@ -1,6 +1,7 @@
 package berylsoak
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"testing"
@@ -55,6 +56,7 @@
 		"nobody asked":          {[]told{runOf("1", pathBook, "t-1")}, "only what was asked runs"},
 		"leaving target":        {[]told{leaves, askOf("1", pathBook), runOf("1", pathBook, "t-1")}, "a leaving target gets nothing new"},
 		"cut by planned work":   {[]told{askOf("1", pathBook), runOf("1", pathBook, "t-1"), answerOf("1", 0, false, "", cut)}, "planned work cuts nothing"},
+		"own time is up":        {[]told{askOf("1", pathBook), runOf("1", pathBook, "t-1"), answerOf("1", 0, false, "", context.DeadlineExceeded)}, ""},
 		"cut by a fault":        {[]told{harming, askOf("1", pathBook), runOf("1", pathBook, "t-1"), answerOf("1", 0, false, "", cut)}, ""},
 		"added route goes away": {[]told{askOf("1", pathAdded), answerOf("1", 200, true, "answer to 1", nil), askOf("2", pathAdded), answerOf("2", http.StatusNotFound, false, "", nil)}, "configuration never goes back"},
 		"key comes back": {[]told{
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -75,6 +75,21 @@
 	soak(t, 1, short)
 }
 
+// Seeds that failed once are played again, each with the cause of its failure.
+func TestKeptSeeds(t *testing.T) {
+	kept := []struct {
+		seed  uint64
+		size  Size
+		cause string
+	}{
+		{2210, Size{VMs: 9, Engines: 9, Desks: 3, MemoryMB: 134, Rate: 40, Seconds: 25},
+			"two drafts reached their callers' own time limit while no process ran for seconds; the judge took it for a cut"},
+	}
+	for _, one := range kept {
+		t.Run(strconv.FormatUint(one.seed, 10), func(t *testing.T) { soak(t, one.seed, one.size) })
+	}
+}
+
 // TestFreshSoak plays seeds that nobody played before; see -seeds.
 func TestFreshSoak(t *testing.T) {
 	size := Size{VMs: *vms, Engines: *vms, Desks: 3, MemoryMB: *memoryMB, Rate: *rate, Seconds: *seconds}
