--- a/core/berylgate/report.go
+++ b/core/berylgate/report.go
@@ -90,9 +90,9 @@
 }
 
 // newLoads returns what targets told this daemon itself after some time. What
-// others told is not passed on: eight peers' own word covers each target about
-// twice a second at the sizes that are planned, and passing on would multiply
-// the bytes by the number of links.
+// others told is not passed on: eight peers' own word should cover each target
+// about twice a second at the grown sites' rates (worked out, not measured), and
+// passing on would multiply the bytes by the number of links.
 func (gate *Gate) newLoads(now, after time.Time) []LoadReport {
 	var loads []LoadReport
 	for _, target := range gate.sorted {
