--- a/core/berylgate/gate.go
+++ b/core/berylgate/gate.go
@@ -79,28 +79,30 @@
 	sorted []*target
 	hashes map[uint32]*target
 	shares *shares
-	heavy  heavyUsages
 	peers  []*peer
+	// collected is what a large fleet sums up of organisations.
+	collected collected
 	// live are the daemons known to be alive, daemons the most that ever were.
 	live, daemons int
 	random        *rand.Rand
 	ticked        time.Time
-	// reported is when the last report was made, usageTold when the last one that
-	// told of organisations.
-	reported, usageTold time.Time
+	// reported is when the last report was made.
+	reported time.Time
+	// strained says that callers are turned away before what they ask is read.
+	strained bool
 }
 
 // New returns a gate that knows no targets.
 func New(options Options) *Gate {
 	return &Gate{
-		options:  options,
-		services: make(map[berylspoke.ServiceID]*pool),
-		targets:  make(map[berylspoke.TargetID]*target),
-		hashes:   make(map[uint32]*target),
-		shares:   newShares(),
-		heavy:    make(heavyUsages),
-		daemons:  leastDaemons,
-		random:   rand.New(rand.NewPCG(uint64(options.Incarnation), 0)),
+		options:   options,
+		services:  make(map[berylspoke.ServiceID]*pool),
+		targets:   make(map[berylspoke.TargetID]*target),
+		hashes:    make(map[uint32]*target),
+		shares:    newShares(),
+		collected: newCollected(),
+		daemons:   leastDaemons,
+		random:    rand.New(rand.NewPCG(uint64(options.Incarnation), 0)),
 	}
 }
 
@@ -206,6 +208,13 @@
 	}
 }
 
+// SetStrained tells whether this daemon turns callers away before it reads what
+// they ask for.
+func (gate *Gate) SetStrained(now time.Time, strained bool) {
+	gate.strained = strained
+	gate.shares.turnAway(now, strained)
+}
+
 // Sampled says whether the fleet is so large that reports need not be frequent.
 func (gate *Gate) Sampled() bool { return gate.sampled() }
 
--- a/core/berylgate/report.go
+++ b/core/berylgate/report.go
@@ -16,16 +16,6 @@
 	// reportStale is the age at which a peer's report no longer counts: its
 	// daemon is gone or out of reach.
 	reportStale = 2 * time.Second
-	// usageEvery is the time between two reports of organisations' usage in a large
-	// fleet. Rates are means over shareWindow, so more would say little; each costs
-	// some hundred bytes to each peer, half of all control traffic.
-	usageEvery = 800 * time.Millisecond
-	// usageStale is the age at which the usage that a peer told no longer counts:
-	// two reports were lost.
-	usageStale = 3*usageEvery + 200*time.Millisecond
-	// usageLeast is the part of the throughput below which a large fleet's daemons
-	// do not report what an organisation asks them for.
-	usageLeast = 0.0002
 	// rateLeast is the rate in tokens a second below which it is not reported.
 	rateLeast = 20.0
 )
@@ -43,8 +33,7 @@
 	// daemon would hear of a small part of what the others sent.
 	Targets []TargetReport
 	Loads   []LoadReport
-	// Organisations is empty in most reports of a large fleet, which says nothing
-	// new.
+	// Organisations is empty in a large fleet, which sums them up by Usage.
 	Organisations []OrganisationReport
 }
 
@@ -68,13 +57,10 @@
 	Age              time.Duration
 }
 
-// OrganisationReport is one daemon's usage by one organisation in tokens a
-// second, as it was some time ago. Origin is zero for the sender's own.
+// OrganisationReport is the usage by one organisation in tokens a second.
 type OrganisationReport struct {
-	Origin       uint32
 	Organisation uint32
 	Asked, Given uint32
-	Age          time.Duration
 }
 
 // PeerMessage implements berylspoke.Message.
@@ -88,9 +74,6 @@
 	report Report
 	at     time.Time
 	work   map[uint32]uint64
-	// usage is what the peer told last of organisations, and when.
-	usage   []OrganisationReport
-	usageAt time.Time
 }
 
 // Report returns this daemon's report.
@@ -102,9 +85,8 @@
 		report.Targets = gate.dispatches()
 	}
 	gate.reported = now
-	if !gate.sampled() || now.Sub(gate.usageTold) >= usageEvery {
-		report.Organisations = gate.usages(now, gate.usageTold)
-		gate.usageTold = now
+	if !gate.sampled() {
+		report.Organisations = gate.newUsage(DaemonUsage, gate.ownUsage(now)).Organisations
 	}
 	return report
 }
@@ -138,32 +120,6 @@
 	return reports
 }
 
-// usages returns what organisations ask this daemon for and are given, and in a
-// large fleet the heavy usage elsewhere that was learnt after some time.
-func (gate *Gate) usages(now, after time.Time) []OrganisationReport {
-	var reports []OrganisationReport
-	least := rateLeast
-	if gate.sampled() {
-		least = max(least, usageLeast*float64(gate.capacity))
-	}
-	for _, organisation := range slices.Sorted(maps.Keys(gate.shares.own)) {
-		usage := gate.shares.own[organisation]
-		asked, given := usage.asked.now(now), usage.given.now(now)
-		if asked < rateLeast {
-			delete(gate.shares.own, organisation)
-		}
-		if asked >= least {
-			reports = append(reports, OrganisationReport{
-				Organisation: organisation, Asked: uint32(asked), Given: uint32(given),
-			})
-		}
-	}
-	if gate.sampled() {
-		reports = append(reports, gate.heavy.newest(now, after)...)
-	}
-	return reports
-}
-
 // Heard takes a peer's report. The work that it sent since its last one is
 // added to the queues of the targets.
 func (gate *Gate) Heard(now time.Time, from berylspoke.VMID, report Report) {
@@ -184,11 +140,7 @@
 			target.tell(now, load{now.Add(-item.Age), item.Running, item.Waiting})
 		}
 	}
-	gate.heavy.learn(now, from, hashOf(string(gate.options.VM)), gate.heavyRate(), report.Organisations)
 	known.report, known.at = report, now
-	if len(report.Organisations) > 0 || !gate.sampled() {
-		known.usage, known.usageAt = report.Organisations, now
-	}
 	gate.sumOthers(now)
 }
 
@@ -213,16 +165,6 @@
 // the others.
 func (gate *Gate) sampled() bool { return gate.live-1 > FullMesh }
 
-// scale is how many daemons each heard one stands for in the rates of
-// organisations. Small fleets hear all, and one that is not heard is gone or
-// cut off.
-func (gate *Gate) scale() float64 {
-	if !gate.sampled() {
-		return 1
-	}
-	return math.Max(1, float64(gate.live-1)/math.Max(1, float64(len(gate.peers))))
-}
-
 // FullMesh is the number of peers up to which a daemon tells all of them what
 // it dispatched; in larger fleets it tells its links.
 const FullMesh = 12
@@ -263,7 +205,7 @@
 	}
 	gate.shares.level, gate.shares.cap = math.Inf(1), math.Inf(1)
 	if gate.capacity > 0 {
-		gate.shares.level = waterLevel(asked, float64(gate.capacity))
+		gate.shares.level = waterLevel(asked, float64(gate.capacity)-gate.shares.rest)
 		gate.shares.cap = capOf(gate.shares.level, totals)
 	}
 }
@@ -283,47 +225,28 @@
 // total is what one organisation asked for and was given by all daemons.
 type total struct{ asked, given float64 }
 
-func (sum total) plus(scale float64, item OrganisationReport) total {
-	return total{sum.asked + scale*float64(item.Asked), sum.given + scale*float64(item.Given)}
-}
-
-// heavyShare is the part of the throughput from which on one organisation at one
-// daemon is told on by all.
-const heavyShare = 0.04
-
-func (gate *Gate) heavyRate() float64 { return heavyShare * float64(gate.capacity) }
+func (sum total) plus(more total) total { return total{sum.asked + more.asked, sum.given + more.given} }
 
-// totals returns the usage of all organisations in the fleet. Where a daemon
-// hears only some of the others, what they say stands for the rest, but for
-// heavy usage at one daemon, which all are told of.
+// totals returns the usage of all organisations in the fleet.
 func (gate *Gate) totals(now time.Time) map[uint32]total {
-	others := make(map[uint32]total)
-	scale, heavy := gate.scale(), math.Inf(1)
+	gate.shares.others = gate.others(now)
+	totals := maps.Clone(gate.shares.others)
+	add(totals, gate.ownUsage(now))
+	return totals
+}
+
+// others returns the usage of organisations at the other daemons.
+func (gate *Gate) others(now time.Time) map[uint32]total {
 	if gate.sampled() {
-		heavy = gate.heavyRate()
+		return gate.sampledOthers(now)
 	}
+	others := make(map[uint32]total)
 	for _, peer := range gate.peers {
-		if now.Sub(peer.usageAt) > usageStale {
-			continue
-		}
-		for _, item := range peer.usage {
-			if item.Origin == 0 && float64(item.Asked) < heavy {
-				others[item.Organisation] = others[item.Organisation].plus(scale, item)
-			}
-		}
-	}
-	if gate.sampled() {
-		for _, item := range gate.heavy.newest(now, time.Time{}) {
-			others[item.Organisation] = others[item.Organisation].plus(1, item)
+		for _, item := range peer.report.Organisations {
+			others[item.Organisation] = others[item.Organisation].plus(total{float64(item.Asked), float64(item.Given)})
 		}
 	}
-	gate.shares.others = others
-	totals := maps.Clone(others)
-	for organisation, usage := range gate.shares.own {
-		sum := totals[organisation]
-		totals[organisation] = total{sum.asked + usage.asked.now(now), sum.given + usage.given.now(now)}
-	}
-	return totals
+	return others
 }
 
 // given returns what an organisation is given by all daemons in tokens a second.
--- a/core/berylgate/share.go
+++ b/core/berylgate/share.go
@@ -39,6 +39,41 @@
 // usage is what one organisation asked for and was given.
 type usage struct {
 	asked, given rate
+	// unseen says that the daemon turns callers away before it reads what they
+	// ask, and that most of them are this organisation's.
+	unseen bool
+}
+
+const (
+	// unseenFactor is how many times what it was given an organisation is taken to
+	// ask for at a daemon that turns its callers away unread. Any factor above
+	// 1/squeezed makes it count as backlogged, which it is.
+	unseenFactor = 3.0
+	// mostOf is the part of all that a daemon is asked for from which on one
+	// organisation is taken to be the one whose callers are turned away.
+	mostOf = 0.5
+)
+
+// demand returns the rate that the organisation asks for.
+func (usage *usage) demand(now time.Time) float64 {
+	asked := usage.asked.now(now)
+	if usage.unseen {
+		return max(asked, unseenFactor*usage.given.now(now))
+	}
+	return asked
+}
+
+// turnAway marks the organisation whose callers a strained daemon turns away. It
+// would otherwise seem to be served all that it asks for, and others would run
+// away from it.
+func (shares *shares) turnAway(now time.Time, strained bool) {
+	all := 0.0
+	for _, usage := range shares.own {
+		all += usage.asked.now(now)
+	}
+	for _, usage := range shares.own {
+		usage.unseen = strained && usage.asked.now(now) > mostOf*all
+	}
 }
 
 // shares holds the usage of all organisations at this daemon and the others.
@@ -46,6 +81,8 @@
 	own map[uint32]*usage
 	// others is what the other daemons have, as it was summed up last.
 	others map[uint32]total
+	// rest is what those ask that the fleet's sum does not name.
+	rest float64
 	// level is the max-min level, cap the most that anyone beyond it may get.
 	level, cap float64
 	levels     time.Time
--- a/io/beryledge/actor.go
+++ b/io/beryledge/actor.go
@@ -160,6 +160,7 @@
 			core.daemon.transport.Send(to, due.Beat)
 		}
 	}
+	core.gate.SetStrained(now, core.daemon.strain.high())
 	core.withdraw(now)
 	core.syncMembers(now)
 	core.gate.Tick(now)
@@ -171,6 +172,9 @@
 		core.reported = now
 		core.report(now)
 	}
+	if core.gate.Sampled() {
+		core.tellUsage(now)
+	}
 	if !core.regrace.IsZero() && !now.Before(core.regrace) {
 		core.refreshTargets(now)
 	}
@@ -230,6 +234,8 @@
 		core.gate.Heard(now, from, message)
 		core.fed(now, message.Contact)
 		core.compare(now, from, message.Feeds)
+	case berylgate.Usage:
+		core.gate.HeardUsage(now, from, message)
 	case berylfeed.Pull:
 		if message.Feed >= berylfeed.Count {
 			return
--- a/io/beryledge/meters.go
+++ b/io/beryledge/meters.go
@@ -65,7 +65,7 @@
 		meters.set.NewGauge(fmt.Sprintf("berylspoke_peer_bytes_sent_total{link=%q}", link),
 			traffic(func(traffic *berylpeer.Traffic) uint64 { return traffic.Sent[link].Load() }))
 	}
-	for _, message := range []string{"heartbeat", "report", "pull", "delta"} {
+	for _, message := range []string{"heartbeat", "report", "usage", "pull", "delta"} {
 		meters.set.NewGauge(fmt.Sprintf("berylspoke_peer_message_bytes_total{message=%q}", message),
 			traffic(func(traffic *berylpeer.Traffic) uint64 { return traffic.Kinds()[message].Bytes }))
 	}
--- a/io/berylpeer/codec.go
+++ b/io/berylpeer/codec.go
@@ -29,6 +29,7 @@
 	kindPull
 	kindDelta
 	kindReport
+	kindUsage
 	// kindsEnd is one beyond the last kind.
 	kindsEnd
 )
@@ -39,7 +40,7 @@
 	kindAsk: "ask", kindLease: "lease", kindReports: "reports", kindTotals: "totals",
 	kindPermitRequest: "permitRequest", kindPermitAnswer: "permitAnswer",
 	kindSettleRequest: "settleRequest", kindCloseRequest: "closeRequest", kindSettleAnswer: "settleAnswer",
-	kindPull: "pull", kindDelta: "delta", kindReport: "report",
+	kindPull: "pull", kindDelta: "delta", kindReport: "report", kindUsage: "usage",
 }
 
 // wireMessage is the wire form of one kind of message.
@@ -95,6 +96,7 @@
 	kindPull:          func() wireMessage { return new(wirePull) },
 	kindDelta:         func() wireMessage { return new(wireDelta) },
 	kindReport:        func() wireMessage { return new(wireDispatches) },
+	kindUsage:         func() wireMessage { return new(wireUsage) },
 }
 
 // encode returns the wire form of a message.
--- a/io/berylpeer/wire.go
+++ b/io/berylpeer/wire.go
@@ -387,6 +387,8 @@
 		return deltaToWire(message), kindDelta
 	case berylgate.Report:
 		return dispatchesToWire(message), kindReport
+	case berylgate.Usage:
+		return usageToWire(message), kindUsage
 	case berylslot.Ask:
 		return askToWire(message), kindAsk
 	case berylslot.Lease:
--- a/io/berylpeer/wirefeed.go
+++ b/io/berylpeer/wirefeed.go
@@ -83,10 +83,48 @@
 
 type wireOrganisationReport struct {
 	_            struct{} `cbor:",toarray"`
-	Origin       uint32
 	Organisation uint32
 	Asked, Given uint32
-	AgeMillis    uint32
+}
+
+func organisationsToWire(reports []berylgate.OrganisationReport) []wireOrganisationReport {
+	wire := make([]wireOrganisationReport, 0, len(reports))
+	for _, item := range reports {
+		wire = append(wire, wireOrganisationReport{Organisation: item.Organisation, Asked: item.Asked, Given: item.Given})
+	}
+	return wire
+}
+
+func organisationsFromWire(wire []wireOrganisationReport) []berylgate.OrganisationReport {
+	var reports []berylgate.OrganisationReport
+	for _, item := range wire {
+		reports = append(reports, berylgate.OrganisationReport{
+			Organisation: item.Organisation, Asked: item.Asked, Given: item.Given,
+		})
+	}
+	return reports
+}
+
+type wireUsage struct {
+	_             struct{} `cbor:",toarray"`
+	Extent        uint8
+	Domain        string
+	Organisations []wireOrganisationReport
+	Rest          uint32
+}
+
+func usageToWire(usage berylgate.Usage) *wireUsage {
+	return &wireUsage{
+		Extent: uint8(usage.Extent), Domain: string(usage.Domain),
+		Organisations: organisationsToWire(usage.Organisations), Rest: usage.Rest,
+	}
+}
+
+func (wire *wireUsage) message(berylspoke.VMID) berylspoke.Message {
+	return berylgate.Usage{
+		Extent: berylgate.Extent(wire.Extent), Domain: berylspoke.FailureDomain(wire.Domain),
+		Organisations: organisationsFromWire(wire.Organisations), Rest: wire.Rest,
+	}
 }
 
 type wireDispatches struct {
@@ -114,12 +152,7 @@
 			Target: item.Target, Running: item.Running, Waiting: item.Waiting, AgeMillis: uint32(item.Age.Milliseconds()),
 		})
 	}
-	for _, item := range report.Organisations {
-		wire.Organisations = append(wire.Organisations, wireOrganisationReport{
-			Origin: item.Origin, Organisation: item.Organisation, Asked: item.Asked, Given: item.Given,
-			AgeMillis: uint32(item.Age.Milliseconds()),
-		})
-	}
+	wire.Organisations = organisationsToWire(report.Organisations)
 	return wire
 }
 
@@ -139,11 +172,6 @@
 			Age: time.Duration(item.AgeMillis) * time.Millisecond,
 		})
 	}
-	for _, item := range wire.Organisations {
-		report.Organisations = append(report.Organisations, berylgate.OrganisationReport{
-			Origin: item.Origin, Organisation: item.Organisation, Asked: item.Asked, Given: item.Given,
-			Age: time.Duration(item.AgeMillis) * time.Millisecond,
-		})
-	}
+	report.Organisations = organisationsFromWire(wire.Organisations)
 	return report
 }
