Send nothing to a target that left while a connection was opened; tell the true age of the store's word

With all watchers cut off, the others asked the store after 3.2 s. - A request that was decided then waited up to 1.2 s for its connection, and was sent without another look. Ruled out: the gate choosing a leaving target (it never does), and pulls that get lost (asked for anew after 0.25 s). Change: the age is the true one, so a daemon asks the store itself 1.7 s after the last contact of any (2.5 s in a fleet where reports are passed on), and an attempt looks again once it has its connection. Both tests fail on the code before: 3.2 s instead of less than 2.5, and the request was sent.

--- a/io/beryledge/actor.go
+++ b/io/beryledge/actor.go
@@ -199,12 +199,27 @@
 
 // contactAge returns how long ago the store answered this daemon or one that it
 // heard of. It is passed on from daemon to daemon, so that a large fleet needs no
-// more watchers than a small one.
+// more watchers than a small one. It is the true age: watchers that told none while
+// their last answer was still recent hid a silent store from all others for as long
+// again, and these sent requests to targets that had left.
 func (core *core) contactAge(now time.Time) time.Duration {
-	if core.inContact(now) {
-		return 0
+	newest := time.Unix(0, core.daemon.fed.Load())
+	if own := core.ownContact(); own.After(newest) {
+		newest = own
 	}
-	return min(max(now.Sub(time.Unix(0, core.daemon.fed.Load())), 0), contactUnknown)
+	return min(max(now.Sub(newest), 0), contactUnknown)
+}
+
+// ownContact returns since when the store has answered this daemon on all feeds,
+// zero if it has not.
+func (core *core) ownContact() time.Time {
+	oldest := core.feeds[0].Contact()
+	for _, feed := range core.feeds[1:] {
+		if feed.Contact().Before(oldest) {
+			oldest = feed.Contact()
+		}
+	}
+	return oldest
 }
 
 // fed notes that a daemon was in contact with the store so long ago.
@@ -214,16 +229,6 @@
 	}
 }
 
-// inContact says whether the store answers this daemon on all feeds.
-func (core *core) inContact(now time.Time) bool {
-	for _, feed := range core.feeds {
-		if !feed.Up() || now.Sub(feed.Contact()) > contactFor {
-			return false
-		}
-	}
-	return true
-}
-
 func (core *core) deliver(now time.Time, from berylspoke.VMID, message berylspoke.Message) {
 	switch message := message.(type) {
 	case berylmember.Heartbeat:
--- a/io/beryledge/attempt.go
+++ b/io/beryledge/attempt.go
@@ -48,7 +48,7 @@
 	call.sent = time.Now()
 	exchange, err := call.daemon.pool.Send(ctx, berylconn.Order{
 		Address: target.Address, Most: decision.Connections, Request: call.outgoing(target),
-		Wanted: func() bool { return !callerLeft(call.in.Context()) }, Mine: call.mine,
+		Wanted: func() bool { return call.wanted(target) }, Mine: call.mine,
 	})
 	if err != nil {
 		return call.failed(decision, err)
@@ -68,6 +68,14 @@
 	return call.passWhole(decision, exchange, reply)
 }
 
+// wanted says whether a request is still to be sent once there is a connection for
+// it. Opening one takes over a second where packets are lost; meanwhile the caller
+// may have left, and the target may have said that it leaves: what reaches it later
+// than others knew is run by a target that is about to end.
+func (call *call) wanted(target berylspoke.Target) bool {
+	return (*call.daemon.taking.Load())[target.ID] && !callerLeft(call.in.Context())
+}
+
 // failed notes an attempt without an answer.
 func (call *call) failed(decision berylgate.Decision, err error) bool {
 	var failure *berylconn.Failure
@@ -75,7 +83,9 @@
 	switch {
 	case errors.Is(err, berylconn.ErrUnwanted):
 		call.end(decision, berylgate.Crowded, err)
-		call.left()
+		if callerLeft(call.in.Context()) {
+			call.left()
+		}
 	case errors.Is(err, berylconn.ErrBusy):
 		call.end(decision, berylgate.Crowded, err)
 	case call.ctx.Err() != nil:
--- a/io/beryledge/daemon.go
+++ b/io/beryledge/daemon.go
@@ -58,6 +58,8 @@
 	strain      strain
 	index       atomic.Pointer[berylcatalog.Index]
 	entries     atomic.Pointer[entries]
+	// taking are the targets that take new requests.
+	taking      atomic.Pointer[map[berylspoke.TargetID]bool]
 	ready       atomic.Bool
 	stopping    atomic.Bool
 	stopBegan   atomic.Int64
@@ -87,6 +89,7 @@
 	}
 	daemon.meters = newMeters(daemon)
 	daemon.entries.Store(new(entries))
+	daemon.taking.Store(new(map[berylspoke.TargetID]bool))
 	daemon.ctx, daemon.stop = context.WithCancel(context.Background())
 	daemon.startCore(now)
 	if err := daemon.open(endpoints(daemon)); err != nil {
--- a/io/beryledge/daemon_test.go
+++ b/io/beryledge/daemon_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -13,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"berylspoke"
+	"berylspoke/core/berylgate"
 )
 
 // A request passes to a target unchanged but for what only the fleet may say,
@@ -313,3 +315,27 @@
 	require.Equal(t, "done<nil>", <-answered)
 	<-stopped
 }
+
+// A caller's request is decided for an engine, and opening a connection to it takes
+// a second, as packets are lost. Meanwhile the engine leaves and this daemon hears of
+// it. The request reached the leaving engine, later than any other daemon would have
+// sent one. It goes to another engine instead, as nothing was sent.
+func TestRequestOnItsWayDoesNotReachATargetThatLeft(t *testing.T) {
+	leaving := newTestTarget(t, "d1", sealed(http.StatusOK, "left"))
+	daemon, store := startServing(t, map[string]*testTarget{"desk#1": leaving})
+	call := &call{
+		daemon: daemon, writer: httptest.NewRecorder(), ctx: context.Background(), arrived: time.Now(),
+		in:    httptest.NewRequest(http.MethodPost, "/file/x", nil),
+		route: &berylspoke.Route{Kind: berylspoke.NonIdempotent},
+		request: &berylgate.Request{
+			Service: "desk", Arrived: time.Now(), Objective: time.Minute, Deadline: time.Now().Add(time.Minute), Attempts: 1,
+		},
+	}
+	decision := call.decide()
+	require.Nil(t, decision.Refusal)
+	store.put("t/d1", "")
+	require.Eventually(t, func() bool { return len(*daemon.taking.Load()) == 0 }, 10*time.Second, 10*time.Millisecond)
+	require.False(t, call.attempt(decision), "the request may go on elsewhere")
+	require.False(t, call.mayHaveRun)
+	require.Zero(t, leaving.seen.Load())
+}
--- a/io/beryledge/follow.go
+++ b/io/beryledge/follow.go
@@ -22,15 +22,15 @@
 	// and the store's rate is shared, so the others hear from these. Three, so
 	// that a fault at one or two of them delays nothing.
 	watchers = 3
-	// contactFor is the age of the store's last answer up to which a daemon
-	// counts as in contact: one watch, and the time that a slow answer takes.
-	contactFor = watchFor + 600*time.Millisecond
+	// contactSlack is how much older than a watch and the reports on its way to
+	// this daemon the last contact may be: slow answers and late ticks.
+	contactSlack = 300 * time.Millisecond
 	// fedFor is how old the last contact of any daemon may be before one that is
-	// no watcher watches by itself: the reports of as many hops as the largest
-	// fleet has, and two lost ones.
-	fedFor = 1400 * time.Millisecond
-	// fedSampled is the same where reports are less frequent.
-	fedSampled = 2200 * time.Millisecond
+	// no watcher watches by itself: one watch, one report and a lost one.
+	fedFor = watchFor + 2*reportEvery + contactSlack
+	// fedSampled is the same where reports pass from daemon to daemon, over as many
+	// hops as the largest fleet has.
+	fedSampled = watchFor + 3*reportSampled + contactSlack
 	// peersFirst is how long a daemon that starts together with the whole fleet
 	// waits for peers to tell it what is published before it asks the store: the
 	// seeds ask at once, and the fleet hears of it within about a second. Without it
--- a/io/beryledge/follow_test.go
+++ b/io/beryledge/follow_test.go
@@ -28,3 +28,59 @@
 	require.True(t, other.mustWatch(feed, start.Add(peersFirst+time.Second)))
 	require.True(t, newcomer("other", false).mustWatch(feed, start))
 }
+
+// All watchers lose the store at one moment, and an engine says that it leaves at
+// the next. The other daemons reach the store, but went on asking nobody for three
+// seconds, as the watchers told them of a contact that was no longer there; callers'
+// requests reached the engine after it had gone. Each daemon asks the store itself
+// so early that an answer of half a second still tells it within three.
+func TestDaemonsAskTheStoreOnceItsWatchersLostIt(t *testing.T) {
+	const bound, answer = 3 * time.Second, 500 * time.Millisecond
+	start := time.Unix(1000, 0)
+	watcher, other := newUnstartedCore(start), newUnstartedCore(start)
+	for _, feed := range watcher.feeds {
+		feed.Answered(start)
+	}
+	other.daemon.known[berylfeed.Targets].Store(true)
+	now := start
+	other.fed(now, watcher.contactAge(now))
+	for !other.daemon.mustWatch(berylfeed.Targets, now) {
+		now = now.Add(reportEvery)
+		other.fed(now, watcher.contactAge(now))
+	}
+	require.Less(t, now.Sub(start), bound-answer)
+}
+
+// Pattern: the store is well, each watch waits for a second and ends without news,
+// and every third report is lost. The daemons that do not watch leave the store alone.
+func TestFedDaemonsLeaveTheStoreAlone(t *testing.T) {
+	start := time.Unix(1000, 0)
+	watcher, other := newUnstartedCore(start), newUnstartedCore(start)
+	other.daemon.known[berylfeed.Targets].Store(true)
+	other.fed(start, 0)
+	reports := 0
+	for now := start; now.Sub(start) < time.Minute; now = now.Add(tickEvery) {
+		for _, feed := range watcher.feeds {
+			if now.Sub(feed.Contact()) >= watchFor {
+				feed.Answered(now)
+			}
+		}
+		if now.Sub(start)%reportEvery == 0 {
+			if reports++; reports%3 != 0 {
+				other.fed(now, watcher.contactAge(now))
+			}
+		}
+		require.False(t, other.daemon.mustWatch(berylfeed.Targets, now))
+	}
+}
+
+// newUnstartedCore returns the core of a daemon that runs nothing by itself.
+func newUnstartedCore(now time.Time) *core {
+	daemon := &Daemon{settings: &Settings{}, started: now}
+	daemon.entries.Store(new(entries))
+	core := &core{daemon: daemon}
+	for name := range core.feeds {
+		core.feeds[name] = berylfeed.New()
+	}
+	return core
+}
--- a/io/beryledge/news.go
+++ b/io/beryledge/news.go
@@ -101,20 +101,21 @@
 	items, next := core.feeds[berylfeed.Targets].Items(now)
 	core.regrace = next
 	targets := make([]berylspoke.Target, 0, len(items))
-	leaving := 0
+	taking := make(map[berylspoke.TargetID]bool, len(items))
 	for _, item := range items {
 		target, err := core.daemon.dialect.Target(item)
 		if err != nil {
 			core.daemon.log.Debug("target ignored", cause(err))
 			continue
 		}
-		if target.Leaving {
-			leaving++
+		if !target.Leaving {
+			taking[target.ID] = true
 		}
 		targets = append(targets, target)
 	}
+	core.daemon.taking.Store(&taking)
 	core.gate.SetTargets(now, targets)
-	core.daemon.log.Info("targets changed", zap.Int("targets", len(targets)), zap.Int("leaving", leaving),
+	core.daemon.log.Info("targets changed", zap.Int("targets", len(targets)), zap.Int("leaving", len(targets)-len(taking)),
 		zap.Uint64("asOf", uint64(core.feeds[berylfeed.Targets].AsOf())))
 }
 
