Fetch shared parts from the engine that keeps them, instead of reading them again

Change: an attempt at an engine that lacks 64 shared tokens or more names a source: the nearest engine that this daemon sent the same parts to lately and that answers, else the home. The choice of the engine itself is as before; the work of reading and the weight against reading again still count. The homes' one-field type gave way to what is known of a prompt.

--- a/core/berylgate/choose.go
+++ b/core/berylgate/choose.go
@@ -6,8 +6,6 @@
 	"math"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"berylspoke"
 )
 
@@ -35,14 +33,6 @@
 	acrossPenalty = 4.0
 	// fullPenalty is the milliseconds that a target without a free slot costs.
 	fullPenalty = 400.0
-	// homesBeyond is the shared tokens from which on a prompt has one home in
-	// the fleet and not one in each region: reading them again costs more than
-	// the way to the other region.
-	homesBeyond berylspoke.Tokens = 1000
-	// homesAcross is the same for one home in a region and not in each failure
-	// domain. What a revision of 200 shared tokens and its answer of 4 KB cost
-	// between domains is more than the reading of the 200 tokens three times.
-	homesAcross berylspoke.Tokens = 300
 )
 
 // candidate is one target as a request sees it.
@@ -106,6 +96,9 @@
 	// Shared are the prompt's tokens that other prompts begin with too, Kept those
 	// of them that the target is believed to keep.
 	Shared, Kept berylspoke.Tokens
+	// Source is the target from which the engine fetches what it lacks of them, nil
+	// if nobody is believed to keep it.
+	Source *berylspoke.Target
 	// Running and Tokens are the requests and their memory believed to be there.
 	Running int
 	Tokens  berylspoke.Tokens
@@ -129,11 +122,12 @@
 		return refused(berylspoke.ReasonTarget, shortWait)
 	}
 	allowance := gate.allow(now, pool, request, again)
-	best, found := gate.best(now, pool, request, allowance)
+	prompt := gate.prompt(pool, request.Parts)
+	best, found := gate.best(now, pool, request, prompt, allowance)
 	if !found {
 		return refused(berylspoke.ReasonNoTarget, shortWait)
 	}
-	decision := gate.describe(request, best, allowance)
+	decision := gate.describe(best, prompt, allowance)
 	if !allowance.admits(best) {
 		decision.Refusal = gate.overloaded(best, allowance)
 		return decision
@@ -141,7 +135,10 @@
 	if again && !pool.budget.Spend(now, 1) {
 		return refused(berylspoke.ReasonOverload, shortWait)
 	}
-	gate.start(now, request, best)
+	if source := gate.source(now, pool, best.target, prompt); source != nil {
+		decision.Source = &source.Target
+	}
+	gate.start(now, request, best, prompt)
 	if pool.declared.Engine != nil && request.sends == 1 {
 		gate.shares.usage(hashOf(string(request.Organisation))).begin(now, tokensOf(request))
 	}
@@ -162,12 +159,12 @@
 }
 
 // describe returns the decision for a target with the inputs that led to it.
-func (gate *Gate) describe(request *Request, best candidate, allowance allowance) Decision {
+func (gate *Gate) describe(best candidate, prompt prompt, allowance allowance) Decision {
 	target := best.target
 	decision := Decision{
 		Target: target.Target, Connections: gate.connections(target),
 		Expected: duration(best.expected), Queue: target.backlog, Pace: target.pace,
-		Shared: sharedTokens(sharedParts(request.Parts)), Kept: best.kept,
+		Shared: prompt.total, Kept: best.kept,
 		Running: target.occupied(), Tokens: target.tokens + target.others.tokens,
 		Over: allowance.times,
 	}
@@ -247,15 +244,13 @@
 
 // best returns the target of the lowest cost among those that are expected to
 // answer within the limit, or the lowest of all if none is.
-func (gate *Gate) best(now time.Time, pool *pool, request *Request, allowance allowance) (candidate, bool) {
-	shared := sharedParts(request.Parts)
-	homes := gate.homes(pool, shared)
+func (gate *Gate) best(now time.Time, pool *pool, request *Request, prompt prompt, allowance allowance) (candidate, bool) {
 	var best, late, spare candidate
 	for _, target := range pool.targets {
 		if target.Leaving || request.tried[target.ID] {
 			continue
 		}
-		option := gate.weigh(now, target, request, shared, homes)
+		option := gate.weigh(now, target, request, prompt)
 		switch {
 		case !target.usable(now):
 			spare = cheaper(spare, option)
@@ -285,13 +280,12 @@
 }
 
 // weigh returns what a request costs at one target.
-func (gate *Gate) weigh(now time.Time, target *target, request *Request, shared []berylspoke.Part, homes homes) candidate {
-	total := sharedTokens(shared)
-	kept := total
-	if !homes.include(target) {
-		kept = target.cached(now, shared)
+func (gate *Gate) weigh(now time.Time, target *target, request *Request, prompt prompt) candidate {
+	kept := prompt.total
+	if target != prompt.home {
+		kept = target.cached(now, prompt.shared)
 	}
-	option := candidate{target: target, kept: kept, lacks: total - kept}
+	option := candidate{target: target, kept: kept, lacks: prompt.total - kept}
 	if target.engine != nil {
 		option.added = work(request.Input, kept)
 	}
@@ -311,77 +305,6 @@
 	return option
 }
 
-// homes are the targets that requests with the same shared parts prefer.
-type homes struct {
-	first *target
-}
-
-func (homes homes) include(target *target) bool { return target == homes.first }
-
-// homes returns the home of some shared parts: one in the fleet for long ones, one
-// in this region for shorter ones, one in this failure domain for the shortest.
-// Every daemon there picks the same from the list of targets, so a part is read
-// once without any message about it.
-func (gate *Gate) homes(pool *pool, shared []berylspoke.Part) homes {
-	var found [scopes]homes
-	if len(shared) == 0 {
-		return homes{}
-	}
-	last := shared[len(shared)-1].ID
-	var top [scopes]uint64
-	for _, target := range pool.targets {
-		if target.Leaving {
-			continue
-		}
-		score := mix(last, uint64(target.hash))
-		for scope := target.scope; scope < scopes; scope++ {
-			if found[scope].first == nil || score > top[scope] {
-				found[scope].first, top[scope] = target, score
-			}
-		}
-	}
-	for scope := scopeOf(sharedTokens(shared)); scope < scopes; scope++ {
-		if found[scope].first != nil {
-			return found[scope]
-		}
-	}
-	return homes{}
-}
-
-// scopeOf returns among which targets shared tokens have one home.
-func scopeOf(shared berylspoke.Tokens) scope {
-	switch {
-	case shared >= homesBeyond:
-		return acrossRegions
-	case shared >= homesAcross:
-		return acrossDomains
-	default:
-		return withinDomain
-	}
-}
-
-// mix hashes a part and a target for rendezvous hashing.
-func mix(part, target uint64) uint64 {
-	var key [16]byte
-	for i := range 8 {
-		key[i], key[8+i] = byte(part>>(8*i)), byte(target>>(8*i))
-	}
-	return xxhash.Sum64(key[:])
-}
-
-// sharedParts returns the parts that other prompts may begin with too.
-func sharedParts(parts []berylspoke.Part) []berylspoke.Part {
-	return parts[:max(len(parts)-1, 0)]
-}
-
-func sharedTokens(parts []berylspoke.Part) berylspoke.Tokens {
-	var total berylspoke.Tokens
-	for _, part := range parts {
-		total += part.Tokens
-	}
-	return total
-}
-
 const (
 	// shortWait is when a caller may come back after a refusal that says nothing
 	// of the load.
--- a/core/berylgate/gate.go
+++ b/core/berylgate/gate.go
@@ -160,7 +160,7 @@
 			kept = newTarget(now, item)
 		}
 		kept.Target = item
-		kept.scope = gate.scopeTo(item.FailureDomain)
+		kept.scope = gate.distance(gate.options.FailureDomain, item.FailureDomain)
 		if kept.way == 0 {
 			kept.way = nearWay
 			if kept.scope == acrossRegions {
@@ -173,12 +173,12 @@
 	gate.arrange()
 }
 
-// scopeTo says how far away a failure domain is.
-func (gate *Gate) scopeTo(domain berylspoke.FailureDomain) scope {
-	switch here := gate.options.FailureDomain; {
-	case domain == here:
+// distance says how far apart two failure domains are.
+func (gate *Gate) distance(one, other berylspoke.FailureDomain) scope {
+	switch {
+	case one == other:
 		return withinDomain
-	case gate.options.RegionOf[domain] == gate.options.RegionOf[here]:
+	case gate.options.RegionOf[one] == gate.options.RegionOf[other]:
 		return acrossDomains
 	default:
 		return acrossRegions
@@ -254,7 +254,7 @@
 }
 
 // start notes that a request goes to a target now.
-func (gate *Gate) start(now time.Time, request *Request, candidate candidate) {
+func (gate *Gate) start(now time.Time, request *Request, candidate candidate, prompt prompt) {
 	target := candidate.target
 	attempt := &attempt{
 		request: request, target: target, sent: now,
@@ -279,7 +279,7 @@
 	target.sentWork += attempt.added
 	const meanWeight = 0.05
 	target.meanAdded += meanWeight * (attempt.added - target.meanAdded)
-	target.hold(now, sharedParts(request.Parts))
+	target.hold(now, prompt.shared)
 }
 
 // Began notes the first byte of an answer.
--- a/core/berylgate/gate_test.go
+++ b/core/berylgate/gate_test.go
@@ -156,16 +156,16 @@
 	for _, shared := range []berylspoke.Tokens{200, 600, 5000} {
 		seen[shared] = make(map[berylspoke.FailureDomain]bool)
 		for subject := range uint64(40) {
-			home := gate.homes(gate.services[drafts], []berylspoke.Part{{ID: subject, Tokens: shared}})
-			seen[shared][home.first.FailureDomain] = true
+			home := gate.prompt(gate.services[drafts], []berylspoke.Part{{ID: subject, Tokens: shared}, {}}).home
+			seen[shared][home.FailureDomain] = true
 		}
 	}
 	require.Equal(t, map[berylspoke.FailureDomain]bool{"a": true}, seen[200])
 	require.Equal(t, map[berylspoke.FailureDomain]bool{"a": true, "b": true}, seen[600])
 	require.Len(t, seen[5000], 3)
 	gate.SetTargets(now, targets[1:2])
-	home := gate.homes(gate.services[drafts], []berylspoke.Part{{ID: 1, Tokens: 200}})
-	require.EqualValues(t, "t-1", home.first.ID, "without a target nearby the next one is taken")
+	home := gate.prompt(gate.services[drafts], []berylspoke.Part{{ID: 1, Tokens: 200}, {}}).home
+	require.EqualValues(t, "t-1", home.ID, "without a target nearby the next one is taken")
 }
 
 // An engine goes dark: it takes requests and says nothing. New requests must go
--- a/core/berylgate/target.go
+++ b/core/berylgate/target.go
@@ -268,8 +268,12 @@
 }
 
 // usable says whether a request may go there.
-func (target *target) usable(now time.Time) bool {
-	return !target.Leaving && !target.suspect && !now.Before(target.paused)
+func (target *target) usable(now time.Time) bool { return !target.Leaving && target.answers(now) }
+
+// answers says whether the target is believed to answer; one that leaves does for
+// a while.
+func (target *target) answers(now time.Time) bool {
+	return !target.suspect && !now.Before(target.paused)
 }
 
 // failed leaves the target alone for a while, longer with each failure in a row.
@@ -309,36 +313,3 @@
 		}
 	}
 }
-
-// holdFor is how long a part is believed to stay in an engine's memory after
-// its last use here; the least recently used yield, and at full load an engine
-// reads its whole memory in about eight seconds.
-const holdFor = 8 * time.Second
-
-// cached returns how much of a prompt the target is believed to keep.
-func (target *target) cached(now time.Time, parts []berylspoke.Part) berylspoke.Tokens {
-	var kept berylspoke.Tokens
-	for _, part := range parts {
-		if seen, known := target.held[part.ID]; !known || now.Sub(seen) > holdFor {
-			break
-		}
-		kept += part.Tokens
-	}
-	return kept
-}
-
-// hold remembers the shared parts of a prompt that was sent there.
-func (target *target) hold(now time.Time, parts []berylspoke.Part) {
-	for _, part := range parts {
-		target.held[part.ID] = now
-	}
-}
-
-// forget drops what the target no longer keeps.
-func (target *target) forget(now time.Time) {
-	for part, seen := range target.held {
-		if now.Sub(seen) > holdFor {
-			delete(target.held, part)
-		}
-	}
-}
--- a/dialect.go
+++ b/dialect.go
@@ -50,6 +50,9 @@
 	TimeLeft     time.Duration
 	Target       TargetID
 	Organisation OrganisationID
+	// Source is the address of the engine to fetch shared parts of the prompt from,
+	// empty for none.
+	Source string
 	// Resume is set when the stream goes on after event LastEvent.
 	Resume    bool
 	LastEvent int64
--- a/io/beryledge/attempt.go
+++ b/io/beryledge/attempt.go
@@ -47,7 +47,7 @@
 	call.firstByte = 0
 	call.sent = time.Now()
 	exchange, err := call.daemon.pool.Send(ctx, berylconn.Order{
-		Address: target.Address, Most: decision.Connections, Request: call.outgoing(target),
+		Address: target.Address, Most: decision.Connections, Request: call.outgoing(decision),
 		Wanted: func() bool { return call.wanted(target) }, Mine: call.mine,
 	})
 	if err != nil {
@@ -127,6 +127,9 @@
 		zap.Float64("queue", decision.Queue), zap.Float64("pace", decision.Pace),
 		zap.Int64("shared", int64(decision.Shared)), zap.Int64("kept", int64(decision.Kept)),
 	}
+	if decision.Source != nil {
+		fields = append(fields, zap.String("source", string(decision.Source.ID)))
+	}
 	if call.firstByte > 0 {
 		fields = append(fields, zap.Duration("firstByte", call.firstByte))
 	}
@@ -138,11 +141,15 @@
 
 // outgoing builds the request for a target. Path and query are those that the
 // caller sent, byte for byte.
-func (call *call) outgoing(target berylspoke.Target) *http.Request {
-	header := call.daemon.dialect.Onward(call.in.Header, berylspoke.Onward{
-		TimeLeft: time.Until(call.request.Deadline), Target: target.ID, Organisation: call.organisation,
+func (call *call) outgoing(decision berylgate.Decision) *http.Request {
+	onward := berylspoke.Onward{
+		TimeLeft: time.Until(call.request.Deadline), Target: decision.Target.ID, Organisation: call.organisation,
 		Resume: call.stream.begun, LastEvent: call.stream.last,
-	})
+	}
+	if decision.Source != nil {
+		onward.Source = decision.Source.Address
+	}
+	header := call.daemon.dialect.Onward(call.in.Header, onward)
 	if _, stated := header["User-Agent"]; !stated {
 		header["User-Agent"] = []string{""}
 	}
