Tell the others of a long prompt at once

Change: a dispatch of more than 40 ms of work is reported at the next tick. Attempts log the size of their prompt and the requests believed to run there.

--- a/core/berylgate/gate.go
+++ b/core/berylgate/gate.go
@@ -86,8 +86,10 @@
 	live, daemons int
 	random        *rand.Rand
 	ticked        time.Time
-	// reported is when the last report was made.
+	// reported is when the last report was made, urgent whether a dispatch since then
+	// must not wait for the next one.
 	reported time.Time
+	urgent   bool
 	// strained says that callers are turned away before what they ask is read.
 	strained bool
 }
@@ -277,6 +279,7 @@
 	target.backlog += attempt.added
 	target.pending += attempt.added
 	target.sentWork += attempt.added
+	gate.urgent = gate.urgent || attempt.added > urgentWork
 	const meanWeight = 0.05
 	target.meanAdded += meanWeight * (attempt.added - target.meanAdded)
 	target.hold(now, prompt.shared)
--- a/core/berylgate/gate_test.go
+++ b/core/berylgate/gate_test.go
@@ -198,6 +198,27 @@
 	require.Zero(t, target.backlog)
 }
 
+// Pattern: one prompt in ten has 20,000 tokens and more, which take their engine for
+// a fifth of a second. Until the next report, up to 0.2 s later, other daemons saw an
+// idle engine and sent their short requests behind it, which missed their objective
+// of 0.4 s. Such a dispatch is told at once, and the next request goes elsewhere.
+func TestLongPromptsAreToldAtOnce(t *testing.T) {
+	now := time.Unix(0, 0)
+	gate, peer := newGate(now, 1, 3, false), newGate(now, 2, 3, false)
+	tell := func() { peer.Heard(now, "vm-1", gate.Report(now)) }
+	subject := berylspoke.Part{ID: 7, Tokens: 500}
+	short := func() *Request { return newRequest(now, "o", subject, berylspoke.Part{ID: 1, Tokens: 600}) }
+	home := gate.Submit(now, short()).Target.ID
+	require.False(t, gate.Urgent(), "short prompts wait for the report that is due")
+	tell()
+	require.Equal(t, home, gate.Submit(now, newRequest(now, "o", subject, berylspoke.Part{ID: 2, Tokens: 40_000})).Target.ID)
+	require.True(t, gate.Urgent())
+	require.Equal(t, home, peer.Submit(now, short()).Target.ID)
+	tell()
+	require.False(t, gate.Urgent())
+	require.NotEqual(t, home, peer.Submit(now, short()).Target.ID)
+}
+
 // usageFleet is a fleet of gates in failure domains, the first of each domain its
 // collector, between which usage is told as the edge tells it.
 type usageFleet struct{ gates []*Gate }
--- a/core/berylgate/report.go
+++ b/core/berylgate/report.go
@@ -16,6 +16,10 @@
 	// reportStale is the age at which a peer's report no longer counts: its
 	// daemon is gone or out of reach.
 	reportStale = 2 * time.Second
+	// urgentWork is the work in milliseconds of a dispatch that is reported at once.
+	// Whoever is sent behind such a prompt by a daemon that does not know of it waits
+	// so much longer than expected, which is the whole objective of short requests.
+	urgentWork = 40.0
 	// rateLeast is the rate in tokens a second below which it is not reported.
 	rateLeast = 20.0
 )
@@ -85,10 +89,14 @@
 		report.Targets = gate.dispatches()
 		report.Organisations = gate.newUsage(DaemonUsage, gate.ownUsage(now)).Organisations
 	}
-	gate.reported = now
+	gate.reported, gate.urgent = now, false
 	return report
 }
 
+// Urgent says whether a report should not wait until it is due. In a large fleet
+// only the targets themselves tell of what others sent.
+func (gate *Gate) Urgent() bool { return gate.urgent && !gate.sampled() }
+
 // newLoads returns what targets told this daemon itself after some time. What
 // others told is not passed on: eight peers' own word should cover each target
 // about twice a second at the grown sites' rates (worked out, not measured), and
--- a/io/beryledge/actor.go
+++ b/io/beryledge/actor.go
@@ -168,7 +168,7 @@
 	if core.gate.Sampled() {
 		every = reportSampled
 	}
-	if now.Sub(core.reported) >= every {
+	if now.Sub(core.reported) >= every || core.gate.Urgent() {
 		core.reported = now
 		core.report(now)
 	}
--- a/io/beryledge/attempt.go
+++ b/io/beryledge/attempt.go
@@ -125,7 +125,9 @@
 		zap.String("target", string(decision.Target.ID)), zap.Stringer("outcome", outcome),
 		zap.Duration("expected", decision.Expected), zap.Float64("over", decision.Over),
 		zap.Float64("queue", decision.Queue), zap.Float64("pace", decision.Pace),
+		zap.Int64("input", int64(call.ask.Input)), zap.Int64("output", int64(call.request.Output)),
 		zap.Int64("shared", int64(decision.Shared)), zap.Int64("kept", int64(decision.Kept)),
+		zap.Int("running", decision.Running),
 	}
 	if decision.Source != nil {
 		fields = append(fields, zap.String("source", string(decision.Source.ID)))
