Count what a peer has pending when it is first heard of

The first report of a peer was taken for old news, so each daemon believed the engines idle for up to 0.4 s. Change: a first report adds the work whose requests have not begun. The test fails on the code before.

--- a/core/berylgate/gate_test.go
+++ b/core/berylgate/gate_test.go
@@ -219,6 +219,21 @@
 	require.NotEqual(t, home, peer.Submit(now, short()).Target.ID)
 }
 
+// Pattern: all daemons lose power and are back a second later, when their callers
+// come all at once. Each took the engines for idle until the second reports of the
+// others, and sent so much that first tokens took a second and more.
+func TestFirstReportsTellWhatIsPending(t *testing.T) {
+	now := time.Unix(0, 0)
+	gate, peer := newGate(now, 1, 1, false), newGate(now, 2, 1, false)
+	for part := range uint64(6) {
+		gate.Submit(now, newRequest(now, "o", berylspoke.Part{ID: part, Tokens: 6_000}))
+	}
+	peer.Heard(now, "vm-1", gate.Report(now))
+	require.InDelta(t, gate.sorted[0].backlog, peer.sorted[0].backlog, 1)
+	peer.Heard(now, "vm-1", gate.Report(now))
+	require.InDelta(t, gate.sorted[0].backlog, peer.sorted[0].backlog, 1, "the same work counts once")
+}
+
 // usageFleet is a fleet of gates in failure domains, the first of each domain its
 // collector, between which usage is told as the edge tells it.
 type usageFleet struct{ gates []*Gate }
--- a/core/berylgate/report.go
+++ b/core/berylgate/report.go
@@ -127,15 +127,19 @@
 }
 
 // Heard takes a peer's report. The work that it sent since its last one is
-// added to the queues of the targets.
+// added to the queues of the targets. Of a peer that was not heard of before, it is
+// what has not begun yet: after a restart of the whole fleet all first reports tell
+// of a flood, and daemons that took them for old news sent theirs on top.
 func (gate *Gate) Heard(now time.Time, from berylspoke.VMID, report Report) {
 	known := gate.peer(from, report.Incarnation)
 	for _, item := range report.Targets {
 		target := gate.hashes[item.Target]
-		before, seen := known.work[item.Target]
+		sent := float64(item.Pending)
+		if before, seen := known.work[item.Target]; seen {
+			sent = float64(item.Work) - float64(before)
+		}
 		known.work[item.Target] = item.Work
-		if target != nil && seen && item.Work > before {
-			sent := float64(item.Work - before)
+		if target != nil && sent > 0 {
 			target.drain(now)
 			target.backlog += sent
 			target.reported += sent
