Homes fetch from the home of the wider scope; few tokens are not fetched across regions

Hypotheses: homes of short parts, and new homes, read what the home of the region or the fleet keeps; and fetching across regions costs more than it saves. Change: without a word of where the parts are, a home names the home of the wider scope; from another region only 2,000 tokens and more are fetched.

--- a/core/berylgate/parts.go
+++ b/core/berylgate/parts.go
@@ -21,8 +21,10 @@
 	// between domains is more than the reading of the 200 tokens three times.
 	homesAcross berylspoke.Tokens = 300
 	// fetchLeast is the shared tokens that a target lacks from which on it fetches
-	// them: setting up a transfer takes about as long as reading so many.
+	// them: setting up a transfer takes about as long as reading so many. fetchFar is
+	// the same for a source in another region, whose answer takes a round trip.
 	fetchLeast berylspoke.Tokens = 64
+	fetchFar   berylspoke.Tokens = 2000
 )
 
 // prompt is what of a request's prompt other prompts begin with too.
@@ -30,8 +32,9 @@
 	shared []berylspoke.Part
 	total  berylspoke.Tokens
 	// home is the target that requests with the same shared parts prefer, nil if
-	// there is none.
-	home *target
+	// there is none, and homes the ones of each scope.
+	home  *target
+	homes [scopes]*target
 }
 
 func (gate *Gate) prompt(pool *pool, parts []berylspoke.Part) prompt {
@@ -40,17 +43,20 @@
 	for _, part := range shared {
 		prompt.total += part.Tokens
 	}
-	if len(shared) > 0 {
-		prompt.home = pool.home(shared[len(shared)-1].ID, scopeOf(prompt.total))
+	if len(shared) == 0 {
+		return prompt
+	}
+	prompt.homes = pool.homes(shared[len(shared)-1].ID)
+	for scope := scopeOf(prompt.total); scope < scopes && prompt.home == nil; scope++ {
+		prompt.home = prompt.homes[scope]
 	}
 	return prompt
 }
 
-// home returns the home of a shared part: one in the fleet for long ones, one in
-// this region for shorter ones, one in this failure domain for the shortest. Every
-// daemon there picks the same from the list of targets, so a part is read once
-// without any message about it.
-func (pool *pool) home(part uint64, within scope) *target {
+// homes returns the homes of a shared part: in this failure domain, in this region
+// and in the fleet, nil where a scope has no target. Every daemon there picks the
+// same from the list of targets, so a part is read once without any message about it.
+func (pool *pool) homes(part uint64) [scopes]*target {
 	var found [scopes]*target
 	var top [scopes]uint64
 	for _, target := range pool.targets {
@@ -64,43 +70,50 @@
 			}
 		}
 	}
-	for scope := within; scope < scopes; scope++ {
-		if found[scope] != nil {
-			return found[scope]
-		}
-	}
-	return nil
+	return found
 }
 
 // source returns the target from which another one fetches the shared parts that
 // it lacks, nil if nobody is believed to keep them. A token's memory crosses the
 // engines' network in a tenth of the time that reading it takes, and the target
-// reads what the source turns out to lack. One that this daemon sent the same parts
-// to goes before the home, which others may have sent them to, and a near one
-// before a far one.
+// reads what the source turns out to lack. The nearest that this daemon sent the
+// same parts to goes before the homes, where others may have sent them; a home
+// fetches from the home of the wider scope, so a new one need not read all it
+// becomes the home of.
 func (gate *Gate) source(now time.Time, pool *pool, to *target, prompt prompt) *target {
-	if prompt.total-to.cached(now, prompt.shared) < fetchLeast {
-		return nil
-	}
-	var found *target
-	if home := prompt.home; home != nil && home != to && home.answers(now) {
-		found = home
-	}
-	sent := false
+	lacks := prompt.total - to.cached(now, prompt.shared)
+	var sent *target
 	for _, target := range pool.targets {
-		if target == to || !target.answers(now) || target.cached(now, prompt.shared) < prompt.total {
+		if target.cached(now, prompt.shared) < prompt.total || !gate.worthFetching(now, to, target, lacks) {
 			continue
 		}
-		if !sent || gate.nearer(to, target, found) {
-			found, sent = target, true
+		if sent == nil || gate.distanceOf(to, target) < gate.distanceOf(to, sent) {
+			sent = target
 		}
 	}
-	return found
+	if sent != nil {
+		return sent
+	}
+	for scope := scopeOf(prompt.total); scope < scopes; scope++ {
+		if home := prompt.homes[scope]; home != nil && gate.worthFetching(now, to, home, lacks) {
+			return home
+		}
+	}
+	return nil
+}
+
+// worthFetching says whether fetching tokens from another target costs less than
+// reading them.
+func (gate *Gate) worthFetching(now time.Time, to, from *target, tokens berylspoke.Tokens) bool {
+	least := fetchLeast
+	if gate.distanceOf(to, from) == acrossRegions {
+		least = fetchFar
+	}
+	return from != to && tokens >= least && from.answers(now)
 }
 
-// nearer says whether one target stands nearer to another than a third one does.
-func (gate *Gate) nearer(to, one, other *target) bool {
-	return gate.distance(to.FailureDomain, one.FailureDomain) < gate.distance(to.FailureDomain, other.FailureDomain)
+func (gate *Gate) distanceOf(one, other *target) scope {
+	return gate.distance(one.FailureDomain, other.FailureDomain)
 }
 
 // scopeOf returns among which targets shared tokens have one home.
