Let refused callers come back while they can still be answered in time

Cause: whoever was refused for its organisation's share was told to stay away for 1.8 to 3.6 s, beyond every objective, and callers come back once.

--- a/core/berylgate/choose.go
+++ b/core/berylgate/choose.go
@@ -89,7 +89,7 @@
 	decision := gate.describe(best, prompt, allowance)
 	decision.Share = gate.share(now, request)
 	if !allowance.admits(best) {
-		decision.Refusal = gate.overloaded(best, allowance)
+		decision.Refusal = gate.overloaded(request, best, allowance)
 		return decision
 	}
 	if again && !pool.budget.Spend(now, 1) {
