Count all whose callers a short VM turns away, not only the largest

Its callers and those of a second organisation come to the same VM of 0.19 cores; callers turned away counted only for an organisation with more than half of the requests there, so for the other one or for none. Change: callers turned away count for each organisation by its part of the requests that are read, and each with 0.15 of them or more counts as held back. The test fails on the code before.

--- a/core/berylgate/share.go
+++ b/core/berylgate/share.go
@@ -77,9 +77,9 @@
 const (
 	// meanWeight is the part of one request in an organisation's mean request.
 	meanWeight = 0.05
-	// mostOf is the part of all that a daemon is asked for from which on one
-	// organisation is taken to be the one whose callers are turned away.
-	mostOf = 0.5
+	// someOf is the part of a daemon's requests from which on an organisation counts
+	// as held back when callers are turned away.
+	someOf = 0.15
 	// shortFor is how long an organisation counts as held back after callers of it
 	// were turned away: until two reports have told the fleet.
 	shortFor = 2 * usageEvery
@@ -94,21 +94,34 @@
 	usage.mean += meanWeight * (float64(tokens) - usage.mean)
 }
 
-// turnedAway counts callers that were turned away unread for the organisation that
-// asks for most here. It would otherwise seem to be served all that it asks for, and
-// others would run away from it.
+// turnedAway counts callers that were turned away unread: as many of each
+// organisation as it has of the requests that are read here. It would otherwise seem
+// to be served all that it asks for, and others would run away from it. One with few
+// requests here is not held back by this VM, as its callers come to others too.
 func (shares *shares) turnedAway(now time.Time, callers int) {
-	all := 0.0
+	requests := 0.0
 	for _, usage := range shares.own {
-		all += usage.asked.now(now)
+		requests += usage.requests(now)
+	}
+	if requests == 0 {
+		return
 	}
 	for _, usage := range shares.own {
-		if usage.asked.now(now) > mostOf*all {
-			usage.asked.add(now, berylspoke.Tokens(float64(callers)*usage.mean))
-			usage.short = now.Add(shortFor)
-			return
+		part := usage.requests(now) / requests
+		if part < someOf {
+			continue
 		}
+		usage.asked.add(now, berylspoke.Tokens(part*float64(callers)*usage.mean))
+		usage.short = now.Add(shortFor)
+	}
+}
+
+// requests returns the rate of requests, each of the mean size.
+func (usage *usage) requests(now time.Time) float64 {
+	if usage.mean == 0 {
+		return 0
 	}
+	return usage.asked.now(now) / usage.mean
 }
 
 // shares holds the usage of all organisations at this daemon and the others.
--- a/core/berylgate/usage_test.go
+++ b/core/berylgate/usage_test.go
@@ -122,6 +122,25 @@
 	require.InEpsilon(t, 500_000/shareWindow.Seconds(), seen.totals(now)[pinned].asked, 0.01, "what was turned away was asked for")
 }
 
+// Pattern: the callers of two organisations come to the same small VM, neither with
+// most of its requests. Both are held back by it; counted for the larger one only, or
+// for none, the other got less than half of what others got at all other VMs.
+func TestAllWhoseCallersAreTurnedAwayCount(t *testing.T) {
+	now := time.Unix(0, 0)
+	shares := newShares()
+	for organisation, requests := range map[uint32]int{1: 45, 2: 35, 3: 15, 4: 5} {
+		for range requests {
+			shares.usage(organisation).ask(now, 2_000)
+		}
+	}
+	shares.turnedAway(now, 1_000)
+	require.InEpsilon(t, (45+450)*2_000/shareWindow.Seconds(), shares.usage(1).asked.now(now), 0.01)
+	require.InEpsilon(t, (35+350)*2_000/shareWindow.Seconds(), shares.usage(2).asked.now(now), 0.01)
+	require.True(t, now.Before(shares.usage(1).short))
+	require.True(t, now.Before(shares.usage(2).short))
+	require.False(t, now.Before(shares.usage(4).short), "its callers come to other VMs too")
+}
+
 // capSeen returns the cap that a gate goes by now.
 func capSeen(now time.Time, gate *Gate) float64 {
 	gate.shares.levels = time.Time{}
