--- a/core/berylgate/choose.go
+++ b/core/berylgate/choose.go
@@ -106,6 +106,15 @@
 	// how far its organisation is beyond its share.
 	Limit time.Duration
 	Over  float64
+	// Share is what that was judged by.
+	Share Share
+}
+
+// Share is what an organisation asks for and is given in the fleet, in tokens a
+// second, and how much it may get: its max-min level, and the cap beyond which
+// nothing more is sent for it.
+type Share struct {
+	Asked, Given, Level, Cap float64
 }
 
 // Submit decides on a request that is new or whose last attempt ended.
@@ -128,6 +137,7 @@
 		return refused(berylspoke.ReasonNoTarget, shortWait)
 	}
 	decision := gate.describe(best, prompt, allowance)
+	decision.Share = gate.share(now, request)
 	if !allowance.admits(best) {
 		decision.Refusal = gate.overloaded(best, allowance)
 		return decision
@@ -211,6 +221,15 @@
 	return max(1, given/gate.shares.level)
 }
 
+// share returns what a request's organisation is judged by.
+func (gate *Gate) share(now time.Time, request *Request) Share {
+	organisation := hashOf(string(request.Organisation))
+	return Share{
+		Asked: gate.shares.usage(organisation).asked.now(now) + gate.shares.others[organisation].asked,
+		Given: gate.given(now, organisation), Level: gate.shares.level, Cap: gate.shares.cap,
+	}
+}
+
 // capGuard is how many times its cap an organisation may have been given before
 // all that it asks is refused. Thinning holds it near the cap by itself; this is
 // for the second until the sums show that it began to flood.
--- a/io/beryledge/callers.go
+++ b/io/beryledge/callers.go
@@ -213,6 +213,9 @@
 		zap.Duration("limit", decision.Limit), zap.Float64("over", decision.Over),
 		zap.Float64("queue", decision.Queue), zap.Float64("pace", decision.Pace),
 		zap.Int("running", decision.Running), zap.Int64("tokens", int64(decision.Tokens)),
+		zap.Int64("input", int64(call.ask.Input)), zap.Int64("output", int64(call.request.Output)),
+		zap.Float64("asked", decision.Share.Asked), zap.Float64("given", decision.Share.Given),
+		zap.Float64("level", decision.Share.Level), zap.Float64("cap", decision.Share.Cap),
 	}
 	if call.stream.begun {
 		call.log("stream broken off", fields...)
