--- a/io/beryledge/listener.go
+++ b/io/beryledge/listener.go
@@ -12,8 +12,9 @@
 	"syscall"
 	"time"
 
-	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
+
+	"berylspoke"
 )
 
 const (
@@ -36,8 +37,6 @@
 	// roundMost bounds the connections that one round accepts: the queue of the
 	// socket keeps the others.
 	roundMost = 128
-	// toldEvery is the time between two log lines on callers turned away.
-	toldEvery = time.Second
 )
 
 // pacedListener takes few connections while the daemon is strained and turns the
@@ -55,9 +54,6 @@
 	// waiting are the descriptors that the last round accepted to turn away.
 	waiting []int
 	buffer  []byte
-	// turned counts the connections turned away since told.
-	turned int
-	told   time.Time
 }
 
 // Accept implements net.Listener.
@@ -89,7 +85,7 @@
 	for _, descriptor := range listener.waiting {
 		listener.refuse(descriptor)
 	}
-	listener.tell(now)
+	listener.daemon.tellTurnaways(now)
 	accepted, err := listener.acceptAll()
 	listener.waiting = accepted
 	if err != nil || len(accepted) == 0 || !listener.pace.admits(now, listener.daemon.strain.high()) {
@@ -135,30 +131,33 @@
 // refuse answers a request that was not looked at, and closes its connection. One
 // that has not come yet is reset as it comes, which says the same to its caller.
 func (listener *pacedListener) refuse(descriptor int) {
-	listener.turned++
 	listener.daemon.meters.shed.Inc()
+	organisation := berylspoke.OrganisationID("")
 	if read, err := unix.Read(descriptor, listener.buffer); err == nil && read > 0 {
+		organisation = listener.daemon.glance(listener.buffer[:read])
 		wait := turnedWait.Seconds() * (1 + rand.Float64())
 		answer := append(listener.buffer[:0], turnedAnswer...)
 		answer = strconv.AppendFloat(answer, wait, 'f', 2, 64)
 		// A caller that has left needs no answer.
 		_, _ = unix.Write(descriptor, append(answer, "\r\n\r\n"...))
 	}
+	listener.daemon.meters.turnaways.count(organisation)
 	_ = unix.Close(descriptor)
 }
 
-// turnedAnswer is the answer to those turned away, up to when they may come back.
-const turnedAnswer = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\nRetry-After: "
-
-// tell logs now and then how many callers were turned away.
-func (listener *pacedListener) tell(now time.Time) {
-	if listener.turned == 0 || now.Sub(listener.told) < toldEvery {
-		return
+// glance returns whose request begins with some bytes, empty if they do not tell.
+func (daemon *Daemon) glance(head []byte) berylspoke.OrganisationID {
+	index := daemon.index.Load()
+	if index == nil {
+		return ""
 	}
-	listener.daemon.log.Warn("callers turned away, processor short", zap.Int("count", listener.turned))
-	listener.turned, listener.told = 0, now
+	organisation, _ := index.Organisation(daemon.dialect.Glance(head).Key)
+	return organisation
 }
 
+// turnedAnswer is the answer to those turned away, up to when they may come back.
+const turnedAnswer = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\nRetry-After: "
+
 // acceptPace bounds the connections that are taken while processor time is short.
 type acceptPace struct {
 	// every is the least time between two of them, last when one was taken.
--- a/io/beryledge/meters.go
+++ b/io/beryledge/meters.go
@@ -23,6 +23,7 @@
 	brokenOff   *metrics.Counter
 	callersLeft *metrics.Counter
 	shed        *metrics.Counter
+	turnaways   *turnaways
 	outcomes    [berylgate.Outcomes]*metrics.Counter
 	latency     map[berylspoke.Kind]*metrics.Histogram
 }
@@ -35,6 +36,7 @@
 		brokenOff:   set.NewCounter("berylspoke_streams_broken_off_total"),
 		callersLeft: set.NewCounter("berylspoke_callers_left_total"),
 		shed:        set.NewCounter("berylspoke_connections_shed_total"),
+		turnaways:   newTurnaways(set),
 		latency:     make(map[berylspoke.Kind]*metrics.Histogram),
 	}
 	for outcome := range meters.outcomes {
@@ -44,6 +46,7 @@
 	for _, kind := range []berylspoke.Kind{berylspoke.NonIdempotent, berylspoke.Idempotent, berylspoke.Streaming} {
 		meters.latency[kind] = set.NewHistogram(fmt.Sprintf("berylspoke_first_byte_seconds{kind=%q}", kind))
 	}
+	set.NewGauge("berylspoke_strain_seconds", func() float64 { return daemon.strain.delay().Seconds() })
 	set.NewGauge("berylspoke_requests_active", func() float64 { return float64(daemon.active.Load()) })
 	set.NewGauge("berylspoke_connections_opened_total", func() float64 { return float64(daemon.pool.Opened()) })
 	meters.countPeers(daemon)
--- a/io/beryledge/standin_test.go
+++ b/io/beryledge/standin_test.go
@@ -41,6 +41,12 @@
 	return ask, nil
 }
 
+func (testDialect) Glance(head []byte) berylspoke.Ask {
+	_, rest, _ := strings.Cut(string(head), "\r\nX-Key: ")
+	key, _, _ := strings.Cut(rest, "\r\n")
+	return berylspoke.Ask{Key: key, Input: 100, Output: 10}
+}
+
 func (testDialect) Onward(header http.Header, onward berylspoke.Onward) http.Header {
 	sent := header.Clone()
 	sent.Del("X-Key")
--- a/io/beryledge/strain.go
+++ b/io/beryledge/strain.go
@@ -42,10 +42,13 @@
 }
 
 // high says whether the processor is short.
-func (strain *strain) high() bool {
+func (strain *strain) high() bool { return strain.delay() > strainHigh }
+
+// delay returns the mean delay.
+func (strain *strain) delay() time.Duration {
 	strain.mutex.Lock()
 	defer strain.mutex.Unlock()
-	return strain.mean > strainHigh
+	return strain.mean
 }
 
 // withdraw takes a strained daemon out of what callers are told, and back. One
--- a/io/beryllog/log.go
+++ b/io/beryllog/log.go
@@ -3,6 +3,7 @@
 // This file defines the log and its bounded writer.
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync"
@@ -19,6 +20,9 @@
 	// gatherFor is how long lines gather before they are written together; a
 	// write costs as much as some dozen lines.
 	gatherFor = 200 * time.Millisecond
+	// writeBytes bounds one write: a pipe takes so much as a whole, and collectors
+	// that read less than a large write lose the lines at its end.
+	writeBytes = 4 << 10
 )
 
 // Writer is a bounded writer that drops what it has no room for.
@@ -57,8 +61,7 @@
 
 // Sync implements zapcore.WriteSyncer: it writes what waits.
 func (writer *Writer) Sync() error {
-	_, err := writer.out.Write(writer.take())
-	return err
+	return writer.flush()
 }
 
 func (writer *Writer) take() []byte {
@@ -77,10 +80,33 @@
 	for range writer.wake {
 		time.Sleep(gatherFor)
 		// There is nowhere to report a failure of the log itself.
-		_, _ = writer.out.Write(writer.take())
+		_ = writer.flush()
 	}
 }
 
+// flush writes the lines that wait, whole ones in each write.
+func (writer *Writer) flush() error {
+	lines := writer.take()
+	for len(lines) > 0 {
+		size := len(lines)
+		if size > writeBytes {
+			size = bytes.LastIndexByte(lines[:writeBytes], '\n') + 1
+		}
+		if size == 0 {
+			// The first line alone is longer than one write.
+			size = bytes.IndexByte(lines, '\n') + 1
+		}
+		if size == 0 {
+			size = len(lines)
+		}
+		if _, err := writer.out.Write(lines[:size]); err != nil {
+			return err
+		}
+		lines = lines[size:]
+	}
+	return nil
+}
+
 // New returns a log of JSON lines from the given level on.
 func New(out io.Writer, level zapcore.Level) *zap.Logger {
 	encoding := zap.NewProductionEncoderConfig()
