--- a/io/beryledge/standin_test.go
+++ b/io/beryledge/standin_test.go
@@ -226,7 +226,7 @@
 			"desk":    {ID: "desk", MaxConnections: 100},
 			"engines": {ID: "engines", MaxConnections: 100, Engine: &berylspoke.EngineSpec{Slots: 8, Memory: 100_000}},
 		},
-		Organisations: []berylspoke.Organisation{{ID: "clergy", Keys: []string{"k"}}},
+		Organisations: []berylspoke.Organisation{{ID: "clergy", Keys: []string{"k"}}, {ID: "union", Keys: []string{"u"}}},
 		Limits:        berylspoke.Limits{BodyBytes: 1 << 20, TokensPerSecond: 100_000},
 	}
 }
@@ -242,19 +242,24 @@
 
 // startDaemon runs a daemon in this process.
 func startDaemon(t *testing.T, store berylspoke.Store, seeds ...berylspoke.VMID) *Daemon {
+	return startWith(t, store, testDialect{testCatalog()}, seeds...)
+}
+
+// startWith runs a daemon that speaks a dialect.
+func startWith(t *testing.T, store berylspoke.Store, dialect berylspoke.Dialect, seeds ...berylspoke.VMID) *Daemon {
 	host := ownHost()
 	settings := &Settings{
 		Name: t.Name(), VM: berylspoke.VMID(host + ":7001"),
 		FailureDomain: "a", Region: "r", RegionOf: map[berylspoke.FailureDomain]berylspoke.Region{"a": "r"},
 		Seeds: seeds, Callers: host + ":7002", Ready: host + ":7003", Resolve: host + ":7004",
-		Operators: host + ":7005", Descriptors: 1000, StopWithin: 8 * time.Second,
+		Operators: host + ":7005", Descriptors: 1000, Capacity: 19, StopWithin: 8 * time.Second,
 		RetryRatio: 1, RetrySlack: 1000, Store: "127.0.0.1:1", FleetKey: "a key of the tests only",
 	}
 	require.NoError(t, settings.Check())
 	endpoints := func(*Daemon) Endpoints {
 		return Endpoints{Resolve: http.NotFoundHandler(), Ready: http.NotFoundHandler()}
 	}
-	daemon, err := Start(settings, testDialect{testCatalog()}, store, endpoints, zap.NewNop())
+	daemon, err := Start(settings, dialect, store, endpoints, zap.NewNop())
 	require.NoError(t, err)
 	t.Cleanup(daemon.Kill)
 	return daemon
@@ -262,13 +267,18 @@
 
 // startServing runs a daemon that knows the targets.
 func startServing(t *testing.T, targets map[string]*testTarget) (*Daemon, *testStore) {
+	return startServingWith(t, targets, testDialect{testCatalog()})
+}
+
+// startServingWith runs a daemon that speaks a dialect and knows the targets.
+func startServingWith(t *testing.T, targets map[string]*testTarget, dialect berylspoke.Dialect) (*Daemon, *testStore) {
 	store := newTestStore()
 	store.put("c/1", "catalog")
 	for service, target := range targets {
 		name, _, _ := strings.Cut(service, "#")
 		store.put("t/"+target.id, name+" "+target.address())
 	}
-	daemon := startDaemon(t, store)
+	daemon := startWith(t, store, dialect)
 	require.Eventually(t, daemon.Ready, 10*time.Second, 10*time.Millisecond)
 	earnRetries(daemon)
 	return daemon, store
