Take in requests by organisation while the processor is short, as much as it bears

What callers saw: all callers of two organisations come to one VM of 0.19 cores.

Cause, in two parts. Who was turned away went by arrival, before the shares of organisations were looked at, so each was served the same part: 0.29 of the connections at that VM, 0.30 of the organisation's tokens. And the listener left its rounds only when no connection came within one; until then it took one in 20 ms, whatever the processor did. So a VM at 10 to 13 of 19 hundredths refused 1,230 a second.

Why this works: requests wait before the processor in a line that is fair between organisations, in place of the scheduler's run queue, and are refused when they cannot expect to be taken within 50 ms. Nothing is refused unless the line is full, so there is no state to be stuck in.

What a VM refuses is counted as asked for with its tokens, as the request tells them, in place of a guess by parts of what was read; whoever has less than 0.15 of its requests refused there does not hold others back.

--- a/core/berylgate/allowance.go
+++ b/core/berylgate/allowance.go
@@ -76,8 +76,8 @@
 	Asked, Given, Level, Cap float64
 }
 
-// tokensOf returns what a request counts in its organisation's share.
-func tokensOf(request *Request) berylspoke.Tokens {
+// TokensOf returns what a request counts in its organisation's share.
+func TokensOf(request *Request) berylspoke.Tokens {
 	return tokensRead*request.Input + tokensMade*request.Output
 }
 
--- a/core/berylgate/choose.go
+++ b/core/berylgate/choose.go
@@ -100,8 +100,8 @@
 	}
 	gate.start(now, request, best, prompt)
 	if pool.declared.Engine != nil && request.sends == 1 {
-		gate.shares.sent(best.kept, tokensOf(request))
-		gate.shares.usage(hashOf(string(request.Organisation))).begin(now, tokensOf(request))
+		gate.shares.sent(best.kept, TokensOf(request))
+		gate.shares.usage(hashOf(string(request.Organisation))).begin(now, TokensOf(request))
 	}
 	return decision
 }
@@ -127,7 +127,7 @@
 	request.tried = make(map[berylspoke.TargetID]bool)
 	pool.budget.Earn(retryEarn * gate.options.RetryRatio)
 	if pool.declared.Engine != nil {
-		gate.shares.usage(hashOf(string(request.Organisation))).ask(now, tokensOf(request))
+		gate.shares.usage(hashOf(string(request.Organisation))).ask(now, TokensOf(request))
 	}
 }
 
--- a/core/berylgate/gate.go
+++ b/core/berylgate/gate.go
@@ -208,11 +208,18 @@
 	}
 }
 
-// TurnedAway counts callers that this daemon turned away before it read what they
-// ask for, as its VM was short of processor time.
-func (gate *Gate) TurnedAway(now time.Time, callers int) {
-	if callers > 0 {
-		gate.shares.turnedAway(now, callers)
+// Refused is what was refused of one organisation before the gate saw it.
+type Refused struct {
+	Requests int
+	Tokens   berylspoke.Tokens
+}
+
+// Refused counts requests that this daemon refused as its VM was short of processor
+// time.
+func (gate *Gate) Refused(now time.Time, refused map[berylspoke.OrganisationID]Refused) {
+	for organisation, part := range refused {
+		hash := hashOf(string(organisation))
+		gate.shares.usage(hash).refuse(now, part.Tokens, gate.shares.others[hash].asked)
 	}
 }
 
--- a/core/berylgate/outcome.go
+++ b/core/berylgate/outcome.go
@@ -87,7 +87,7 @@
 	if target.engine == nil {
 		return
 	}
-	gate.shares.usage(hashOf(string(attempt.request.Organisation))).given.add(now, -tokensOf(attempt.request))
+	gate.shares.usage(hashOf(string(attempt.request.Organisation))).given.add(now, -TokensOf(attempt.request))
 	target.drain(now)
 	target.backlog = max(0, target.backlog-attempt.added)
 	if outcome == Turned {
--- a/core/berylgate/share.go
+++ b/core/berylgate/share.go
@@ -39,10 +39,10 @@
 // usage is what one organisation asked for and was given.
 type usage struct {
 	asked, given rate
-	// mean is the mean tokens of one request.
-	mean float64
+	// refused is what was refused for want of processor time.
+	refused rate
 	// short is until when the organisation counts as held back by the processor time
-	// of this daemon's VM, which turned its callers away before it read what they ask.
+	// of this daemon's VM.
 	short time.Time
 	// thinned says that the organisation asks for more than its cap; credit is the
 	// tokens that it may then still begin here, as of creditAt.
@@ -75,55 +75,31 @@
 }
 
 const (
-	// meanWeight is the part of one request in an organisation's mean request.
-	meanWeight = 0.05
-	// someOf is the part of a daemon's requests from which on an organisation counts
-	// as held back when callers are turned away.
+	// someOf is the part of what an organisation asks for from which on it counts as
+	// held back when a VM refuses that for want of processor time.
 	someOf = 0.15
-	// shortFor is how long an organisation counts as held back after callers of it
-	// were turned away: until two reports have told the fleet.
+	// shortFor is how long an organisation counts as held back after requests of it
+	// were refused: until two reports have told the fleet.
 	shortFor = 2 * usageEvery
 )
 
 // ask counts a request that was read.
 func (usage *usage) ask(now time.Time, tokens berylspoke.Tokens) {
 	usage.asked.add(now, tokens)
-	if usage.mean == 0 {
-		usage.mean = float64(tokens)
-	}
-	usage.mean += meanWeight * (float64(tokens) - usage.mean)
 }
 
-// turnedAway counts callers that were turned away unread: as many of each
-// organisation as it has of the requests that are read here. It would otherwise seem
-// to be served all that it asks for, and others would run away from it. One with few
-// requests here is not held back by this VM, as its callers come to others too.
-func (shares *shares) turnedAway(now time.Time, callers int) {
-	requests := 0.0
-	for _, usage := range shares.own {
-		requests += usage.requests(now)
-	}
-	if requests == 0 {
-		return
-	}
-	for _, usage := range shares.own {
-		part := usage.requests(now) / requests
-		if part < someOf {
-			continue
-		}
-		usage.asked.add(now, berylspoke.Tokens(part*float64(callers)*usage.mean))
+// refuse counts tokens of requests that were refused for want of processor time. The
+// organisation would otherwise seem to be served all that it asks for, and others
+// would run away from it. If that is a small part of what it asks for in the fleet,
+// it is not held back by this VM, as its callers come to others too.
+func (usage *usage) refuse(now time.Time, tokens berylspoke.Tokens, elsewhere float64) {
+	usage.asked.add(now, tokens)
+	usage.refused.add(now, tokens)
+	if usage.refused.now(now) >= someOf*(usage.asked.now(now)+elsewhere) {
 		usage.short = now.Add(shortFor)
 	}
 }
 
-// requests returns the rate of requests, each of the mean size.
-func (usage *usage) requests(now time.Time) float64 {
-	if usage.mean == 0 {
-		return 0
-	}
-	return usage.asked.now(now) / usage.mean
-}
-
 // shares holds the usage of all organisations at this daemon and the others.
 type shares struct {
 	own map[uint32]*usage
--- /dev/null
+++ b/core/berylintake/line_test.go
@@ -0,0 +1,179 @@
+package berylintake
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/tailscale/hujson"
+	"pgregory.net/rapid"
+
+	"berylspoke"
+)
+
+// script is what organisations ask of a processor that serves one request in each
+// interval, and the part of it that must be served.
+type script struct {
+	Seconds    float64                     `json:"seconds"`
+	CostMillis float64                     `json:"costMillis"`
+	Callers    map[string]callers          `json:"callers"`
+	AtLeast    map[string]float64          `json:"atLeast"`
+	AtMost     map[string]float64          `json:"atMost"`
+	Ratio      map[string]map[string]bound `json:"tokenRatio"`
+}
+
+type callers struct {
+	Rate   float64           `json:"rate"`
+	Tokens berylspoke.Tokens `json:"tokens"`
+	// From and Until are the seconds in which they come.
+	From  float64 `json:"from"`
+	Until float64 `json:"until"`
+}
+
+type bound struct {
+	Least float64 `json:"least"`
+	Most  float64 `json:"most"`
+}
+
+// Each script guards against one way in which a VM short of processor time would
+// serve its organisations unfairly or less than it could.
+func TestScripts(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.hujson")
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			text, err := os.ReadFile(file)
+			require.NoError(t, err)
+			text, err = hujson.Standardize(text)
+			require.NoError(t, err)
+			var script script
+			require.NoError(t, json.Unmarshal(text, &script))
+			script.play(t)
+		})
+	}
+}
+
+func (script script) play(t *testing.T) {
+	const slots, step = 4, 500 * time.Microsecond
+	began := time.Unix(0, 0)
+	line := NewLine(slots)
+	asked, served := make(map[string]float64), make(map[string]float64)
+	requests := make(map[Ticket]string)
+	tokens := make(map[string]float64)
+	due := make(map[string]float64)
+	var busy []Ticket
+	free := began
+	take := func(change Change) {
+		for _, ticket := range change.Taken {
+			name := requests[ticket]
+			served[name]++
+			tokens[name] += float64(script.Callers[name].Tokens)
+		}
+		busy = append(busy, change.Taken...)
+	}
+	next := Ticket(0)
+	cost := time.Duration(script.CostMillis * float64(time.Millisecond))
+	for now := began; now.Sub(began).Seconds() < script.Seconds; now = now.Add(step) {
+		for _, name := range []string{"flood", "other", "small"} {
+			callers := script.Callers[name]
+			if at := now.Sub(began).Seconds(); at < callers.From || callers.Until > 0 && at >= callers.Until {
+				continue
+			}
+			for due[name] += callers.Rate * step.Seconds(); due[name] >= 1; due[name]-- {
+				next++
+				asked[name]++
+				requests[next] = name
+				take(line.Offer(now, Request{next, berylspoke.OrganisationID(name), callers.Tokens}))
+				take(line.Next(now))
+			}
+		}
+		if len(busy) == 0 {
+			free = now.Add(cost)
+		}
+		for len(busy) > 0 && !now.Before(free) {
+			busy = busy[1:]
+			line.Done()
+			take(line.Next(now))
+			free = free.Add(cost)
+		}
+		take(line.Expire(now))
+	}
+	for name, least := range script.AtLeast {
+		require.GreaterOrEqual(t, served[name]/asked[name], least, name)
+	}
+	for name, most := range script.AtMost {
+		require.LessOrEqual(t, served[name]/asked[name], most, name)
+	}
+	for one, others := range script.Ratio {
+		for other, bound := range others {
+			require.GreaterOrEqual(t, tokens[one]/tokens[other], bound.Least, "%s to %s", one, other)
+			require.LessOrEqual(t, tokens[one]/tokens[other], bound.Most, "%s to %s", one, other)
+		}
+	}
+}
+
+// Guards against a request that is neither taken nor refused, or both, whose caller
+// would wait for good; and against a slot that is lost.
+func TestEachRequestIsTakenOrRefusedOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const slots = 3
+		now, line := time.Unix(0, 0), NewLine(slots)
+		fate, taken, next := make(map[Ticket]int), 0, Ticket(0)
+		settle := func(change Change) {
+			for _, ticket := range append(change.Taken, change.Refused...) {
+				fate[ticket]++
+			}
+			taken += len(change.Taken)
+		}
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 30).Draw(t, "millis")) * time.Millisecond)
+			switch {
+			case taken > 0 && rapid.Bool().Draw(t, "done"):
+				taken--
+				line.Done()
+			case rapid.Bool().Draw(t, "next"):
+				settle(line.Next(now))
+			default:
+				next++
+				organisation := rapid.SampledFrom([]berylspoke.OrganisationID{"a", "b", "c"}).Draw(t, "organisation")
+				settle(line.Offer(now, Request{next, organisation, berylspoke.Tokens(rapid.IntRange(0, 9_000).Draw(t, "tokens"))}))
+			}
+			require.LessOrEqual(t, taken, slots)
+			require.Equal(t, taken, line.taken)
+		}
+		for ; taken > 0; taken-- {
+			line.Done()
+		}
+		settle(line.Expire(now.Add(waitMost)))
+		for ticket := Ticket(1); ticket <= next; ticket++ {
+			require.Equal(t, 1, fate[ticket], "ticket %d", ticket)
+		}
+		require.Zero(t, line.waiting)
+		require.Empty(t, line.backlogged)
+	})
+}
+
+// Guards against refusals by a daemon at ease: a moment in which many come at once
+// must pass without any.
+func TestBurstAtAnIdleVMIsTaken(t *testing.T) {
+	now, line := time.Unix(0, 0), NewLine(4)
+	taken := 0
+	for ticket := range Ticket(60) {
+		change := line.Offer(now, Request{ticket, "a", 2_000})
+		require.Empty(t, change.Refused)
+		taken += len(change.Taken)
+	}
+	for range 60 {
+		now = now.Add(500 * time.Microsecond)
+		line.Done()
+		change := line.Next(now)
+		require.Empty(t, change.Refused)
+		taken += len(change.Taken)
+	}
+	require.Equal(t, 60, taken)
+	require.False(t, line.Pressed(now.Add(pressedFor)))
+}
--- a/io/beryledge/actor.go
+++ b/io/beryledge/actor.go
@@ -93,8 +93,6 @@
 	withdrawn time.Time
 	reported  time.Time
 	synced    time.Time
-	// shed is how many callers were turned away unread up to the last tick.
-	shed uint64
 }
 
 var _ actor.Actor = (*core)(nil)
@@ -162,9 +160,7 @@
 			core.daemon.transport.Send(to, due.Beat)
 		}
 	}
-	shed := core.daemon.meters.shed.Get()
-	core.gate.TurnedAway(now, int(shed-core.shed))
-	core.shed = shed
+	core.gate.Refused(now, core.daemon.intake.collect())
 	core.withdraw(now)
 	core.syncMembers(now)
 	core.gate.Tick(now)
--- a/io/beryledge/attempt.go
+++ b/io/beryledge/attempt.go
@@ -46,8 +46,10 @@
 	target := decision.Target
 	call.firstByte = 0
 	call.sent = time.Now()
+	outgoing := call.outgoing(decision)
+	call.slot.free()
 	exchange, err := call.daemon.pool.Send(ctx, berylconn.Order{
-		Address: target.Address, Most: decision.Connections, Request: call.outgoing(decision),
+		Address: target.Address, Most: decision.Connections, Request: outgoing,
 		Wanted: func() bool { return call.wanted(target) }, Mine: call.mine,
 	})
 	if err != nil {
--- a/io/beryledge/callers.go
+++ b/io/beryledge/callers.go
@@ -52,6 +52,8 @@
 	next *berylgate.Decision
 	// stream is what the caller has of a stream so far.
 	stream stream
+	// slot is the request's place among those that are taken in, until it is sent.
+	slot *slot
 }
 
 // serveCaller takes one request from its first byte to its last answer.
@@ -64,9 +66,11 @@
 		writer.Header().Set("Connection", "close")
 	}
 	call := &call{daemon: daemon, writer: writer, in: in, arrived: arrived}
-	if !call.admit(daemon.index.Load()) || !call.readBody() {
+	already := takenIn(in.Context())
+	if !call.admit(daemon.index.Load()) || !call.readBody() || !call.takeIn(already) {
 		return
 	}
+	defer func() { call.slot.free() }()
 	ctx, cancel := context.WithDeadline(in.Context(), call.request.Deadline)
 	defer cancel()
 	call.ctx = ctx
@@ -273,8 +277,8 @@
 	}
 	// A caller that was served keeps its connection also while the processor is
 	// short, as a new one costs half as much as a request. One that was refused
-	// would only come back to be refused.
-	if call.daemon.crowded() || call.daemon.strain.high() {
+	// would only come back to be refused, for less on a new one.
+	if call.daemon.crowded() || call.daemon.strain.high() || reason == berylspoke.ReasonProcessor {
 		header.Set("Connection", "close")
 	}
 	header.Set("Content-Type", "text/plain; charset=utf-8")
--- a/io/beryledge/listener.go
+++ b/io/beryledge/listener.go
@@ -4,62 +4,79 @@
 // is short, and how it is seen that their caller has left.
 
 import (
+	"bytes"
 	"context"
-	"math/rand/v2"
 	"net"
 	"os"
 	"strconv"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
 
-	"berylspoke"
+	"berylspoke/core/berylgate"
 )
 
 const (
-	// acceptsPerCore is the connections a second that a strained daemon takes for
-	// each core of its VM. A request costs about two milliseconds of processor time
-	// with its connection, so these are a quarter of what the VM can serve; the rest
-	// comes over the connections that callers keep.
-	acceptsPerCore = 125
-	// turnedWait is when a caller that was turned away may come back, at least;
-	// a random time up to as much again is added. The shares and the load that
-	// decide then are means over about this time.
-	turnedWait = time.Second
-	// turnedBytes is what is read at most of a request that is turned away: the
-	// largest that arrive with the first packets of a connection.
-	turnedBytes = 16 << 10
-	// roundEvery is the time between two rounds of a strained listener. The request
-	// on a new connection comes a round trip of some milliseconds after it, so what
-	// one round accepts is answered by the next.
-	roundEvery = 20 * time.Millisecond
+	// headBytes is what is read of a request on a connection that was not yet handed
+	// to the server: all of most requests.
+	headBytes = 16 << 10
+	// roundEvery is the time between two rounds of a listener whose VM is short of
+	// processor time. The request on a new connection comes a round trip of some
+	// milliseconds after it.
+	roundEvery = 10 * time.Millisecond
 	// roundMost bounds the connections that one round accepts: the queue of the
 	// socket keeps the others.
 	roundMost = 128
+	// emptyRounds is how many rounds a new connection may bring nothing; then its
+	// caller is slow, and the server waits for it.
+	emptyRounds = 3
+	// takenMost bounds the connections that were taken in and wait for the server.
+	takenMost = 256
 )
 
-// pacedListener takes few connections while the daemon is strained and turns the
-// others away at once. All callers of one organisation may come to one small VM
-// with ten times what it can serve, whatever the resolve answers say and whether
-// it fails them or not. A connection that waits here costs its caller a second,
-// until it gives up and comes back. One that is only closed brings its caller back
-// at once, several times for each request, which takes most of the processor time.
-// So the answer says that nothing was run and when to come back;
-// it takes four system calls, no parsing, and no goroutine of its own.
-type pacedListener struct {
+// intakeListener hands connections to the server, all of them while processor time is
+// left. While it is short the listener reads the first bytes of each itself and lets
+// the intake decide, by the organisation that asks. All callers of one organisation
+// may come to one small VM with ten times what it can serve, whatever the resolve
+// answers say; those refused are answered at once that nothing was run and when to
+// come back, for a tenth of what a request costs the server: four system calls, no
+// parsing, and no goroutine.
+type intakeListener struct {
 	*net.TCPListener
 	daemon *Daemon
-	pace   acceptPace
-	// waiting are the descriptors that the last round accepted to turn away.
-	waiting []int
-	buffer  []byte
+	// fresh are the connections that have brought nothing yet.
+	fresh  []freshConn
+	buffer []byte
+	// taken are those taken in by the intake, ready those that need no decision.
+	taken chan net.Conn
+	ready []net.Conn
+	// offered counts those that the intake decides on.
+	offered atomic.Int64
+}
+
+// freshConn is a connection and how many rounds ago it was accepted.
+type freshConn struct {
+	descriptor, rounds int
+}
+
+func newIntakeListener(listener *net.TCPListener, daemon *Daemon) *intakeListener {
+	return &intakeListener{
+		TCPListener: listener, daemon: daemon,
+		buffer: make([]byte, headBytes), taken: make(chan net.Conn, takenMost),
+	}
 }
 
 // Accept implements net.Listener.
-func (listener *pacedListener) Accept() (net.Conn, error) {
+func (listener *intakeListener) Accept() (net.Conn, error) {
 	for {
-		if !listener.daemon.strain.high() && len(listener.waiting) == 0 {
+		if last := len(listener.ready) - 1; last >= 0 {
+			conn := listener.ready[last]
+			listener.ready = listener.ready[:last]
+			return conn, nil
+		}
+		if !listener.mustDecide(time.Now()) {
 			conn, err := listener.AcceptTCP()
 			if err != nil || !hungUp(conn) {
 				return conn, err
@@ -67,36 +84,89 @@
 			_ = conn.Close()
 			continue
 		}
-		listener.daemon.sleep(roundEvery)
-		conn, err := listener.round(time.Now())
-		if conn != nil || err != nil {
-			return conn, err
+		timer := time.NewTimer(roundEvery)
+		select {
+		case conn := <-listener.taken:
+			timer.Stop()
+			return conn, nil
+		case <-timer.C:
+		case <-listener.daemon.ctx.Done():
+		}
+		if err := listener.round(time.Now()); err != nil {
+			listener.abandon()
+			return nil, err
 		}
 	}
 }
 
-// round answers those whom the last round accepted to turn away, accepts who
-// came since, and returns the connection that is taken, if any. The others are
-// turned away also if the strain has passed since the round began: turning away
-// is cheap, so a flooded daemon seems at ease between two rounds, and one that then
-// took all who wait was flooded for good: a third of its callers reached their
-// time limits.
-func (listener *pacedListener) round(now time.Time) (net.Conn, error) {
-	for _, descriptor := range listener.waiting {
-		listener.refuse(descriptor)
+// mustDecide says whether connections go by the intake.
+func (listener *intakeListener) mustDecide(now time.Time) bool {
+	return len(listener.fresh) > 0 || len(listener.taken) > 0 || listener.offered.Load() > 0 ||
+		listener.daemon.intake.pressed(now)
+}
+
+// round offers the requests that came on new connections, and accepts those that
+// wait.
+func (listener *intakeListener) round(now time.Time) error {
+	listener.daemon.intake.expire(now)
+	pressed := listener.daemon.intake.pressed(now)
+	fresh := listener.fresh
+	listener.fresh = listener.fresh[:0]
+	for _, conn := range fresh {
+		listener.read(now, conn, pressed)
 	}
-	listener.daemon.tellTurnaways(now)
 	accepted, err := listener.acceptAll()
-	listener.waiting = accepted
-	if err != nil || len(accepted) == 0 || !listener.pace.admits(now, listener.daemon.strain.high()) {
-		return nil, err
+	for _, descriptor := range accepted {
+		listener.fresh = append(listener.fresh, freshConn{descriptor: descriptor})
+	}
+	listener.daemon.tellTurnaways(now)
+	return err
+}
+
+// abandon refuses whom the server will not have as it stops.
+func (listener *intakeListener) abandon() {
+	for _, conn := range listener.fresh {
+		waiter := connWaiter{listener: listener, descriptor: conn.descriptor, head: make([]byte, headBytes)}
+		waiter.refuse()
+	}
+	listener.fresh = nil
+	for len(listener.taken) > 0 {
+		_ = (<-listener.taken).Close()
+	}
+}
+
+// read looks what a new connection has brought and offers it.
+func (listener *intakeListener) read(now time.Time, conn freshConn, pressed bool) {
+	count, err := unix.Read(conn.descriptor, listener.buffer)
+	switch {
+	case err == unix.EAGAIN && pressed && conn.rounds < emptyRounds:
+		conn.rounds++
+		listener.fresh = append(listener.fresh, conn)
+	case err == unix.EAGAIN:
+		listener.hand(newConn(conn.descriptor, nil, nil))
+	case err != nil || count == 0:
+		_ = unix.Close(conn.descriptor)
+	case !pressed:
+		listener.hand(newConn(conn.descriptor, bytes.Clone(listener.buffer[:count]), nil))
+	default:
+		claim := listener.daemon.glance(listener.buffer[:count])
+		listener.offered.Add(1)
+		listener.daemon.intake.offer(now, claim, &connWaiter{
+			listener: listener, descriptor: conn.descriptor, claim: claim,
+			head: bytes.Clone(listener.buffer[:count]),
+		})
+	}
+}
+
+// hand gives a connection to the server without a decision.
+func (listener *intakeListener) hand(conn net.Conn) {
+	if conn != nil {
+		listener.ready = append(listener.ready, conn)
 	}
-	listener.waiting = accepted[1:]
-	return newConn(accepted[0])
 }
 
 // acceptAll accepts all connections that wait, without waiting for more.
-func (listener *pacedListener) acceptAll() ([]int, error) {
+func (listener *intakeListener) acceptAll() ([]int, error) {
 	raw, err := listener.SyscallConn()
 	if err != nil {
 		return nil, err
@@ -106,8 +176,8 @@
 		for len(accepted) < roundMost {
 			descriptor, _, failure := unix.Accept4(int(socket), unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
 			if failure != nil {
-				// Nobody waits any more, or descriptors are short: those turned
-				// away free them.
+				// Nobody waits any more, or descriptors are short: those refused
+				// free them.
 				return
 			}
 			accepted = append(accepted, descriptor)
@@ -116,68 +186,112 @@
 	return accepted, err
 }
 
-// newConn makes a connection of a descriptor.
-func newConn(descriptor int) (net.Conn, error) {
+// connWaiter is a connection whose request waits to be taken in, unparsed.
+type connWaiter struct {
+	listener   *intakeListener
+	descriptor int
+	claim      claim
+	head       []byte
+}
+
+// settle hands the connection to the server, or refuses it.
+func (waiter *connWaiter) settle(taken bool) {
+	defer waiter.listener.offered.Add(-1)
+	if !taken {
+		waiter.refuse()
+		return
+	}
+	slot := &slot{intake: waiter.listener.daemon.intake}
+	conn := newConn(waiter.descriptor, waiter.head, slot)
+	if conn == nil {
+		slot.free()
+		return
+	}
+	select {
+	case waiter.listener.taken <- conn:
+	default:
+		_ = conn.Close()
+	}
+}
+
+// refuse answers that the request did not run, and closes the connection.
+func (waiter *connWaiter) refuse() {
+	daemon := waiter.listener.daemon
+	daemon.meters.shed.Inc()
+	daemon.meters.turnaways.count(waiter.claim.organisation)
+	daemon.intake.count(waiter.claim)
+	// A large request has more bytes waiting; closed over them the connection is
+	// reset, and the answer is lost.
+	for count := len(waiter.head); count == headBytes; {
+		count, _ = unix.Read(waiter.descriptor, waiter.head)
+	}
+	answer := append(waiter.head[:0], refusal...)
+	answer = strconv.AppendFloat(answer, comeBack().Seconds(), 'f', 2, 64)
+	// A caller that has left needs no answer.
+	_, _ = unix.Write(waiter.descriptor, append(answer, "\r\n\r\n"...))
+	_ = unix.Close(waiter.descriptor)
+}
+
+// refusal is the answer to an unparsed request, up to when its caller may come back.
+const refusal = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\nRetry-After: "
+
+// takenConn is a connection of which the first bytes were read before the server
+// had it, and the slot that its request holds until its handler begins.
+type takenConn struct {
+	*net.TCPConn
+	head []byte
+	slot *slot
+}
+
+// newConn makes a connection of a descriptor, nil if its caller has left. It keeps the
+// first bytes.
+func newConn(descriptor int, head []byte, slot *slot) net.Conn {
 	file := os.NewFile(uintptr(descriptor), "connection")
 	conn, err := net.FileConn(file)
 	// The connection has a descriptor of its own.
 	_ = file.Close()
 	if err != nil {
-		return nil, nil // the caller has left meanwhile
+		return nil
 	}
-	return conn, nil
+	return &takenConn{TCPConn: conn.(*net.TCPConn), head: head, slot: slot}
 }
 
-// refuse answers a request that was not looked at, and closes its connection. One
-// that has not come yet is reset as it comes, which says the same to its caller.
-func (listener *pacedListener) refuse(descriptor int) {
-	listener.daemon.meters.shed.Inc()
-	organisation := berylspoke.OrganisationID("")
-	if read, err := unix.Read(descriptor, listener.buffer); err == nil && read > 0 {
-		organisation = listener.daemon.glance(listener.buffer[:read])
-		wait := turnedWait.Seconds() * (1 + rand.Float64())
-		answer := append(listener.buffer[:0], turnedAnswer...)
-		answer = strconv.AppendFloat(answer, wait, 'f', 2, 64)
-		// A caller that has left needs no answer.
-		_, _ = unix.Write(descriptor, append(answer, "\r\n\r\n"...))
+// Read implements net.Conn.
+func (conn *takenConn) Read(buffer []byte) (int, error) {
+	if len(conn.head) == 0 {
+		return conn.TCPConn.Read(buffer)
 	}
-	listener.daemon.meters.turnaways.count(organisation)
-	_ = unix.Close(descriptor)
+	count := copy(buffer, conn.head)
+	conn.head = conn.head[count:]
+	return count, nil
 }
 
-// glance returns whose request begins with some bytes, empty if they do not tell.
-func (daemon *Daemon) glance(head []byte) berylspoke.OrganisationID {
-	index := daemon.index.Load()
-	if index == nil {
-		return ""
-	}
-	organisation, _ := index.Organisation(daemon.dialect.Glance(head).Key)
-	return organisation
+// Close implements net.Conn.
+func (conn *takenConn) Close() error {
+	conn.slot.free()
+	return conn.TCPConn.Close()
 }
 
-// turnedAnswer is the answer to those turned away, up to when they may come back.
-const turnedAnswer = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\nRetry-After: "
-
-// acceptPace bounds the connections that are taken while processor time is short.
-type acceptPace struct {
-	// every is the least time between two of them, last when one was taken.
-	every time.Duration
-	last  time.Time
+// takenIn says whether the request of a context is the first on a connection that
+// the intake let in.
+func takenIn(ctx context.Context) bool {
+	conn, ok := ctx.Value(connKey{}).(*takenConn)
+	return ok && conn.slot.free()
 }
 
-// newAcceptPace returns the pace of a VM with so many hundredths of a core.
-func newAcceptPace(capacity uint16) acceptPace {
-	const hundredths = 100
-	return acceptPace{every: time.Second * hundredths / (acceptsPerCore * time.Duration(max(capacity, 1)))}
-}
-
-// admits says whether a connection that came now is taken.
-func (pace *acceptPace) admits(now time.Time, strained bool) bool {
-	if strained && now.Sub(pace.last) < pace.every {
-		return false
+// glance returns what the first bytes of a request say of whose it is.
+func (daemon *Daemon) glance(head []byte) claim {
+	index := daemon.index.Load()
+	if index == nil {
+		return claim{}
+	}
+	ask := daemon.dialect.Glance(head)
+	claim := claim{
+		engine: ask.Input > 0,
+		tokens: berylgate.TokensOf(&berylgate.Request{Input: ask.Input, Output: ask.Output}),
 	}
-	pace.last = now
-	return true
+	claim.organisation, _ = index.Organisation(ask.Key)
+	return claim
 }
 
 // hungUp says whether the other end of a connection has closed it, although
--- a/io/beryledge/strain.go
+++ b/io/beryledge/strain.go
@@ -27,8 +27,8 @@
 )
 
 // strain is the mean delay of decisions and ticks, which wait for the processor
-// when it is short. A strained daemon takes few new connections and closes those
-// that it refused something on, and callers pick again.
+// when it is short. A strained daemon closes the connections that it refused
+// something on, and callers pick again.
 type strain struct {
 	mutex sync.Mutex
 	mean  time.Duration
--- a/verdict.go
+++ b/verdict.go
@@ -52,6 +52,7 @@
 	ReasonNoTarget      Reason = "noTarget"
 	ReasonOwnerLost     Reason = "ownerUnreachable"
 	ReasonWaitedTooLong Reason = "waitedTooLong"
+	ReasonProcessor     Reason = "processorShort"
 )
 
 // Refusal is the final error of a request together with its verdict.
