Let callers refused for the processor return within their objective

What callers saw: told to stay away for 1 to 2 s, refused callers came back after their objective of 0.4 to 0.6 s, were served late and took the place of others who could have been answered in time.

The first bytes of a request name its route and so its objective; the caller may come back after 0.2 to 0.4 of it, as callers do whom the shares refuse. Requests that name no route are told 0.2 to 0.4 s.

--- a/io/beryledge/intake.go
+++ b/io/beryledge/intake.go
@@ -27,9 +27,13 @@
 	stagePerCore = 8
 	// expireAfter is when a request that waits looks for its own end.
 	expireAfter = 60 * time.Millisecond
-	// refusedWait is when a caller that was refused for want of processor time may
-	// come back, at least; a random time up to as much again is added.
-	refusedWait = time.Second
+	// refusedPart is the part of its objective after which a refused caller may come
+	// back, at least; a random time up to as much again is added. The objective runs
+	// from the caller's first attempt, and one that returns after it takes the place
+	// of others that could still be answered in time.
+	refusedPart = 0.2
+	// refusedUnknown is the objective of requests that name no route.
+	refusedUnknown = time.Second
 )
 
 // intake is the line of requests before the processor, and who waits in it.
@@ -104,6 +108,8 @@
 	// engine says that it is for a model engine, and counts in its organisation's
 	// share.
 	engine bool
+	// objective is the time within which its answer counts, zero if not known.
+	objective time.Duration
 }
 
 // settlement is what is to be told to a waiter.
@@ -252,9 +258,13 @@
 	return &slot{intake: intake}
 }
 
-// comeBack returns when a refused caller may come back.
-func comeBack() time.Duration {
-	return refusedWait + time.Duration(rand.Int64N(int64(refusedWait)))
+// comeBack returns when the refused caller may come back.
+func (claim claim) comeBack() time.Duration {
+	objective := claim.objective
+	if objective == 0 {
+		objective = refusedUnknown
+	}
+	return time.Duration(refusedPart * float64(objective) * (1 + rand.Float64()))
 }
 
 // takeIn lets the request begin, or refuses it for want of processor time. One whose
@@ -272,7 +282,7 @@
 	}
 	intake.count(claim)
 	call.daemon.meters.turnaways.count(claim.organisation)
-	call.answer(http.StatusServiceUnavailable, berylspoke.ReasonProcessor, comeBack())
+	call.answer(http.StatusServiceUnavailable, berylspoke.ReasonProcessor, claim.comeBack())
 	return false
 }
 
@@ -280,6 +290,6 @@
 func (call *call) claim() claim {
 	return claim{
 		organisation: call.organisation, tokens: berylgate.TokensOf(call.request),
-		engine: call.ask.Input > 0,
+		engine: call.ask.Input > 0, objective: call.route.Objective,
 	}
 }
--- a/io/beryledge/listener.go
+++ b/io/beryledge/listener.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -226,7 +227,7 @@
 		count, _ = unix.Read(waiter.descriptor, waiter.head)
 	}
 	answer := append(waiter.head[:0], refusal...)
-	answer = strconv.AppendFloat(answer, comeBack().Seconds(), 'f', 2, 64)
+	answer = strconv.AppendFloat(answer, waiter.claim.comeBack().Seconds(), 'f', 2, 64)
 	// A caller that has left needs no answer.
 	_, _ = unix.Write(waiter.descriptor, append(answer, "\r\n\r\n"...))
 	_ = unix.Close(waiter.descriptor)
@@ -291,9 +292,34 @@
 		tokens: berylgate.TokensOf(&berylgate.Request{Input: ask.Input, Output: ask.Output}),
 	}
 	claim.organisation, _ = index.Organisation(ask.Key)
+	if route := index.Route(routeOf(head)); route != nil {
+		claim.objective = route.Objective
+	}
 	return claim
 }
 
+// routeOf returns the host and the path of an unparsed request, empty where they are
+// not among its first bytes.
+func routeOf(head []byte) (host, path string) {
+	line, rest, _ := bytes.Cut(head, lineEnd)
+	if parts := bytes.Fields(line); len(parts) > 1 {
+		uri, _, _ := bytes.Cut(parts[1], []byte("?"))
+		path = string(uri)
+	}
+	for len(rest) > 0 {
+		line, rest, _ = bytes.Cut(rest, lineEnd)
+		if name, value, found := bytes.Cut(line, []byte(":")); found && len(name) == len("Host") && strings.EqualFold(string(name), "Host") {
+			return string(bytes.TrimSpace(value)), path
+		}
+		if len(line) == 0 {
+			break
+		}
+	}
+	return "", path
+}
+
+var lineEnd = []byte("\r\n")
+
 // hungUp says whether the other end of a connection has closed it, although
 // what it sent before may not have been read yet.
 func hungUp(conn *net.TCPConn) bool {
