End an attempt for silence only if another may follow

Its first engine had failed; the second and last attempt was ended after 0.9 s of silence, with nothing to follow.

Cause: the timer of patience asked neither for the attempts left, nor for the retry budget, nor for another target. It asks the gate now, which sets the retry aside, so that what is ended for silence goes on.

TestLastAttemptIsNotEndedForSilence failed before (unexpected EOF after 1.5 s) and passes; TestRetryIsReservedOnlyIfItMayFollow has the three cases.

--- a/core/berylgate/choose.go
+++ b/core/berylgate/choose.go
@@ -4,6 +4,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"berylspoke"
@@ -92,9 +93,10 @@
 		decision.Refusal = gate.overloaded(request, best, allowance)
 		return decision
 	}
-	if again && !pool.budget.Spend(now, 1) {
+	if again && !request.reserved && !pool.budget.Spend(now, 1) {
 		return refused(berylspoke.ReasonOverload, shortWait)
 	}
+	request.reserved = false
 	if source := gate.source(now, pool, best.target, prompt); source != nil {
 		decision.Source = &source.Target
 	}
@@ -106,6 +108,23 @@
 	return decision
 }
 
+// Reserve says whether a request whose target is silent could be sent to another one
+// if its attempt were ended, and sets the retry aside for it.
+func (gate *Gate) Reserve(now time.Time, request *Request) bool {
+	pool, live := gate.services[request.Service], request.live
+	if pool == nil || live == nil || live.began || request.sends >= request.Attempts {
+		return false
+	}
+	another := slices.ContainsFunc(pool.targets, func(target *target) bool {
+		return target.usable(now) && !request.tried[target.ID]
+	})
+	if !another {
+		return false
+	}
+	request.reserved = request.reserved || pool.budget.Spend(now, 1)
+	return request.reserved
+}
+
 // describe returns the decision for a target with the inputs that led to it.
 func (gate *Gate) describe(best candidate, prompt prompt, allowance allowance) Decision {
 	target := best.target
--- a/core/berylgate/gate.go
+++ b/core/berylgate/gate.go
@@ -45,6 +45,8 @@
 	sends int
 	tried map[berylspoke.TargetID]bool
 	live  *attempt
+	// reserved is set once a retry was set aside for it.
+	reserved bool
 }
 
 // attempt is one request at one target.
--- a/core/berylgate/gate_test.go
+++ b/core/berylgate/gate_test.go
@@ -256,3 +256,30 @@
 	require.Empty(t, gate.Report(now).Loads)
 	require.Empty(t, peer.Report(now).Loads, "what others told is not passed on")
 }
+
+// Guards against an attempt that is ended for silence when nothing may follow it: the
+// allowed attempts are used up, the retry budget is empty, or no other target is left.
+func TestRetryIsReservedOnlyIfItMayFollow(t *testing.T) {
+	now := time.Unix(0, 0)
+	gate := newGate(now, 1, 2, false)
+	submit := func(attempts int) *Request {
+		request := newRequest(now, "clergy")
+		request.Attempts = attempts
+		require.Nil(t, gate.Submit(now, request).Refusal)
+		return request
+	}
+	budget := gate.services[drafts].budget
+	budget.Earn(1 - budget.Left(now))
+	require.False(t, gate.Reserve(now, submit(1)), "no attempt is left")
+	request := submit(2)
+	require.True(t, gate.Reserve(now, request))
+	require.True(t, gate.Reserve(now, request), "it was set aside for this one")
+	require.False(t, gate.Reserve(now, submit(2)), "nothing is left for another")
+	gate.Ended(now, request, Abandoned)
+	require.Nil(t, gate.Submit(now, request).Refusal, "it goes on with what was set aside")
+	gate.Began(now, request, nil)
+	require.False(t, gate.Reserve(now, request), "it answers")
+	gate = newGate(now, 1, 1, false)
+	gate.services[drafts].budget.Earn(2)
+	require.False(t, gate.Reserve(now, submit(2)), "there is no other target")
+}
--- a/io/beryledge/actor.go
+++ b/io/beryledge/actor.go
@@ -50,6 +50,10 @@
 		request  *berylgate.Request
 		decision chan berylgate.Decision
 	}
+	reserve struct {
+		request *berylgate.Request
+		may     chan bool
+	}
 	began struct {
 		request *berylgate.Request
 		load    *berylspoke.EngineLoad
@@ -124,6 +128,8 @@
 	switch message := context.Message().(type) {
 	case submit:
 		message.decision <- core.gate.Submit(now, message.request)
+	case reserve:
+		message.may <- core.gate.Reserve(now, message.request)
 	case began:
 		core.gate.Began(now, message.request, message.load)
 	case ended:
--- a/io/beryledge/attempt.go
+++ b/io/beryledge/attempt.go
@@ -39,7 +39,13 @@
 	defer cancel(nil)
 	if call.repeatable() && call.request.Attempts > 1 {
 		patience := max(patienceLeast, patienceFactor*decision.Expected)
-		timer := time.AfterFunc(patience, func() { cancel(errImpatient) })
+		timer := time.AfterFunc(patience, func() {
+			// Late is better than cut: the last attempt goes on for as long as its caller
+			// waits.
+			if call.daemon.reserve(call.request) {
+				cancel(errImpatient)
+			}
+		})
 		defer timer.Stop()
 		call.stream.impatience = timer
 	}
@@ -70,6 +76,18 @@
 	return call.passWhole(decision, exchange, reply)
 }
 
+// reserve asks the core whether a request may go on at another target.
+func (daemon *Daemon) reserve(request *berylgate.Request) bool {
+	may := make(chan bool, 1)
+	daemon.tell(reserve{request, may})
+	select {
+	case granted := <-may:
+		return granted
+	case <-daemon.ctx.Done():
+		return false
+	}
+}
+
 // wanted says whether a request is still to be sent once there is a connection for
 // it. Opening one takes over a second where packets are lost; meanwhile the caller
 // may have left, and the target may have said that it leaves: what reaches it later
--- a/io/beryledge/daemon_test.go
+++ b/io/beryledge/daemon_test.go
@@ -187,6 +187,28 @@
 	}
 }
 
+// Guards against a stream that is broken off for silence although no other engine may
+// follow: its first engine dies, and the second, the last allowed, begins late.
+func TestLastAttemptIsNotEndedForSilence(t *testing.T) {
+	late := func(writer http.ResponseWriter, request *http.Request) {
+		if request.Header.Get("X-Last") == "" {
+			events(3)(writer, request)
+			return
+		}
+		select {
+		case <-time.After(patienceLeast + 600*time.Millisecond):
+			events(9)(writer, request)
+		case <-request.Context().Done():
+		}
+	}
+	targets := map[string]*testTarget{"engines#1": newTestTarget(t, "e1", late), "engines#2": newTestTarget(t, "e2", late)}
+	daemon, _ := startServing(t, targets)
+	response, text, err := ask(t, daemon, http.MethodPost, "/resume/x", "id-1", "prompt")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	require.Contains(t, text, "text 6", "the whole stream")
+}
+
 // An engine dies in the middle of an event. A resumable stream goes on at
 // another engine within the same answer, and the caller has every event once.
 func TestStreamGoesOnElsewhere(t *testing.T) {
