Let a full queue refuse the longest organisation, not whoever comes

It now displaces the newest request of the one with the most waiting for its weight; one that has about as many is refused itself.

--- a/core/berylnode/requests.go
+++ b/core/berylnode/requests.go
@@ -40,7 +40,10 @@
 	}
 	node.retries.Earn(node.options.Retries)
 	node.setTime(now, service)
-	err := service.queue.Push(request.Waiting, organisation.Weight, organisation.MaxWaiting)
+	displaced, err := service.queue.Push(request.Waiting, organisation.Weight, organisation.MaxWaiting)
+	if displaced != nil {
+		node.refuse(now, displaced.Request, berylspoke.ReasonOverload, overloadRetry)
+	}
 	switch {
 	case errors.Is(err, berylshare.ErrOrganisationFull):
 		node.refuse(now, request.Request, berylspoke.ReasonOrganisation, overloadRetry)
--- a/core/berylshare/account.go
+++ b/core/berylshare/account.go
@@ -45,6 +45,11 @@
 // tag returns the tag that counts at this entry.
 func (account *account) tag() berylspoke.Tag { return account.fleet() + account.clamp }
 
+// length returns the waiting requests, and some more, for each unit of weight.
+func (account *account) length(more int) float64 {
+	return float64(len(account.waiting)+more) / float64(max(account.weight, 1))
+}
+
 // lift raises the tag to at least the floor.
 func (account *account) lift(floor berylspoke.Tag) {
 	missing := floor - account.tag()
--- a/core/berylshare/queue.go
+++ b/core/berylshare/queue.go
@@ -119,17 +119,22 @@
 	account.base += fleet - account.fleet()
 }
 
-// Push adds a request of an organisation that may have at most limit waiting.
-func (queue *Queue) Push(request Waiting, weight berylspoke.Weight, limit int) error {
+// Push adds a request of an organisation that may have at most limit waiting. In a
+// full queue it displaces the newest request of the organisation with the most waiting
+// for its weight, which is returned; it is refused itself if its own has about as many.
+func (queue *Queue) Push(request Waiting, weight berylspoke.Weight, limit int) (*Waiting, error) {
 	account := queue.account(request.Organisation, weight)
 	if limit == 0 {
 		limit = queue.options.MaxPerOrganisation
 	}
 	if limit > 0 && len(account.waiting) >= limit {
-		return ErrOrganisationFull
+		return nil, ErrOrganisationFull
 	}
+	var displaced *Waiting
 	if queue.options.MaxWaiting > 0 && queue.waiting >= queue.options.MaxWaiting {
-		return ErrFull
+		if displaced = queue.displace(account); displaced == nil {
+			return nil, ErrFull
+		}
 	}
 	account.waiting = append(account.waiting, request)
 	queue.waiting++
@@ -141,7 +146,28 @@
 		}
 	}
 	account.touched = request.Arrived
-	return nil
+	return displaced, nil
+}
+
+// displace takes out the newest request of the longest account, nil if one more
+// request would make the newcomer's as long.
+func (queue *Queue) displace(newcomer *account) *Waiting {
+	var longest *account
+	for _, account := range queue.backlog {
+		if longest == nil || account.length(0) > longest.length(0) ||
+			account.length(0) == longest.length(0) && account.organisation < longest.organisation {
+			longest = account
+		}
+	}
+	if longest == nil || longest.length(0) <= newcomer.length(1) {
+		return nil
+	}
+	last := len(longest.waiting) - 1
+	displaced := longest.waiting[last]
+	longest.waiting = longest.waiting[:last]
+	queue.waiting--
+	queue.replace(longest)
+	return &displaced
 }
 
 // Head returns the tag of the request that goes next.
--- a/core/berylshare/share_test.go
+++ b/core/berylshare/share_test.go
@@ -35,13 +35,16 @@
 				weight, hint := 1, 10
 				step.MaybeScanArgs(t, "weight", &weight)
 				step.MaybeScanArgs(t, "hint", &hint)
-				err := queue.Push(Waiting{
+				displaced, err := queue.Push(Waiting{
 					Request: berylspoke.RequestID(request), Organisation: berylspoke.OrganisationID(organisation),
 					Hint: berylspoke.Tokens(hint), Arrived: now, Deadline: now.Add(time.Minute),
 				}, berylspoke.Weight(weight), 0)
 				if err != nil {
 					return "error: " + err.Error()
 				}
+				if displaced != nil {
+					return fmt.Sprintf("displaced: %s of %s\n", displaced.Request, displaced.Organisation) + shares(queue)
+				}
 			case "pop":
 				next, ok := queue.Pop()
 				if !ok {
@@ -167,7 +170,8 @@
 	queue := NewQueue(scriptOptions())
 	queue.SetTime(5_000_000, true)
 	push := func(id berylspoke.OrganisationID) {
-		require.NoError(t, queue.Push(Waiting{Request: berylspoke.RequestID(id), Organisation: id, Hint: 1}, 1, 0))
+		_, err := queue.Push(Waiting{Request: berylspoke.RequestID(id), Organisation: id, Hint: 1}, 1, 0)
+		require.NoError(t, err)
 	}
 	push("elsewhere")
 	queue.Take(Total{Organisation: "elsewhere", Tag: 900_000_000})
@@ -184,13 +188,13 @@
 			queue := NewQueue(Options{Policy: FleetFair, CatchUp: 1 << 40, Lead: 1 << 40})
 			queue.SetTime(0, true)
 			for i := range count {
-				_ = queue.Push(Waiting{Organisation: berylspoke.OrganisationID(fmt.Sprint(i)), Hint: 100}, 1, 0)
+				_, _ = queue.Push(Waiting{Organisation: berylspoke.OrganisationID(fmt.Sprint(i)), Hint: 100}, 1, 0)
 			}
 			b.ReportAllocs()
 			b.ResetTimer()
 			for range b.N {
 				started, _ := queue.Pop()
-				_ = queue.Push(started.Waiting, 1, 0)
+				_, _ = queue.Push(started.Waiting, 1, 0)
 				queue.Progress(started, 150)
 				queue.Finish(started, 120)
 				_ = queue.Tags(8, 0)
