--- a/core/berylgate/gate.go
+++ b/core/berylgate/gate.go
@@ -210,18 +210,18 @@
 	}
 }
 
-// Refused is what was refused of one organisation before the gate saw it.
-type Refused struct {
+// Rejected is what was rejected of one organisation before the gate saw it.
+type Rejected struct {
 	Requests int
 	Tokens   berylspoke.Tokens
 }
 
-// Refused counts requests that this daemon refused as its VM was short of processor
-// time.
-func (gate *Gate) Refused(now time.Time, refused map[berylspoke.OrganisationID]Refused) {
-	for organisation, part := range refused {
+// Rejected counts requests that this daemon rejected as the processor of its VM is
+// overloaded.
+func (gate *Gate) Rejected(now time.Time, rejected map[berylspoke.OrganisationID]Rejected) {
+	for organisation, part := range rejected {
 		hash := hashOf(string(organisation))
-		gate.shares.usage(hash).refuse(now, part.Tokens, gate.shares.others[hash].asked)
+		gate.shares.usage(hash).reject(now, part.Tokens, gate.shares.others[hash].asked)
 	}
 }
 
--- a/core/berylgate/share.go
+++ b/core/berylgate/share.go
@@ -39,8 +39,8 @@
 // usage is what one organisation asked for and was given.
 type usage struct {
 	asked, given rate
-	// refused is what was refused for want of processor time.
-	refused rate
+	// rejected is what was rejected before the gate saw it.
+	rejected rate
 	// short is until when the organisation counts as held back by the processor time
 	// of this daemon's VM.
 	short time.Time
@@ -76,10 +76,10 @@
 
 const (
 	// someOf is the part of what an organisation asks for from which on it counts as
-	// held back when a VM refuses that for want of processor time.
+	// held back when a VM rejects that for want of processor time.
 	someOf = 0.15
 	// shortFor is how long an organisation counts as held back after requests of it
-	// were refused: until two reports have told the fleet.
+	// were rejected: until two reports have told the fleet.
 	shortFor = 2 * usageEvery
 )
 
@@ -88,14 +88,14 @@
 	usage.asked.add(now, tokens)
 }
 
-// refuse counts tokens of requests that were refused for want of processor time. The
+// reject counts tokens of requests that were rejected before the gate saw them. The
 // organisation would otherwise seem to be served all that it asks for, and others
 // would run away from it. If that is a small part of what it asks for in the fleet,
 // it is not held back by this VM, as its callers come to others too.
-func (usage *usage) refuse(now time.Time, tokens berylspoke.Tokens, elsewhere float64) {
+func (usage *usage) reject(now time.Time, tokens berylspoke.Tokens, elsewhere float64) {
 	usage.asked.add(now, tokens)
-	usage.refused.add(now, tokens)
-	if usage.refused.now(now) >= someOf*(usage.asked.now(now)+elsewhere) {
+	usage.rejected.add(now, tokens)
+	if usage.rejected.now(now) >= someOf*(usage.asked.now(now)+elsewhere) {
 		usage.short = now.Add(shortFor)
 	}
 }
--- a/dialect.go
+++ b/dialect.go
@@ -81,9 +81,9 @@
 	Prefixes() (configuration, targets string)
 	// Ask reads a caller's headers.
 	Ask(header http.Header) (Ask, error)
-	// Glance reads the key and the tokens from the first bytes of a request that was
+	// Peek reads the key and the tokens from the first bytes of a request that was
 	// not parsed; what is not among them stays empty.
-	Glance(head []byte) Ask
+	Peek(head []byte) Ask
 	// Onward makes the headers for a target out of the caller's.
 	Onward(header http.Header, onward Onward) http.Header
 	// Reply reads the headers of a target's answer.
--- a/io/beryledge/actor.go
+++ b/io/beryledge/actor.go
@@ -166,7 +166,7 @@
 			core.daemon.transport.Send(to, due.Beat)
 		}
 	}
-	core.gate.Refused(now, core.daemon.intake.collect())
+	core.gate.Rejected(now, core.daemon.admission.collect())
 	core.withdraw(now)
 	core.syncMembers(now)
 	core.gate.Tick(now)
--- a/io/beryledge/callers.go
+++ b/io/beryledge/callers.go
@@ -52,7 +52,7 @@
 	next *berylgate.Decision
 	// stream is what the caller has of a stream so far.
 	stream stream
-	// slot is the request's place among those that are taken in, until it is sent.
+	// slot is held from the request's admission until it is sent.
 	slot *slot
 }
 
@@ -66,8 +66,8 @@
 		writer.Header().Set("Connection", "close")
 	}
 	call := &call{daemon: daemon, writer: writer, in: in, arrived: arrived}
-	already := takenIn(in.Context())
-	if !call.admit(daemon.index.Load()) || !call.readBody() || !call.takeIn(already) {
+	admitted := admittedAlready(in.Context())
+	if !call.admit(daemon.index.Load()) || !call.readBody() || !call.takeSlot(admitted) {
 		return
 	}
 	defer func() { call.slot.free() }()
--- a/io/beryledge/daemon.go
+++ b/io/beryledge/daemon.go
@@ -56,7 +56,7 @@
 	pool        *berylconn.Pool
 	idle        *idleConns
 	strain      strain
-	intake      *intake
+	admission   *admission
 	index       atomic.Pointer[berylcatalog.Index]
 	entries     atomic.Pointer[entries]
 	// taking are the targets that take new requests.
@@ -93,7 +93,7 @@
 	daemon.taking.Store(new(map[berylspoke.TargetID]bool))
 	daemon.ctx, daemon.stop = context.WithCancel(context.Background())
 	var err error
-	if daemon.intake, err = newIntake(daemon.ctx); err != nil {
+	if daemon.admission, err = newAdmission(daemon.ctx); err != nil {
 		return nil, err
 	}
 	daemon.startCore(now)
@@ -150,8 +150,8 @@
 	return nil
 }
 
-// serve answers on an address; at that of callers the intake decides while the
-// processor is short.
+// serve answers on an address; at that of callers the admission queue decides
+// while the processor is overloaded.
 func (daemon *Daemon) serve(address string, handler http.Handler, callers bool) (*http.Server, error) {
 	listening := net.ListenConfig{KeepAlive: -1, Control: keepAlive}
 	listener, err := listening.Listen(daemon.ctx, "tcp", address)
@@ -159,7 +159,7 @@
 		return nil, errors.Wrapf(err, "address %s cannot be opened", address)
 	}
 	if callers {
-		listener = newIntakeListener(listener.(*net.TCPListener), daemon)
+		listener = newAdmissionListener(listener.(*net.TCPListener), daemon)
 	}
 	server := &http.Server{
 		Handler: handler, MaxHeaderBytes: headerBytes,
--- a/io/beryledge/listener.go
+++ b/io/beryledge/listener.go
@@ -1,7 +1,7 @@
 package beryledge
 
 // This file defines how callers' connections are accepted while the processor
-// is short, and how it is seen that their caller has left.
+// is overloaded, and how it is seen that their caller has left.
 
 import (
 	"bytes"
@@ -9,7 +9,6 @@
 	"net"
 	"os"
 	"strconv"
-	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -20,64 +19,63 @@
 )
 
 const (
-	// headBytes is what is read of a request on a connection that was not yet handed
-	// to the server: all of most requests.
+	// headBytes is what is read of a request whose connection the server does not have
+	// yet: all of most requests.
 	headBytes = 16 << 10
-	// roundEvery is the time between two rounds of a listener whose VM is short of
-	// processor time. The request on a new connection comes a round trip of some
-	// milliseconds after it.
-	roundEvery = 10 * time.Millisecond
-	// roundMost bounds the connections that one round accepts: the queue of the
-	// socket keeps the others.
-	roundMost = 128
-	// emptyRounds is how many rounds a new connection may bring nothing; then its
+	// pollEvery is the time between two looks at new connections while the processor is
+	// overloaded. The request on a connection comes a round trip of some milliseconds
+	// after it.
+	pollEvery = 10 * time.Millisecond
+	// acceptMost bounds the connections accepted at once: the socket keeps the others.
+	acceptMost = 128
+	// emptyPolls is how often a new connection may have brought nothing; then its
 	// caller is slow, and the server waits for it.
-	emptyRounds = 3
-	// takenMost bounds the connections that were taken in and wait for the server.
-	takenMost = 256
+	emptyPolls = 3
+	// admittedMost bounds the admitted connections that wait for the server.
+	admittedMost = 256
 )
 
-// intakeListener hands connections to the server, all of them while processor time is
-// left. While it is short the listener reads the first bytes of each itself and lets
-// the intake decide, by the organisation that asks. All callers of one organisation
-// may come to one small VM with ten times what it can serve, whatever the resolve
-// answers say; those refused are answered at once that nothing was run and when to
-// come back, for a tenth of what a request costs the server: four system calls, no
-// parsing, and no goroutine.
-type intakeListener struct {
+// admissionListener hands connections to the server. While the processor is overloaded
+// it reads the first bytes of each itself, and the admission queue decides by the
+// organisation that they name. A rejection at this stage costs four system calls, no
+// parsing and no goroutine, a tenth of a served request: callers of an organisation
+// may all come to one small VM, whatever resolve answers say, with ten times what it
+// can serve.
+type admissionListener struct {
 	*net.TCPListener
 	daemon *Daemon
-	// fresh are the connections that have brought nothing yet.
-	fresh  []freshConn
 	buffer []byte
-	// taken are those taken in by the intake, ready those that need no decision.
-	taken chan net.Conn
-	ready []net.Conn
-	// offered counts those that the intake decides on.
-	offered atomic.Int64
+	// fresh are the connections that have brought nothing yet.
+	fresh []freshConn
+	// deciding counts those that are in the admission queue.
+	deciding atomic.Int64
+	// admitted are those that left it for the server, undecided those that need no
+	// decision.
+	admitted  chan net.Conn
+	undecided []net.Conn
 }
 
-// freshConn is a connection and how many rounds ago it was accepted.
+// freshConn is a connection and how often it was looked at.
 type freshConn struct {
-	descriptor, rounds int
+	descriptor, polls int
 }
 
-func newIntakeListener(listener *net.TCPListener, daemon *Daemon) *intakeListener {
-	return &intakeListener{
+func newAdmissionListener(listener *net.TCPListener, daemon *Daemon) *admissionListener {
+	return &admissionListener{
 		TCPListener: listener, daemon: daemon,
-		buffer: make([]byte, headBytes), taken: make(chan net.Conn, takenMost),
+		buffer: make([]byte, headBytes), admitted: make(chan net.Conn, admittedMost),
 	}
 }
 
 // Accept implements net.Listener.
-func (listener *intakeListener) Accept() (net.Conn, error) {
+func (listener *admissionListener) Accept() (net.Conn, error) {
 	for {
-		if last := len(listener.ready) - 1; last >= 0 {
-			conn := listener.ready[last]
-			listener.ready = listener.ready[:last]
+		if last := len(listener.undecided) - 1; last >= 0 {
+			conn := listener.undecided[last]
+			listener.undecided = listener.undecided[:last]
 			return conn, nil
 		}
-		if !listener.mustDecide(time.Now()) {
+		if !listener.decides() {
 			conn, err := listener.AcceptTCP()
 			if err != nil || !hungUp(conn) {
 				return conn, err
@@ -85,100 +83,85 @@
 			_ = conn.Close()
 			continue
 		}
-		timer := time.NewTimer(roundEvery)
+		timer := time.NewTimer(pollEvery)
 		select {
-		case conn := <-listener.taken:
+		case conn := <-listener.admitted:
 			timer.Stop()
 			return conn, nil
 		case <-timer.C:
 		case <-listener.daemon.ctx.Done():
 		}
-		if err := listener.round(time.Now()); err != nil {
+		if err := listener.poll(); err != nil {
 			listener.abandon()
 			return nil, err
 		}
 	}
 }
 
-// mustDecide says whether connections go by the intake.
-func (listener *intakeListener) mustDecide(now time.Time) bool {
-	return len(listener.fresh) > 0 || len(listener.taken) > 0 || listener.offered.Load() > 0 ||
-		listener.daemon.intake.pressed(now)
+// decides reports whether connections pass through the admission queue.
+func (listener *admissionListener) decides() bool {
+	return len(listener.fresh) > 0 || len(listener.admitted) > 0 || listener.deciding.Load() > 0 ||
+		listener.daemon.admission.overloaded(time.Now())
 }
 
-// round offers the requests that came on new connections, and accepts those that
-// wait.
-func (listener *intakeListener) round(now time.Time) error {
-	listener.daemon.intake.expire(now)
-	pressed := listener.daemon.intake.pressed(now)
+// poll offers the requests that came on new connections, and accepts more.
+func (listener *admissionListener) poll() error {
+	listener.daemon.admission.expire()
+	overloaded := listener.daemon.admission.overloaded(time.Now())
 	fresh := listener.fresh
-	listener.fresh = listener.fresh[:0]
+	listener.fresh = nil
 	for _, conn := range fresh {
-		listener.read(now, conn, pressed)
+		listener.read(conn, overloaded)
 	}
 	accepted, err := listener.acceptAll()
 	for _, descriptor := range accepted {
 		listener.fresh = append(listener.fresh, freshConn{descriptor: descriptor})
 	}
-	listener.daemon.tellTurnaways(now)
+	listener.daemon.logRejections(time.Now())
 	return err
 }
 
-// abandon refuses whom the server will not have as it stops.
-func (listener *intakeListener) abandon() {
-	for _, conn := range listener.fresh {
-		waiter := connWaiter{listener: listener, descriptor: conn.descriptor, head: make([]byte, headBytes)}
-		waiter.refuse()
-	}
-	listener.fresh = nil
-	for len(listener.taken) > 0 {
-		_ = (<-listener.taken).Close()
-	}
-}
-
-// read looks what a new connection has brought and offers it.
-func (listener *intakeListener) read(now time.Time, conn freshConn, pressed bool) {
+// read reads what a new connection has brought and offers it.
+func (listener *admissionListener) read(conn freshConn, overloaded bool) {
 	count, err := unix.Read(conn.descriptor, listener.buffer)
 	switch {
-	case err == unix.EAGAIN && pressed && conn.rounds < emptyRounds:
-		conn.rounds++
+	case err == unix.EAGAIN && overloaded && conn.polls < emptyPolls:
+		conn.polls++
 		listener.fresh = append(listener.fresh, conn)
 	case err == unix.EAGAIN:
-		listener.hand(newConn(conn.descriptor, nil, nil))
+		listener.pass(newConn(conn.descriptor, nil, nil))
 	case err != nil || count == 0:
 		_ = unix.Close(conn.descriptor)
-	case !pressed:
-		listener.hand(newConn(conn.descriptor, bytes.Clone(listener.buffer[:count]), nil))
+	case !overloaded:
+		listener.pass(newConn(conn.descriptor, bytes.Clone(listener.buffer[:count]), nil))
 	default:
-		claim := listener.daemon.glance(listener.buffer[:count])
-		listener.offered.Add(1)
-		listener.daemon.intake.offer(now, claim, &connWaiter{
-			listener: listener, descriptor: conn.descriptor, claim: claim,
-			head: bytes.Clone(listener.buffer[:count]),
-		})
+		head := bytes.Clone(listener.buffer[:count])
+		waiter := &connWaiter{listener: listener, descriptor: conn.descriptor, head: head, demand: listener.daemon.demandOf(head)}
+		listener.deciding.Add(1)
+		listener.daemon.admission.offer(waiter.demand, waiter)
 	}
 }
 
-// hand gives a connection to the server without a decision.
-func (listener *intakeListener) hand(conn net.Conn) {
+// pass gives a connection to the server without a decision.
+func (listener *admissionListener) pass(conn net.Conn) {
 	if conn != nil {
-		listener.ready = append(listener.ready, conn)
+		listener.undecided = append(listener.undecided, conn)
 	}
 }
 
-// acceptAll accepts all connections that wait, without waiting for more.
-func (listener *intakeListener) acceptAll() ([]int, error) {
+// acceptAll accepts the connections that wait, without waiting for more.
+func (listener *admissionListener) acceptAll() ([]int, error) {
 	raw, err := listener.SyscallConn()
 	if err != nil {
 		return nil, err
 	}
 	var accepted []int
 	err = raw.Control(func(socket uintptr) {
-		for len(accepted) < roundMost {
+		for len(accepted) < acceptMost {
 			descriptor, _, failure := unix.Accept4(int(socket), unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
 			if failure != nil {
-				// Nobody waits any more, or descriptors are short: those refused
-				// free them.
+				// Nobody waits any more, or descriptors are short: rejected
+				// connections free them.
 				return
 			}
 			accepted = append(accepted, descriptor)
@@ -187,65 +170,74 @@
 	return accepted, err
 }
 
-// connWaiter is a connection whose request waits to be taken in, unparsed.
+// abandon rejects the requests that the server will not have as it stops.
+func (listener *admissionListener) abandon() {
+	for _, conn := range listener.fresh {
+		waiter := connWaiter{listener: listener, descriptor: conn.descriptor, head: make([]byte, headBytes)}
+		waiter.reject()
+	}
+	listener.fresh = nil
+	for len(listener.admitted) > 0 {
+		_ = (<-listener.admitted).Close()
+	}
+}
+
+// connWaiter is a connection whose request waits in the admission queue, unparsed.
 type connWaiter struct {
-	listener   *intakeListener
+	listener   *admissionListener
 	descriptor int
-	claim      claim
-	head       []byte
+	// head are the bytes that were read.
+	head   []byte
+	demand demand
 }
 
-// settle hands the connection to the server, or refuses it.
-func (waiter *connWaiter) settle(taken bool) {
-	defer waiter.listener.offered.Add(-1)
-	if !taken {
-		waiter.refuse()
+func (waiter *connWaiter) decided(admitted bool) {
+	defer waiter.listener.deciding.Add(-1)
+	if !admitted {
+		waiter.reject()
 		return
 	}
-	slot := &slot{intake: waiter.listener.daemon.intake}
+	slot := &slot{admission: waiter.listener.daemon.admission}
 	conn := newConn(waiter.descriptor, waiter.head, slot)
 	if conn == nil {
 		slot.free()
 		return
 	}
 	select {
-	case waiter.listener.taken <- conn:
+	case waiter.listener.admitted <- conn:
 	default:
 		_ = conn.Close()
 	}
 }
 
-// refuse answers that the request did not run, and closes the connection.
-func (waiter *connWaiter) refuse() {
-	daemon := waiter.listener.daemon
-	daemon.meters.shed.Inc()
-	daemon.meters.turnaways.count(waiter.claim.organisation)
-	daemon.intake.count(waiter.claim)
-	// A large request has more bytes waiting; closed over them the connection is
-	// reset, and the answer is lost.
+// reject answers that the request did not run, and closes the connection.
+func (waiter *connWaiter) reject() {
+	waiter.listener.daemon.meters.shed.Inc()
+	waiter.listener.daemon.rejected(waiter.demand)
+	// Closed with unread bytes the connection is reset, and the answer is lost.
 	for count := len(waiter.head); count == headBytes; {
 		count, _ = unix.Read(waiter.descriptor, waiter.head)
 	}
-	answer := append(waiter.head[:0], refusal...)
-	answer = strconv.AppendFloat(answer, waiter.claim.comeBack().Seconds(), 'f', 2, 64)
+	answer := append(waiter.head[:0], rejection...)
+	answer = strconv.AppendFloat(answer, waiter.demand.retryAfter().Seconds(), 'f', 2, 64)
 	// A caller that has left needs no answer.
 	_, _ = unix.Write(waiter.descriptor, append(answer, "\r\n\r\n"...))
 	_ = unix.Close(waiter.descriptor)
 }
 
-// refusal is the answer to an unparsed request, up to when its caller may come back.
-const refusal = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\nRetry-After: "
+// rejection is the answer to an unparsed request, up to when its caller may come back.
+const rejection = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\nRetry-After: "
 
-// takenConn is a connection of which the first bytes were read before the server
-// had it, and the slot that its request holds until its handler begins.
-type takenConn struct {
+// admittedConn is a connection of which the first bytes were read before the server
+// had it, with the slot of its first request.
+type admittedConn struct {
 	*net.TCPConn
 	head []byte
 	slot *slot
 }
 
-// newConn makes a connection of a descriptor, nil if its caller has left. It keeps the
-// first bytes.
+// newConn makes a connection of a descriptor and the bytes that were read from it; nil
+// if its caller has left.
 func newConn(descriptor int, head []byte, slot *slot) net.Conn {
 	file := os.NewFile(uintptr(descriptor), "connection")
 	conn, err := net.FileConn(file)
@@ -254,11 +246,11 @@
 	if err != nil {
 		return nil
 	}
-	return &takenConn{TCPConn: conn.(*net.TCPConn), head: head, slot: slot}
+	return &admittedConn{TCPConn: conn.(*net.TCPConn), head: head, slot: slot}
 }
 
 // Read implements net.Conn.
-func (conn *takenConn) Read(buffer []byte) (int, error) {
+func (conn *admittedConn) Read(buffer []byte) (int, error) {
 	if len(conn.head) == 0 {
 		return conn.TCPConn.Read(buffer)
 	}
@@ -268,57 +260,56 @@
 }
 
 // Close implements net.Conn.
-func (conn *takenConn) Close() error {
+func (conn *admittedConn) Close() error {
 	conn.slot.free()
 	return conn.TCPConn.Close()
 }
 
-// takenIn says whether the request of a context is the first on a connection that
-// the intake let in.
-func takenIn(ctx context.Context) bool {
-	conn, ok := ctx.Value(connKey{}).(*takenConn)
+// admittedAlready reports whether a request was admitted before it was parsed, and
+// frees the slot that its connection held for it.
+func admittedAlready(ctx context.Context) bool {
+	conn, ok := ctx.Value(connKey{}).(*admittedConn)
 	return ok && conn.slot.free()
 }
 
-// glance returns what the first bytes of a request say of whose it is.
-func (daemon *Daemon) glance(head []byte) claim {
+// demandOf reads from the first bytes of a request what decides when it is admitted.
+func (daemon *Daemon) demandOf(head []byte) demand {
 	index := daemon.index.Load()
 	if index == nil {
-		return claim{}
+		return demand{}
 	}
-	ask := daemon.dialect.Glance(head)
-	claim := claim{
-		engine: ask.Input > 0,
-		tokens: berylgate.TokensOf(&berylgate.Request{Input: ask.Input, Output: ask.Output}),
-	}
-	claim.organisation, _ = index.Organisation(ask.Key)
+	ask := daemon.dialect.Peek(head)
+	tokens := berylgate.TokensOf(&berylgate.Request{Input: ask.Input, Output: ask.Output})
+	demand := demand{tokens: tokens, engine: ask.Input > 0}
+	demand.organisation, _ = index.Organisation(ask.Key)
 	if route := index.Route(routeOf(head)); route != nil {
-		claim.objective = route.Objective
+		demand.objective = route.Objective
 	}
-	return claim
+	return demand
 }
 
 // routeOf returns the host and the path of an unparsed request, empty where they are
 // not among its first bytes.
 func routeOf(head []byte) (host, path string) {
 	line, rest, _ := bytes.Cut(head, lineEnd)
-	if parts := bytes.Fields(line); len(parts) > 1 {
-		uri, _, _ := bytes.Cut(parts[1], []byte("?"))
+	if words := bytes.Fields(line); len(words) > 1 {
+		uri, _, _ := bytes.Cut(words[1], []byte("?"))
 		path = string(uri)
 	}
 	for len(rest) > 0 {
 		line, rest, _ = bytes.Cut(rest, lineEnd)
-		if name, value, found := bytes.Cut(line, []byte(":")); found && len(name) == len("Host") && strings.EqualFold(string(name), "Host") {
-			return string(bytes.TrimSpace(value)), path
-		}
 		if len(line) == 0 {
 			break
 		}
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		if bytes.EqualFold(name, hostHeader) {
+			return string(bytes.TrimSpace(value)), path
+		}
 	}
 	return "", path
 }
 
-var lineEnd = []byte("\r\n")
+var lineEnd, hostHeader = []byte("\r\n"), []byte("Host")
 
 // hungUp says whether the other end of a connection has closed it, although
 // what it sent before may not have been read yet.
--- a/io/beryledge/meters.go
+++ b/io/beryledge/meters.go
@@ -23,7 +23,7 @@
 	brokenOff   *metrics.Counter
 	callersLeft *metrics.Counter
 	shed        *metrics.Counter
-	turnaways   *turnaways
+	rejections  *rejections
 	outcomes    [berylgate.Outcomes]*metrics.Counter
 	latency     map[berylspoke.Kind]*metrics.Histogram
 }
@@ -36,7 +36,7 @@
 		brokenOff:   set.NewCounter("berylspoke_streams_broken_off_total"),
 		callersLeft: set.NewCounter("berylspoke_callers_left_total"),
 		shed:        set.NewCounter("berylspoke_connections_shed_total"),
-		turnaways:   newTurnaways(set),
+		rejections:  newRejections(set),
 		latency:     make(map[berylspoke.Kind]*metrics.Histogram),
 	}
 	for outcome := range meters.outcomes {
--- a/io/beryledge/overload_test.go
+++ b/io/beryledge/overload_test.go
@@ -149,7 +149,7 @@
 	return response.StatusCode, response.Header.Get("Retry-After")
 }
 
-// Guards against a VM short of processor time that refuses without regard to whose
+// Guards against a VM short of processor time that rejects without regard to whose
 // a request is: one with few requests got as small a part as the flood beside it.
 func TestFloodLeavesOthersTheirShareOfTheProcessor(t *testing.T) {
 	readOverload(t, "flood").play(t)
