--- a/core/berylgate/gate.go
+++ b/core/berylgate/gate.go
@@ -210,18 +210,12 @@
 	}
 }
 
-// Rejected is what was rejected of one organisation before the gate saw it.
-type Rejected struct {
-	Requests int
-	Tokens   berylspoke.Tokens
-}
-
-// Rejected counts requests that this daemon rejected as the processor of its VM is
-// overloaded.
-func (gate *Gate) Rejected(now time.Time, rejected map[berylspoke.OrganisationID]Rejected) {
-	for organisation, part := range rejected {
+// Rejected counts the tokens of requests that this daemon rejected, by organisation,
+// as the processor of its VM is overloaded.
+func (gate *Gate) Rejected(now time.Time, rejected map[berylspoke.OrganisationID]berylspoke.Tokens) {
+	for organisation, tokens := range rejected {
 		hash := hashOf(string(organisation))
-		gate.shares.usage(hash).reject(now, part.Tokens, gate.shares.others[hash].asked)
+		gate.shares.usage(hash).reject(now, tokens, gate.shares.others[hash].asked)
 	}
 }
 
--- a/core/berylgate/usage_test.go
+++ b/core/berylgate/usage_test.go
@@ -114,7 +114,7 @@
 		gate.shares.usage(large).ask(now, 45_000)
 		gate.shares.usage(large).given.add(now, 10_000)
 	}
-	small.Rejected(now, map[berylspoke.OrganisationID]Rejected{"pinned": {150, 300_000}})
+	small.Rejected(now, map[berylspoke.OrganisationID]berylspoke.Tokens{"pinned": 300_000})
 	fleet.rounds(now, 3)
 	seen := fleet.gates[3]
 	require.InEpsilon(t, sampledGap*190_000/shareWindow.Seconds(), capSeen(now, seen), 0.01)
@@ -128,12 +128,12 @@
 func TestAllWhoseRequestsAreRejectedCount(t *testing.T) {
 	now := time.Unix(0, 0)
 	gate := newUsageFleet(now, 1, 1).gates[0]
-	rejected := make(map[berylspoke.OrganisationID]Rejected)
+	rejected := make(map[berylspoke.OrganisationID]berylspoke.Tokens)
 	for organisation, requests := range map[berylspoke.OrganisationID]int{"large": 450, "middle": 350, "small": 20, "elsewhere": 50} {
 		for range requests / 10 {
 			gate.shares.usage(hashOf(string(organisation))).ask(now, 2_000)
 		}
-		rejected[organisation] = Rejected{requests, berylspoke.Tokens(requests) * 2_000}
+		rejected[organisation] = berylspoke.Tokens(requests) * 2_000
 	}
 	gate.shares.others = map[uint32]total{hashOf("elsewhere"): {asked: 10 * 100_000 / shareWindow.Seconds()}}
 	gate.Rejected(now, rejected)
--- a/io/beryledge/actor.go
+++ b/io/beryledge/actor.go
@@ -167,6 +167,7 @@
 		}
 	}
 	core.gate.Rejected(now, core.daemon.admission.collect())
+	core.daemon.logRejections(now)
 	core.withdraw(now)
 	core.syncMembers(now)
 	core.gate.Tick(now)
--- a/io/beryledge/admission.go
+++ b/io/beryledge/admission.go
@@ -42,8 +42,8 @@
 	queue   *beryladmission.Queue
 	waiters map[beryladmission.Ticket]waiter
 	last    beryladmission.Ticket
-	// rejected are the requests rejected since they were last collected.
-	rejected map[berylspoke.OrganisationID]berylgate.Rejected
+	// rejected are the tokens of requests rejected since they were last collected.
+	rejected map[berylspoke.OrganisationID]berylspoke.Tokens
 	// wakeup is the pipe to the goroutine that admits waiting requests; woken says that
 	// it was written to.
 	wakeup io.Writer
@@ -75,7 +75,7 @@
 	admission := &admission{
 		queue:    beryladmission.NewQueue(slotsPerCore * runtime.GOMAXPROCS(0)),
 		waiters:  make(map[beryladmission.Ticket]waiter),
-		rejected: make(map[berylspoke.OrganisationID]berylgate.Rejected),
+		rejected: make(map[berylspoke.OrganisationID]berylspoke.Tokens),
 		wakeup:   writer,
 	}
 	context.AfterFunc(ctx, func() {
@@ -175,21 +175,18 @@
 	}
 	admission.mutex.Lock()
 	defer admission.mutex.Unlock()
-	rejected := admission.rejected[demand.organisation]
-	rejected.Requests++
-	rejected.Tokens += demand.tokens
-	admission.rejected[demand.organisation] = rejected
+	admission.rejected[demand.organisation] += demand.tokens
 }
 
-// collect returns the requests rejected since the last call.
-func (admission *admission) collect() map[berylspoke.OrganisationID]berylgate.Rejected {
+// collect returns the tokens of requests rejected since the last call.
+func (admission *admission) collect() map[berylspoke.OrganisationID]berylspoke.Tokens {
 	admission.mutex.Lock()
 	defer admission.mutex.Unlock()
 	if len(admission.rejected) == 0 {
 		return nil
 	}
 	rejected := admission.rejected
-	admission.rejected = make(map[berylspoke.OrganisationID]berylgate.Rejected)
+	admission.rejected = make(map[berylspoke.OrganisationID]berylspoke.Tokens)
 	return rejected
 }
 
--- a/io/beryledge/callers.go
+++ b/io/beryledge/callers.go
@@ -70,7 +70,7 @@
 	if !call.admit(daemon.index.Load()) || !call.readBody() || !call.takeSlot(admitted) {
 		return
 	}
-	defer func() { call.slot.free() }()
+	defer call.slot.free()
 	ctx, cancel := context.WithDeadline(in.Context(), call.request.Deadline)
 	defer cancel()
 	call.ctx = ctx
--- a/io/beryledge/listener.go
+++ b/io/beryledge/listener.go
@@ -117,7 +117,6 @@
 	for _, descriptor := range accepted {
 		listener.fresh = append(listener.fresh, freshConn{descriptor: descriptor})
 	}
-	listener.daemon.logRejections(time.Now())
 	return err
 }
 
--- a/io/beryledge/rejections.go
+++ b/io/beryledge/rejections.go
@@ -18,7 +18,7 @@
 )
 
 const (
-	// rejectionsEvery is the time between two log lines on callers turned rejections.
+	// rejectionsEvery is the least time between two log lines on rejections.
 	rejectionsEvery = time.Second
 	// loggedMost bounds the organisations named in one line, namedMost those that have
 	// a counter of their own.
--- a/io/beryllog/log.go
+++ b/io/beryllog/log.go
@@ -88,17 +88,7 @@
 func (writer *Writer) flush() error {
 	lines := writer.take()
 	for len(lines) > 0 {
-		size := len(lines)
-		if size > writeBytes {
-			size = bytes.LastIndexByte(lines[:writeBytes], '\n') + 1
-		}
-		if size == 0 {
-			// The first line alone is longer than one write.
-			size = bytes.IndexByte(lines, '\n') + 1
-		}
-		if size == 0 {
-			size = len(lines)
-		}
+		size := writeSize(lines)
 		if _, err := writer.out.Write(lines[:size]); err != nil {
 			return err
 		}
@@ -107,6 +97,21 @@
 	return nil
 }
 
+// writeSize returns the size of the next write: as many whole lines as it may hold, but
+// at least one.
+func writeSize(lines []byte) int {
+	if len(lines) <= writeBytes {
+		return len(lines)
+	}
+	if end := bytes.LastIndexByte(lines[:writeBytes], '\n'); end >= 0 {
+		return end + 1
+	}
+	if end := bytes.IndexByte(lines, '\n'); end >= 0 {
+		return end + 1
+	}
+	return len(lines)
+}
+
 // New returns a log of JSON lines from the given level on.
 func New(out io.Writer, level zapcore.Level) *zap.Logger {
 	encoding := zap.NewProductionEncoderConfig()
