Let half a header hold no slot of the admission queue

What callers would see: while a VM is overloaded, slow or hostile callers send half of a header, are admitted, and hold their slots until the header's time limit of 5 s; once all slots are theirs, everybody else is rejected.

Found by reading the admission queue; not played. A request whose whole header is not among the first bytes goes to the server without a decision and is decided on once it is parsed.

--- a/io/beryledge/listener.go
+++ b/io/beryledge/listener.go
@@ -131,7 +131,8 @@
 		listener.pass(newConn(conn.descriptor, nil, nil))
 	case err != nil || count == 0:
 		_ = unix.Close(conn.descriptor)
-	case !overloaded:
+	case !overloaded || !bytes.Contains(listener.buffer[:count], headEnd):
+		// A request without its whole header would hold a slot while it comes.
 		listener.pass(newConn(conn.descriptor, bytes.Clone(listener.buffer[:count]), nil))
 	default:
 		head := bytes.Clone(listener.buffer[:count])
@@ -308,7 +309,7 @@
 	return "", path
 }
 
-var lineEnd, hostHeader = []byte("\r\n"), []byte("Host")
+var lineEnd, headEnd, hostHeader = []byte("\r\n"), []byte("\r\n\r\n"), []byte("Host")
 
 // hungUp says whether the other end of a connection has closed it, although
 // what it sent before may not have been read yet.
--- a/io/beryledge/overload_test.go
+++ b/io/beryledge/overload_test.go
@@ -57,10 +57,13 @@
 // of it that must be served.
 type overloadScript struct {
 	Phases []struct {
-		Seconds    float64            `json:"seconds"`
-		CostMillis int64              `json:"costMillis"`
-		Rates      map[string]int     `json:"rates"`
-		Served     map[string]float64 `json:"served"`
+		Seconds    float64 `json:"seconds"`
+		CostMillis int64   `json:"costMillis"`
+		// Rates are requests a second, each on a connection of its own; Partial are
+		// connections a second that bring half of a header.
+		Rates   map[string]int     `json:"rates"`
+		Partial int                `json:"partial"`
+		Served  map[string]float64 `json:"served"`
 	} `json:"phases"`
 }
 
@@ -91,10 +94,18 @@
 			served[organisation] = new(atomic.Int64)
 		}
 		const step = 4 * time.Millisecond
+		due := func(tick, rate int) int {
+			return (tick+1)*rate*int(step)/int(time.Second) - tick*rate*int(step)/int(time.Second)
+		}
 		for tick := range int(phase.Seconds * float64(time.Second) / float64(step)) {
+			for range due(tick, phase.Partial) {
+				conn, err := net.Dial("tcp", daemon.settings.Callers)
+				require.NoError(t, err)
+				defer conn.Close()
+				_, _ = fmt.Fprint(conn, "POST /file/x HTTP/1.1\r\nHost: h.example\r\nX-Key: k\r\n")
+			}
 			for organisation, rate := range phase.Rates {
-				due := (tick+1)*rate*int(step)/int(time.Second) - tick*rate*int(step)/int(time.Second)
-				for i := range due {
+				for i := range due(tick, rate) {
 					asked[organisation]++
 					phaseCallers.Add(1)
 					all.Add(1)
@@ -155,6 +166,11 @@
 	readOverload(t, "flood").play(t)
 }
 
+// Guards against slow callers that hold all slots of the admission queue.
+func TestPartialRequestsHoldNoSlots(t *testing.T) {
+	readOverload(t, "partial").play(t)
+}
+
 // Guards against a VM that goes on refusing after its processor is free, for as long
 // as callers keep coming.
 func TestCallersAreTakenAgainOnceTheProcessorIsFree(t *testing.T) {
