--- a/io/beryledge/overload_test.go
+++ b/io/beryledge/overload_test.go
@@ -53,18 +53,21 @@
 	}
 }
 
-// overloadScript is what organisations ask of one VM, phase by phase, and the part
-// of it that must be served.
+// overloadScript is what organisations ask of one VM, phase by phase.
 type overloadScript struct {
-	Phases []struct {
-		Seconds    float64 `json:"seconds"`
-		CostMillis int64   `json:"costMillis"`
-		// Rates are requests a second, each on a connection of its own; Partial are
-		// connections a second that bring half of a header.
-		Rates   map[string]int     `json:"rates"`
-		Partial int                `json:"partial"`
-		Served  map[string]float64 `json:"served"`
-	} `json:"phases"`
+	Phases []overloadPhase `json:"phases"`
+}
+
+type overloadPhase struct {
+	Seconds float64 `json:"seconds"`
+	// CostMillis is the processor time of one request.
+	CostMillis int64 `json:"costMillis"`
+	// Rates are requests a second, each on a connection of its own; Partial are
+	// connections a second that bring half of a header.
+	Rates   map[string]int `json:"rates"`
+	Partial int            `json:"partial"`
+	// Served is the least part of its requests that each organisation must get.
+	Served map[string]float64 `json:"served"`
 }
 
 func readOverload(t *testing.T, name string) overloadScript {
@@ -77,66 +80,105 @@
 	return script
 }
 
-// play makes the requests of a script, each on a connection of its own.
+// play plays all phases and checks that whoever is not served is told when to come
+// back, and that its request reaches no target.
 func (script overloadScript) play(t *testing.T) {
 	cpu := new(processor)
 	target := newTestTarget(t, "d1", sealed(http.StatusOK, "done"))
 	daemon, _ := startServingWith(t, map[string]*testTarget{"desk": target}, costlyDialect{testDialect{testCatalog()}, cpu})
 	go cpu.contend(daemon)
-	keys := map[string]string{"clergy": "k", "union": "u"}
-	var all sync.WaitGroup
-	var passed, unanswered atomic.Int64
+	run := &overloadRun{address: daemon.settings.Callers}
+	defer run.closePartial()
 	for number, phase := range script.Phases {
 		cpu.cost.Store(phase.CostMillis * int64(time.Millisecond))
-		var phaseCallers sync.WaitGroup
-		served, asked := make(map[string]*atomic.Int64), make(map[string]int)
-		for organisation := range phase.Rates {
-			served[organisation] = new(atomic.Int64)
-		}
-		const step = 4 * time.Millisecond
-		due := func(tick, rate int) int {
-			return (tick+1)*rate*int(step)/int(time.Second) - tick*rate*int(step)/int(time.Second)
-		}
-		for tick := range int(phase.Seconds * float64(time.Second) / float64(step)) {
-			for range due(tick, phase.Partial) {
-				conn, err := net.Dial("tcp", daemon.settings.Callers)
-				require.NoError(t, err)
-				defer conn.Close()
-				_, _ = fmt.Fprint(conn, "POST /file/x HTTP/1.1\r\nHost: h.example\r\nX-Key: k\r\n")
-			}
-			for organisation, rate := range phase.Rates {
-				for i := range due(tick, rate) {
-					asked[organisation]++
-					phaseCallers.Add(1)
-					all.Add(1)
-					go func() {
-						defer all.Done()
-						defer phaseCallers.Done()
-						id := fmt.Sprintf("%s-%d-%d-%d", organisation, number, tick, i)
-						switch status, wait := knock(daemon.settings.Callers, keys[organisation], id); {
-						case status == http.StatusOK:
-							served[organisation].Add(1)
-							passed.Add(1)
-						case status != http.StatusServiceUnavailable || wait == "":
-							unanswered.Add(1)
-						}
-					}()
-				}
-			}
-			time.Sleep(step)
-		}
+		tallies := run.phase(t, number, phase)
 		if phase.Served == nil {
 			continue
 		}
-		phaseCallers.Wait()
+		run.callers.Wait()
 		for organisation, least := range phase.Served {
-			part := float64(served[organisation].Load()) / float64(asked[organisation])
-			require.GreaterOrEqual(t, part, least, "part of %s served in phase %d", organisation, number)
+			require.GreaterOrEqual(t, tallies[organisation].part(), least, "part of %s served in phase %d", organisation, number)
+		}
+	}
+	run.callers.Wait()
+	require.Zero(t, run.unanswered.Load(), "who is rejected is told so, and when to come back")
+	require.Equal(t, run.served.Load(), target.seen.Load(), "what is rejected reaches no target")
+}
+
+// overloadRun is one play of a script.
+type overloadRun struct {
+	address            string
+	callers            sync.WaitGroup
+	served, unanswered atomic.Int64
+	partial            []net.Conn
+}
+
+// tally counts one organisation's requests in one phase.
+type tally struct {
+	asked  int
+	served atomic.Int64
+}
+
+func (tally *tally) part() float64 { return float64(tally.served.Load()) / float64(tally.asked) }
+
+// overloadStep is the time between two looks which requests are due.
+const overloadStep = 4 * time.Millisecond
+
+// phase makes the requests of one phase; they may end after it.
+func (run *overloadRun) phase(t *testing.T, number int, phase overloadPhase) map[string]*tally {
+	tallies := make(map[string]*tally)
+	for organisation := range phase.Rates {
+		tallies[organisation] = new(tally)
+	}
+	for tick := range int(phase.Seconds * float64(time.Second) / float64(overloadStep)) {
+		for range dueAt(tick, phase.Partial) {
+			run.sendPartial(t)
+		}
+		for organisation, rate := range phase.Rates {
+			for i := range dueAt(tick, rate) {
+				tallies[organisation].asked++
+				run.send(organisation, fmt.Sprintf("%s-%d-%d-%d", organisation, number, tick, i), tallies[organisation])
+			}
+		}
+		time.Sleep(overloadStep)
+	}
+	return tallies
+}
+
+// dueAt returns how many of a rate a second are due at a tick.
+func dueAt(tick, rate int) int {
+	upTo := func(tick int) int { return tick * rate * int(overloadStep) / int(time.Second) }
+	return upTo(tick+1) - upTo(tick)
+}
+
+// organisationKeys are the keys of the test catalog's organisations.
+var organisationKeys = map[string]string{"clergy": "k", "union": "u"}
+
+func (run *overloadRun) send(organisation, id string, tally *tally) {
+	run.callers.Add(1)
+	go func() {
+		defer run.callers.Done()
+		switch status, wait := knock(run.address, organisationKeys[organisation], id); {
+		case status == http.StatusOK:
+			tally.served.Add(1)
+			run.served.Add(1)
+		case status != http.StatusServiceUnavailable || wait == "":
+			run.unanswered.Add(1)
 		}
+	}()
+}
+
+func (run *overloadRun) sendPartial(t *testing.T) {
+	conn, err := net.Dial("tcp", run.address)
+	require.NoError(t, err)
+	run.partial = append(run.partial, conn)
+	_, _ = fmt.Fprint(conn, "POST /file/x HTTP/1.1\r\nHost: h.example\r\nX-Key: k\r\n")
+}
+
+func (run *overloadRun) closePartial() {
+	for _, conn := range run.partial {
+		_ = conn.Close()
 	}
-	all.Wait()
-	require.Zero(t, unanswered.Load(), "refused callers are told so, and when to come back")
-	require.Equal(t, passed.Load(), target.seen.Load(), "what is refused reaches no target")
 }
 
 // knock sends one request over a connection of its own and returns the status of
