--- a/io/beryledge/attempt.go
+++ b/io/beryledge/attempt.go
@@ -40,8 +40,7 @@
 	if call.repeatable() && call.request.Attempts > 1 {
 		patience := max(patienceLeast, patienceFactor*decision.Expected)
 		timer := time.AfterFunc(patience, func() {
-			// Late is better than cut: the last attempt goes on for as long as its caller
-			// waits.
+			// The last attempt allowed goes on for as long as its caller waits.
 			if call.daemon.reserve(call.request) {
 				cancel(errImpatient)
 			}
--- a/io/beryledge/listener.go
+++ b/io/beryledge/listener.go
@@ -37,10 +37,9 @@
 
 // admissionListener hands connections to the server. While the processor is overloaded
 // it reads the first bytes of each itself, and the admission queue decides by the
-// organisation that they name. A rejection at this stage costs four system calls, no
-// parsing and no goroutine, a tenth of a served request: callers of an organisation
-// may all come to one small VM, whatever resolve answers say, with ten times what it
-// can serve.
+// organisation that they name. A rejection at this stage needs no parsing and no
+// goroutine: all callers of an organisation may come to one small VM, whatever resolve
+// answers say, with many times what it can serve.
 type admissionListener struct {
 	*net.TCPListener
 	daemon *Daemon
