Let a daemon whose clock went back take an incarnation above that of its earlier run

What callers saw (own interface): after a VM's clock went back and its daemon started anew, its peers took each of its heartbeats and asks for one of the earlier run. It got no slots and held no role until it was forgotten.

Cause: an incarnation is the time of the start, and a table with a list of VMs ignored lower ones without a word. Tables without a list, as on the users' platform, already answered. Peers now answer in both; until its start is complete, in which nothing is owned yet, a node takes an incarnation above the one it hears of, with random low bits, as another run may have done the same. The start is complete only once the peers that it asked were heard.

TestDaemonBehindASteppedClockTakesPart failed without the change (not back within 8 s) and passes.

--- a/core/berylmember/table.go
+++ b/core/berylmember/table.go
@@ -71,6 +71,8 @@
 	revived  time.Time
 	urgent   bool
 	live     []berylspoke.VMID
+	// earlier is the highest incarnation of this daemon that peers told of.
+	earlier berylspoke.Incarnation
 }
 
 // NewTable returns the table of a daemon that knows only itself.
@@ -262,9 +264,6 @@
 		member = table.member(from)
 	}
 	if beat.Self.Process.Incarnation < member.Rumour.Process.Incarnation {
-		if !table.options.Open {
-			return nil
-		}
 		// The clock of the VM went back before its daemon started anew. Unless it
 		// hears of its earlier incarnation, nobody would believe it.
 		reply := table.beat([]Rumour{member.Rumour})
@@ -342,12 +341,29 @@
 	table.relink(now)
 }
 
+// Earlier returns the highest incarnation that peers know of an earlier run of this
+// daemon, zero if none is above its own.
+func (table *Table) Earlier() berylspoke.Incarnation {
+	if table.earlier <= table.self.Rumour.Process.Incarnation {
+		return 0
+	}
+	return table.earlier
+}
+
+// Succeed takes an incarnation above that of an earlier run.
+func (table *Table) Succeed(incarnation berylspoke.Incarnation) {
+	table.self.Rumour.Process.Incarnation = incarnation
+	table.spread(table.self.VM.ID)
+}
+
 // refute answers a rumour that wrongs this daemon: a monitor behind a cut link,
 // or a pause of ours, made the fleet believe us dead.
 func (table *Table) refute(rumour Rumour) {
-	if table.options.Open && rumour.Process.Incarnation > table.self.Rumour.Process.Incarnation {
-		table.self.Rumour.Process.Incarnation = rumour.Process.Incarnation + 1
-		table.spread(table.self.VM.ID)
+	if rumour.Process.Incarnation > table.self.Rumour.Process.Incarnation {
+		table.earlier = max(table.earlier, rumour.Process.Incarnation)
+		if table.options.Open {
+			table.Succeed(rumour.Process.Incarnation + 1)
+		}
 		return
 	}
 	if rumour.Process.Incarnation != table.self.Rumour.Process.Incarnation || rumour.Status == Alive {
--- a/core/berylnode/config.go
+++ b/core/berylnode/config.go
@@ -8,6 +8,7 @@
 	"berylspoke"
 	"berylspoke/core/berylconfig"
 	"berylspoke/core/berylmember"
+	"berylspoke/core/berylticket"
 )
 
 const (
@@ -27,7 +28,10 @@
 )
 
 type startupPeer struct {
-	sent     time.Time
+	sent time.Time
+	// heard says that a heartbeat of the peer came, which names an earlier run of this
+	// daemon if the peer knows one.
+	heard    bool
 	answered bool
 	serving  bool
 }
@@ -71,6 +75,10 @@
 // heard takes a heartbeat and pulls the entries that its sender has and this
 // daemon lacks.
 func (node *Node) heard(now time.Time, beat berylmember.Heartbeat) {
+	if peer := node.start.asked[beat.Self.Process.VM]; peer != nil {
+		peer.heard = true
+	}
+	defer node.succeed(now)
 	if reply := node.table.Hear(now, beat); reply != nil {
 		reply.Number, reply.Serving = node.store.State().Number, node.Ready()
 		node.send(beat.Self.Process.VM, *reply)
@@ -81,6 +89,22 @@
 	node.place(now)
 }
 
+// succeed takes an incarnation above that of an earlier run of this daemon, if the
+// clock of its VM went back in between: peers would take it for that run. Nothing is
+// owned yet, as no request is served before the start is complete.
+func (node *Node) succeed(now time.Time) {
+	earlier := node.table.Earlier()
+	if earlier == 0 || node.start.done {
+		return
+	}
+	node.self.Incarnation = earlier.Next(node.random.Uint64())
+	node.table.Succeed(node.self.Incarnation)
+	node.owner = berylticket.NewOwner(node.self, node.options.Records)
+	node.witness = berylticket.NewWitness(node.self, node.options.Records)
+	node.services, node.placed = make(map[berylspoke.ServiceID]*service), placedFor{}
+	node.place(now)
+}
+
 // pull asks a peer for what this daemon lacks. Several peers announce one change
 // at the same moment; only the first is asked, unless it does not answer.
 func (node *Node) pull(now time.Time, from berylspoke.VMID) {
@@ -146,10 +170,15 @@
 		if peer == nil {
 			peer = new(startupPeer)
 			node.start.asked[vm] = peer
-			beat := berylmember.Heartbeat{Self: node.table.Member(node.self.VM).Rumour, Sync: true}
-			node.send(vm, beat)
 		}
-		if !peer.answered && now.Sub(peer.sent) > startupRepeat {
+		if now.Sub(peer.sent) <= startupRepeat {
+			continue
+		}
+		if !peer.heard {
+			peer.sent = now
+			node.send(vm, berylmember.Heartbeat{Self: node.table.Member(node.self.VM).Rumour, Sync: true})
+		}
+		if !peer.answered {
 			peer.sent = now
 			node.send(vm, berylconfig.PullRequest{After: node.store.State().Number})
 		}
@@ -166,7 +195,7 @@
 		switch {
 		case member == nil || !member.Listed:
 			continue
-		case !peer.answered:
+		case !peer.answered || !peer.heard:
 			open++
 		default:
 			answered++
@@ -174,7 +203,7 @@
 		if member.Number > node.store.State().Number {
 			behind = true
 		}
-		if peer.serving {
+		if peer.serving && peer.heard {
 			serving++
 		}
 	}
--- a/core/berylnode/fleet_test.go
+++ b/core/berylnode/fleet_test.go
@@ -106,9 +106,12 @@
 	fleet.shown = len(fleet.patches)
 }
 
-func (fleet *fakeFleet) start(vm berylspoke.VM) {
+func (fleet *fakeFleet) start(vm berylspoke.VM) { fleet.startAt(vm, fleet.now) }
+
+// startAt starts a node whose VM's clock shows a time.
+func (fleet *fakeFleet) startAt(vm berylspoke.VM, clock time.Time) {
 	fleet.started++
-	incarnation := berylspoke.Incarnation(fleet.now.UnixMilli()<<20 + int64(fleet.started))
+	incarnation := berylspoke.NewIncarnation(clock.UnixMilli(), uint64(fleet.started))
 	fleet.nodes[vm.ID] = New(fleet.now, fleet.options(vm, incarnation), uint64(fleet.started))
 	fleet.nodes[vm.ID].SetVMs(fleet.now, fleet.vms)
 }
--- a/core/berylnode/members_test.go
+++ b/core/berylnode/members_test.go
@@ -155,3 +155,22 @@
 		require.True(t, fleet.agreed(8), "after %s", fleet.now)
 	}
 }
+
+// Guards against a daemon that nobody believes after the clock of its VM went back
+// between two runs: its heartbeats and its asks count as those of the earlier run.
+func TestDaemonBehindASteppedClockTakesPart(t *testing.T) {
+	fleet := memberFleet(8)
+	vm := fleet.vms[3]
+	before := fleet.nodes[vm.ID].Self()
+	fleet.crash(vm.ID)
+	_, ok := fleet.within(8*time.Second, func() bool { return fleet.agreed(7) })
+	require.True(t, ok)
+	fleet.startAt(vm, fleet.now.Add(-time.Hour))
+	_, ok = fleet.within(8*time.Second, func() bool { return fleet.agreed(8) && fleet.nodes[vm.ID].Ready() })
+	require.True(t, ok, "it is back")
+	after := fleet.nodes[vm.ID].Self()
+	require.Greater(t, after.Incarnation, before.Incarnation)
+	for _, node := range fleet.nodes {
+		require.Equal(t, after.Incarnation, node.table.Known(vm.ID))
+	}
+}
--- a/ids.go
+++ b/ids.go
@@ -38,6 +38,22 @@
 	return strconv.FormatUint(uint64(incarnation), 16)
 }
 
+// incarnationRandomBits are the low bits of an incarnation; those above count
+// milliseconds.
+const incarnationRandomBits = 20
+
+// NewIncarnation returns the incarnation of a daemon that starts at a time in Unix
+// milliseconds.
+func NewIncarnation(unixMillis int64, random uint64) Incarnation {
+	return Incarnation(uint64(unixMillis)<<incarnationRandomBits | random&(1<<incarnationRandomBits-1))
+}
+
+// Next returns an incarnation above this one, with random low bits, as other runs may
+// have taken one above it too.
+func (incarnation Incarnation) Next(random uint64) Incarnation {
+	return NewIncarnation(int64(incarnation>>incarnationRandomBits)+1, random)
+}
+
 // Process names one run of a daemon.
 type Process struct {
 	VM          VMID
--- a/io/berylserve/actor.go
+++ b/io/berylserve/actor.go
@@ -173,6 +173,10 @@
 // carryOut hands the effects to those who act on them.
 func (core *core) carryOut() {
 	effects := core.node.Take()
+	if self := core.node.Self(); self != core.daemon.process() {
+		core.daemon.log.Warn("earlier run is newer by its clock", zap.Stringer("takes", self.Incarnation))
+		core.daemon.incarnation.Store(uint64(self.Incarnation))
+	}
 	for _, start := range effects.Starts {
 		core.tell(start.Request, fate{target: start.Target})
 	}
--- a/io/berylserve/attempt.go
+++ b/io/berylserve/attempt.go
@@ -26,7 +26,7 @@
 // late answer of an earlier attempt is never taken for this one's.
 func (daemon *Daemon) newAttempt(from caller, service berylspoke.ServiceID, hint berylspoke.Tokens, prompt string, call *berylticket.CallID) *attempt {
 	now := time.Now()
-	id := berylspoke.RequestID(fmt.Sprintf("%s/%s/%d", from.organisation, daemon.incarnation, daemon.sequence.Add(1)))
+	id := berylspoke.RequestID(fmt.Sprintf("%s/%s/%d", from.organisation, daemon.process().Incarnation, daemon.sequence.Add(1)))
 	return &attempt{
 		daemon: daemon,
 		fates:  make(chan fate, 1),
--- a/io/berylserve/calls.go
+++ b/io/berylserve/calls.go
@@ -111,7 +111,7 @@
 		daemon.refuse(writer, 0, malformed("%v", err))
 		return
 	}
-	if id.Ticket.Owner != (berylspoke.Process{VM: daemon.settings.VM, Incarnation: daemon.incarnation}) {
+	if id.Ticket.Owner != daemon.process() {
 		// Only the owner may run the id. Finding out what became of it there
 		// is all that may be done here.
 		daemon.outcome(ctx, writer, id)
@@ -171,7 +171,7 @@
 // outcome waits for the end of an id that this daemon owns, or asks its owner
 // and its witness.
 func (daemon *Daemon) outcome(ctx context.Context, writer http.ResponseWriter, id berylticket.CallID) {
-	if id.Ticket.Owner.Incarnation == daemon.incarnation {
+	if id.Ticket.Owner.Incarnation == daemon.process().Incarnation {
 		daemon.ownOutcome(ctx, writer, id)
 		return
 	}
--- a/io/berylserve/daemon.go
+++ b/io/berylserve/daemon.go
@@ -28,15 +28,16 @@
 
 // Daemon is one running router.
 type Daemon struct {
-	settings     *berylsettings.Settings
-	log          *zap.Logger
-	system       *actor.ActorSystem
-	core         *actor.PID
-	transport    *berylpeer.Transport
-	targets      *beryltarget.Client
-	platform     berylspoke.Platform
-	sealer       *berylticket.Sealer
-	incarnation  berylspoke.Incarnation
+	settings  *berylsettings.Settings
+	log       *zap.Logger
+	system    *actor.ActorSystem
+	core      *actor.PID
+	transport *berylpeer.Transport
+	targets   *beryltarget.Client
+	platform  berylspoke.Platform
+	sealer    *berylticket.Sealer
+	// incarnation changes at most before the daemon is ready.
+	incarnation  atomic.Uint64
 	declarations atomic.Pointer[berylconfig.Declarations]
 	keys         atomic.Pointer[keyIndex]
 	members      atomic.Pointer[memberIndex]
@@ -58,9 +59,12 @@
 	if _, err := rand.Read(random[:]); err != nil {
 		return 0, errors.Wrap(err, "incarnation cannot be drawn")
 	}
-	const randomBits = 20
-	low := binary.LittleEndian.Uint64(random[:]) & (1<<randomBits - 1)
-	return berylspoke.Incarnation(uint64(now.UnixMilli())<<randomBits | low), nil
+	return berylspoke.NewIncarnation(now.UnixMilli(), binary.LittleEndian.Uint64(random[:])), nil
+}
+
+// process returns this run of the daemon.
+func (daemon *Daemon) process() berylspoke.Process {
+	return berylspoke.Process{VM: daemon.settings.VM, Incarnation: berylspoke.Incarnation(daemon.incarnation.Load())}
 }
 
 // Start runs a daemon until Stop.
@@ -71,7 +75,7 @@
 		return nil, err
 	}
 	daemon := &Daemon{
-		settings: settings, incarnation: incarnation,
+		settings: settings,
 		log:      log.With(zap.String("vm", string(settings.VM)), zap.Stringer("incarnation", incarnation)),
 		platform: berylplatform.NewClient(settings.Platform),
 		sealer:   berylticket.NewSealer(settings.Keys()[0]),
@@ -87,7 +91,7 @@
 		Progress:   berylsettings.Millis(settings.Targets.ProgressMillis),
 		Call:       berylsettings.Millis(settings.Targets.CallMillis),
 	}, daemon)
-	daemon.startCore(now)
+	daemon.startCore(now, incarnation)
 	if err := daemon.open(); err != nil {
 		daemon.Kill()
 		return nil, err
@@ -101,11 +105,12 @@
 	return daemon, nil
 }
 
-func (daemon *Daemon) startCore(now time.Time) {
+func (daemon *Daemon) startCore(now time.Time, incarnation berylspoke.Incarnation) {
+	daemon.incarnation.Store(uint64(incarnation))
 	daemon.system = actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger {
 		return slog.New(slog.DiscardHandler)
 	}))
-	node := berylnode.New(now, daemon.settings.Node(daemon.incarnation), uint64(daemon.incarnation))
+	node := berylnode.New(now, daemon.settings.Node(incarnation), uint64(incarnation))
 	daemon.core = daemon.system.Root.Spawn(actor.PropsFromProducer(func() actor.Actor {
 		return &core{
 			daemon: daemon, node: node,
