Keep removed targets for a grace only after an outage of the store itself

Cause, first of two: a target that vanishes around an outage of the store may have lapsed, and is kept for 2.2 s. Whether there was an outage was judged by whether this daemon's own calls failed. A daemon whose own way was cut, while the store served others, kept a target that had left without a word.

Ruled out: the gate (it sends to what the targets are), news lost on its way (no pull in the trace).

An outage is now a time in which the store answered no daemon that was heard of, and this one neither, for longer than it takes the others to ask it once its watchers are cut off.

TestRemovalThatOthersSawHasNoGrace failed before; TestLapsedItemsAreKeptForAGrace is as it was.

--- a/core/berylfeed/feed.go
+++ b/core/berylfeed/feed.go
@@ -42,14 +42,21 @@
 	removed int
 	known   bool
 	down    bool
-	// contact is when the store last answered this daemon.
-	contact   time.Time
+	// contact is when the store last answered this daemon, reached when it last answered
+	// any daemon that was heard of.
+	contact, reached time.Time
+	// recovered is when the store answered again after an outage: after it answered
+	// nobody for longer than patience.
 	recovered time.Time
+	patience  time.Duration
 }
 
 // New returns an empty feed.
 func New() *Feed { return &Feed{entries: make(map[string]*entry)} }
 
+// SetPatience sets how long the store answers no daemon before that counts as an outage.
+func (feed *Feed) SetPatience(patience time.Duration) { feed.patience = patience }
+
 // AsOf returns the revision up to which nothing is missing.
 func (feed *Feed) AsOf() berylspoke.Revision { return feed.asOf }
 
@@ -75,13 +82,27 @@
 // Answered notes that the store answered and says whether it was down before.
 func (feed *Feed) Answered(now time.Time) bool {
 	news := feed.down
-	if feed.down {
-		feed.recovered = now
-	}
+	feed.Reached(now, now)
 	feed.down, feed.contact = false, now
 	return news
 }
 
+// Reached notes that the store answered some daemon at a time.
+func (feed *Feed) Reached(now, at time.Time) {
+	if feed.outage(at) {
+		feed.recovered = now
+	}
+	if at.After(feed.reached) {
+		feed.reached = at
+	}
+}
+
+// outage says whether the store has answered no daemon for so long that what is missing
+// may have lapsed. That it does not answer this daemon says nothing of the others.
+func (feed *Feed) outage(now time.Time) bool {
+	return feed.down && now.Sub(feed.reached) > feed.patience
+}
+
 // Replace takes a full list of the store and returns whether anything changed.
 func (feed *Feed) Replace(now time.Time, items []berylspoke.Item, asOf berylspoke.Revision) bool {
 	listed := make(map[string]bool, len(items))
@@ -147,7 +168,7 @@
 }
 
 func (feed *Feed) graceNow(now time.Time) time.Duration {
-	if feed.down || !feed.recovered.IsZero() && now.Sub(feed.recovered) < outageEcho {
+	if feed.outage(now) || !feed.recovered.IsZero() && now.Sub(feed.recovered) < outageEcho {
 		return Grace
 	}
 	return 0
--- a/core/berylfeed/feed_test.go
+++ b/core/berylfeed/feed_test.go
@@ -134,3 +134,23 @@
 	items, _ = feed.Items(now.Add(time.Minute))
 	require.Empty(t, items, "without an outage a removed item is gone at once")
 }
+
+// Guards against requests to a target that left without a word, as a daemon whose own
+// way to the store was cut took its removal for a lapse in an outage of the store.
+func TestRemovalThatOthersSawHasNoGrace(t *testing.T) {
+	now := time.Unix(0, 0)
+	feed := New()
+	feed.SetPatience(2 * time.Second)
+	feed.Answered(now)
+	feed.Replace(now, []berylspoke.Item{{Key: "gone", Value: []byte("gone"), Revision: 1}}, 1)
+	feed.Failed()
+	for range 5 {
+		now = now.Add(time.Second)
+		feed.Reached(now, now.Add(-500*time.Millisecond))
+	}
+	feed.Answered(now.Add(time.Second))
+	now = now.Add(time.Second)
+	feed.Change(now, []berylspoke.Item{{Key: "gone", Revision: 2, Deleted: true}}, 2)
+	items, _ := feed.Items(now)
+	require.Empty(t, items)
+}
--- a/io/beryledge/actor.go
+++ b/io/beryledge/actor.go
@@ -118,6 +118,7 @@
 	core.table.Join(now, settings.Seeds)
 	for name := range core.feeds {
 		core.feeds[name] = berylfeed.New()
+		core.feeds[name].SetPatience(fedFor + answerWithin)
 	}
 	return core
 }
@@ -231,8 +232,12 @@
 
 // fed notes that a daemon was in contact with the store so long ago.
 func (core *core) fed(now time.Time, age time.Duration) {
-	if at := now.Add(-age).UnixNano(); at > core.daemon.fed.Load() {
-		core.daemon.fed.Store(at)
+	at := now.Add(-age)
+	for _, feed := range core.feeds {
+		feed.Reached(now, at)
+	}
+	if at.UnixNano() > core.daemon.fed.Load() {
+		core.daemon.fed.Store(at.UnixNano())
 	}
 }
 
--- a/io/beryledge/follow.go
+++ b/io/beryledge/follow.go
@@ -31,6 +31,9 @@
 	// fedSampled is the same where reports pass from daemon to daemon, over as many
 	// hops as the largest fleet has.
 	fedSampled = watchFor + 3*reportSampled + contactSlack
+	// answerWithin is how long a daemon that begins to watch waits for its first answer,
+	// at most, from a store that is up.
+	answerWithin = 900 * time.Millisecond
 	// peersFirst is how long a daemon that starts together with the whole fleet
 	// waits for peers to tell it what is published before it asks the store: the
 	// seeds ask at once, and the fleet hears of it within about a second. Without it
@@ -78,11 +81,16 @@
 	if daemon.watcher.Load() {
 		return true
 	}
-	patience := fedFor
+	return now.Sub(time.Unix(0, daemon.fed.Load())) > daemon.fedPatience()
+}
+
+// fedPatience returns how old the last contact of any daemon may be before one that is
+// no watcher watches by itself.
+func (daemon *Daemon) fedPatience() time.Duration {
 	if len(daemon.entries.Load().domains) > berylgate.FullMesh {
-		patience = fedSampled
+		return fedSampled
 	}
-	return now.Sub(time.Unix(0, daemon.fed.Load())) > patience
+	return fedFor
 }
 
 // read makes one call, or the calls of one list. A watch goes on from the last
--- a/io/beryledge/members.go
+++ b/io/beryledge/members.go
@@ -57,6 +57,10 @@
 	if core.daemon.transport != nil {
 		core.daemon.transport.Relink()
 	}
+	for _, feed := range core.feeds {
+		// With all watchers cut off, the others ask the store after their patience.
+		feed.SetPatience(core.daemon.fedPatience() + answerWithin)
+	}
 	live := len(core.table.Live())
 	core.gate.SetDaemons(now, live)
 	// The same daemons watch all feeds: one in contact on one feed only could not
