Date an answer of the store once, however often daemons tell each other of it

Cause: daemons pass on how long ago the store answered. What A told B comes back to A, by the way there and back younger than A's own word, and A took the younger one. With 40 ms of way and a report every 200 ms the age grew at well under the speed of time.

TestContactDoesNotGrowYoungerOnItsWay: after 2.5 s no daemon asked, before.

An answer is told with the daemon that had it and its count, and is dated when it is first heard of.

Reports grow by one field; daemons of both kinds do not understand each other's reports.

--- a/core/berylgate/report.go
+++ b/core/berylgate/report.go
@@ -29,8 +29,9 @@
 	// Feeds are the revisions that the sender is complete up to.
 	Feeds []berylspoke.Revision
 	// Contact is how long ago the store answered the sender, or a daemon that it
-	// heard of.
-	Contact time.Duration
+	// heard of; ContactID tells such answers apart.
+	Contact   time.Duration
+	ContactID uint64
 	// Targets is what the sender has at the targets; Loads are what targets told
 	// it of themselves since its last report. A large fleet tells only loads, as a
 	// daemon would hear of a small part of what the others sent.
--- a/io/beryledge/actor.go
+++ b/io/beryledge/actor.go
@@ -3,9 +3,11 @@
 // This file defines the actor that owns what decides.
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"berylspoke"
@@ -86,13 +88,15 @@
 
 // core is the actor.
 type core struct {
-	daemon  *Daemon
-	gate    *berylgate.Gate
-	table   *berylmember.Table
-	feeds   [berylfeed.Count]*berylfeed.Feed
-	behind  [berylfeed.Count]time.Time
-	regrace time.Time
-	ticked  time.Time
+	daemon *Daemon
+	gate   *berylgate.Gate
+	table  *berylmember.Table
+	feeds  [berylfeed.Count]*berylfeed.Feed
+	// contacts are the answers of the store to any daemon.
+	contacts berylfeed.Contacts
+	behind   [berylfeed.Count]time.Time
+	regrace  time.Time
+	ticked   time.Time
 	// withdrawn is until when callers are not told of this daemon.
 	withdrawn time.Time
 	reported  time.Time
@@ -112,8 +116,9 @@
 			VM: settings.VM, Incarnation: daemon.incarnation, FailureDomain: settings.FailureDomain, RegionOf: settings.RegionOf,
 			RetryRatio: settings.RetryRatio, RetrySlack: settings.RetrySlack,
 		}),
-		table:  berylmember.NewTable(now, vm, daemon.incarnation, options),
-		ticked: now,
+		table:    berylmember.NewTable(now, vm, daemon.incarnation, options),
+		contacts: berylfeed.NewContacts(uint32(xxhash.Sum64String(fmt.Sprint(settings.VM, daemon.incarnation)))),
+		ticked:   now,
 	}
 	core.table.Join(now, settings.Seeds)
 	for name := range core.feeds {
@@ -195,7 +200,8 @@
 	for _, feed := range core.feeds {
 		report.Feeds = append(report.Feeds, feed.Last())
 	}
-	report.Contact = core.contactAge(now)
+	contact := core.contact(now)
+	report.Contact, report.ContactID = contact.Age, uint64(contact.ID)
 	to := core.others()
 	if len(to) > berylgate.FullMesh {
 		to = core.table.Links()
@@ -205,17 +211,14 @@
 	}
 }
 
-// contactAge returns how long ago the store answered this daemon or one that it
-// heard of. It is passed on from daemon to daemon, so that a large fleet needs no
-// more watchers than a small one. It is the true age: watchers that told none while
+// contact returns the newest answer of the store to this daemon or one that it heard
+// of. It is passed on from daemon to daemon, so that a large fleet needs no more
+// watchers than a small one. Its age is the true one: watchers that told none while
 // their last answer was still recent hid a silent store from all others for as long
 // again, and these sent requests to targets that had left.
-func (core *core) contactAge(now time.Time) time.Duration {
-	newest := time.Unix(0, core.daemon.fed.Load())
-	if own := core.ownContact(); own.After(newest) {
-		newest = own
-	}
-	return min(max(now.Sub(newest), 0), contactUnknown)
+func (core *core) contact(now time.Time) berylfeed.Contact {
+	core.contacts.Own(core.ownContact())
+	return core.contacts.Contact(now, contactUnknown)
 }
 
 // ownContact returns since when the store has answered this daemon on all feeds,
@@ -230,14 +233,15 @@
 	return oldest
 }
 
-// fed notes that a daemon was in contact with the store so long ago.
-func (core *core) fed(now time.Time, age time.Duration) {
-	at := now.Add(-age)
+// fed takes the newest answer of the store that a peer knows of.
+func (core *core) fed(now time.Time, contact berylfeed.Contact) {
+	core.contacts.Heard(now, contact)
+	newest := core.contacts.Newest()
 	for _, feed := range core.feeds {
-		feed.Reached(now, at)
+		feed.Reached(now, newest)
 	}
-	if at.UnixNano() > core.daemon.fed.Load() {
-		core.daemon.fed.Store(at.UnixNano())
+	if newest.UnixNano() > core.daemon.fed.Load() {
+		core.daemon.fed.Store(newest.UnixNano())
 	}
 }
 
@@ -249,7 +253,7 @@
 		}
 	case berylgate.Report:
 		core.gate.Heard(now, from, message)
-		core.fed(now, message.Contact)
+		core.fed(now, berylfeed.Contact{ID: berylfeed.ContactID(message.ContactID), Age: message.Contact})
 		core.compare(now, from, message.Feeds)
 	case berylgate.Usage:
 		core.gate.HeardUsage(now, from, message)
--- a/io/beryledge/follow_test.go
+++ b/io/beryledge/follow_test.go
@@ -43,10 +43,10 @@
 	}
 	other.daemon.known[berylfeed.Targets].Store(true)
 	now := start
-	other.fed(now, watcher.contactAge(now))
+	other.fed(now, watcher.contact(now))
 	for !other.daemon.mustWatch(berylfeed.Targets, now) {
 		now = now.Add(reportEvery)
-		other.fed(now, watcher.contactAge(now))
+		other.fed(now, watcher.contact(now))
 	}
 	require.Less(t, now.Sub(start), bound-answer)
 }
@@ -57,7 +57,7 @@
 	start := time.Unix(1000, 0)
 	watcher, other := newUnstartedCore(start), newUnstartedCore(start)
 	other.daemon.known[berylfeed.Targets].Store(true)
-	other.fed(start, 0)
+	other.fed(start, berylfeed.Contact{ID: 1})
 	reports := 0
 	for now := start; now.Sub(start) < time.Minute; now = now.Add(tickEvery) {
 		for _, feed := range watcher.feeds {
@@ -67,13 +67,55 @@
 		}
 		if now.Sub(start)%reportEvery == 0 {
 			if reports++; reports%3 != 0 {
-				other.fed(now, watcher.contactAge(now))
+				other.fed(now, watcher.contact(now))
 			}
 		}
 		require.False(t, other.daemon.mustWatch(berylfeed.Targets, now))
 	}
 }
 
+// Guards against daemons that take a contact with the store for younger whenever they
+// hear of it again from each other, and go on asking nobody while targets leave.
+func TestContactDoesNotGrowYoungerOnItsWay(t *testing.T) {
+	const bound, answer, daemons, way = 3 * time.Second, 500 * time.Millisecond, 8, 40 * time.Millisecond
+	type told struct {
+		to      int
+		due     time.Time
+		contact berylfeed.Contact
+	}
+	start := time.Unix(1000, 0)
+	var cores []*core
+	for i := range daemons {
+		core := newUnstartedCore(start)
+		core.contacts = berylfeed.NewContacts(uint32(i + 1))
+		core.daemon.known[berylfeed.Targets].Store(true)
+		cores = append(cores, core)
+	}
+	for _, feed := range cores[0].feeds {
+		feed.Answered(start)
+	}
+	var sent []told
+	for now := start; now.Sub(start) < bound-answer; now = now.Add(10 * time.Millisecond) {
+		for len(sent) > 0 && !sent[0].due.After(now) {
+			cores[sent[0].to].fed(now, sent[0].contact)
+			sent = sent[1:]
+		}
+		for from, core := range cores {
+			if (now.Sub(start)/(10*time.Millisecond))%(reportEvery/(10*time.Millisecond)) != time.Duration(2*from) {
+				continue
+			}
+			for to := range cores {
+				if to != from {
+					sent = append(sent, told{to, now.Add(way), core.contact(now)})
+				}
+			}
+		}
+	}
+	for i, core := range cores[1:] {
+		require.True(t, core.daemon.mustWatch(berylfeed.Targets, start.Add(bound-answer)), "daemon %d", i+1)
+	}
+}
+
 // newUnstartedCore returns the core of a daemon that runs nothing by itself.
 func newUnstartedCore(now time.Time) *core {
 	daemon := &Daemon{settings: &Settings{}, started: now}
--- a/io/berylpeer/wirefeed.go
+++ b/io/berylpeer/wirefeed.go
@@ -133,13 +133,14 @@
 	Incarnation   uint64
 	Feeds         []uint64
 	ContactMillis uint32
+	ContactID     uint64
 	Targets       []wireTargetReport
 	Loads         []wireLoadReport
 	Organisations []wireOrganisationReport
 }
 
 func dispatchesToWire(report berylgate.Report) *wireDispatches {
-	wire := &wireDispatches{Incarnation: uint64(report.Incarnation), ContactMillis: uint32(report.Contact.Milliseconds())}
+	wire := &wireDispatches{Incarnation: uint64(report.Incarnation), ContactMillis: uint32(report.Contact.Milliseconds()), ContactID: report.ContactID}
 	for _, revision := range report.Feeds {
 		wire.Feeds = append(wire.Feeds, uint64(revision))
 	}
@@ -158,7 +159,7 @@
 }
 
 func (wire *wireDispatches) message(berylspoke.VMID) berylspoke.Message {
-	report := berylgate.Report{Incarnation: berylspoke.Incarnation(wire.Incarnation), Contact: time.Duration(wire.ContactMillis) * time.Millisecond}
+	report := berylgate.Report{Incarnation: berylspoke.Incarnation(wire.Incarnation), Contact: time.Duration(wire.ContactMillis) * time.Millisecond, ContactID: wire.ContactID}
 	for _, revision := range wire.Feeds {
 		report.Feeds = append(report.Feeds, berylspoke.Revision(revision))
 	}
