--- a/io/beryledge/attempt.go
+++ b/io/beryledge/attempt.go
@@ -58,7 +58,7 @@
 		Wanted: func() bool { return call.wanted(target) }, Mine: call.mine,
 	})
 	if err != nil {
-		return call.failed(decision, err)
+		return call.failed(decision, silenced(ctx, err))
 	}
 	if exchange.Opened > 0 {
 		call.daemon.tell(timedWay{target.ID, exchange.Opened})
@@ -75,6 +75,15 @@
 	return call.passWhole(decision, exchange, reply)
 }
 
+// silenced names the target's silence in the error of an attempt that was ended for it:
+// the closed connection alone could be the target's doing.
+func silenced(ctx context.Context, err error) error {
+	if !errors.Is(context.Cause(ctx), errImpatient) {
+		return err
+	}
+	return errors.WithMessage(err, errImpatient.Error())
+}
+
 // reserve asks the core whether a request may go on at another target.
 func (daemon *Daemon) reserve(request *berylgate.Request) bool {
 	may := make(chan bool, 1)
--- a/io/beryledge/daemon_test.go
+++ b/io/beryledge/daemon_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -15,6 +16,7 @@
 
 	"berylspoke"
 	"berylspoke/core/berylgate"
+	"berylspoke/io/berylconn"
 )
 
 // A request passes to a target unchanged but for what only the fleet may say,
@@ -361,3 +363,16 @@
 	require.False(t, call.mayHaveRun)
 	require.Zero(t, leaving.seen.Load())
 }
+
+// Guards against a log that blames the target for a connection which this daemon closed.
+func TestSilenceIsNamedAsTheCause(t *testing.T) {
+	ctx, cancel := context.WithCancelCause(context.Background())
+	failure := &berylconn.Failure{Unsent: true, Cause: net.ErrClosed}
+	require.Equal(t, error(failure), silenced(ctx, failure))
+	cancel(errImpatient)
+	named := silenced(ctx, failure)
+	require.ErrorContains(t, named, errImpatient.Error())
+	var kept *berylconn.Failure
+	require.ErrorAs(t, named, &kept, "whether it was sent still counts")
+	require.True(t, kept.Unsent)
+}
