Serve requests only in the regions that their route and organisation allow

A target in another region is neither chosen, nor a home of the prompt's parts, nor a source to fetch them from. Where route and organisation both name regions, both bind; where none is left the request is rejected at once.

--- a/catalog.go
+++ b/catalog.go
@@ -4,6 +4,7 @@
 // organisations and limits, and what targets say of themselves.
 
 import (
+	"slices"
 	"time"
 )
 
@@ -25,6 +26,29 @@
 	return [...]string{"nonIdempotent", "idempotent", "streaming"}[kind]
 }
 
+// Regions are those in which requests may be served and what engines keep of them may
+// lie; nil allows all.
+type Regions []Region
+
+// Allow says whether a region is among them.
+func (regions Regions) Allow(region Region) bool {
+	return regions == nil || slices.Contains(regions, region)
+}
+
+// And returns the regions that both allow, empty but not nil if there is none.
+func (regions Regions) And(other Regions) Regions {
+	if regions == nil {
+		return other
+	}
+	both := make(Regions, 0, len(regions))
+	for _, region := range regions {
+		if other.Allow(region) {
+			both = append(both, region)
+		}
+	}
+	return both
+}
+
 // Share is the part of a route's traffic that goes to one service.
 type Share struct {
 	Service ServiceID
@@ -52,6 +76,8 @@
 	Priority int
 	// Shares lists the services that serve the route.
 	Shares []Share
+	// Regions are those in which its requests may be served.
+	Regions Regions
 }
 
 // EngineSpec describes the model engines of a service.
@@ -89,6 +115,8 @@
 type Organisation struct {
 	ID   OrganisationID
 	Keys []string
+	// Regions are those in which its requests may be served.
+	Regions Regions
 }
 
 // Catalog is one version of the declared configuration.
--- a/core/berylcatalog/index.go
+++ b/core/berylcatalog/index.go
@@ -17,6 +17,8 @@
 	catalog *berylspoke.Catalog
 	hosts   map[string][]*berylspoke.Route
 	keys    map[string]berylspoke.OrganisationID
+	// regions are those of organisations that are bound to some.
+	regions map[berylspoke.OrganisationID]berylspoke.Regions
 }
 
 // New indexes a catalog.
@@ -25,6 +27,7 @@
 		catalog: catalog,
 		hosts:   make(map[string][]*berylspoke.Route),
 		keys:    make(map[string]berylspoke.OrganisationID),
+		regions: make(map[berylspoke.OrganisationID]berylspoke.Regions),
 	}
 	for i := range catalog.Routes {
 		route := &catalog.Routes[i]
@@ -38,6 +41,9 @@
 		for _, key := range organisation.Keys {
 			index.keys[key] = organisation.ID
 		}
+		if organisation.Regions != nil {
+			index.regions[organisation.ID] = organisation.Regions
+		}
 	}
 	return index
 }
@@ -66,6 +72,12 @@
 	return organisation, known
 }
 
+// Regions returns the regions in which a request of an organisation on a route may be
+// served.
+func (index *Index) Regions(route *berylspoke.Route, organisation berylspoke.OrganisationID) berylspoke.Regions {
+	return route.Regions.And(index.regions[organisation])
+}
+
 // Service picks the service of a request by the weights of its route. The
 // request's id decides, so every look at one request picks the same.
 func Service(route *berylspoke.Route, id berylspoke.RequestID) berylspoke.ServiceID {
--- a/core/berylgate/choose.go
+++ b/core/berylgate/choose.go
@@ -82,7 +82,7 @@
 		return refused(berylspoke.ReasonTarget, shortWait)
 	}
 	allowance := gate.allow(now, pool, request, again)
-	prompt := gate.prompt(pool, request.Parts)
+	prompt := gate.prompt(pool, request)
 	best, found := gate.best(now, pool, request, prompt, allowance)
 	if !found {
 		return refused(berylspoke.ReasonNoTarget, shortWait)
@@ -116,7 +116,7 @@
 		return false
 	}
 	another := slices.ContainsFunc(pool.targets, func(target *target) bool {
-		return target.usable(now) && !request.tried[target.ID]
+		return target.usable(now) && !request.tried[target.ID] && gate.allows(request.Regions, target)
 	})
 	if !another {
 		return false
@@ -159,7 +159,7 @@
 func (gate *Gate) best(now time.Time, pool *pool, request *Request, prompt prompt, allowance allowance) (candidate, bool) {
 	var best, late, spare candidate
 	for _, target := range pool.targets {
-		if target.Leaving || request.tried[target.ID] {
+		if target.Leaving || request.tried[target.ID] || !gate.allows(request.Regions, target) {
 			continue
 		}
 		option := gate.weigh(now, target, request, prompt)
--- a/core/berylgate/gate.go
+++ b/core/berylgate/gate.go
@@ -40,6 +40,8 @@
 	Attempts      int
 	Input, Output berylspoke.Tokens
 	Parts         []berylspoke.Part
+	// Regions are those whose targets may serve the request.
+	Regions berylspoke.Regions
 	// sends counts the targets that may have received the request; tried are
 	// those that it must not be sent to again.
 	sends int
@@ -187,6 +189,11 @@
 	}
 }
 
+// allows says whether a target stands in one of some regions.
+func (gate *Gate) allows(regions berylspoke.Regions, target *target) bool {
+	return regions.Allow(gate.options.RegionOf[target.FailureDomain])
+}
+
 // arrange derives the targets of each service and what is looked up.
 func (gate *Gate) arrange() {
 	gate.hashes = make(map[uint32]*target, len(gate.targets))
--- a/core/berylgate/gate_test.go
+++ b/core/berylgate/gate_test.go
@@ -155,7 +155,7 @@
 	for _, shared := range []berylspoke.Tokens{200, 600, 5000} {
 		seen[shared] = make(map[berylspoke.FailureDomain]bool)
 		for subject := range uint64(40) {
-			home := gate.prompt(gate.services[drafts], []berylspoke.Part{{ID: subject, Tokens: shared}, {}}).home
+			home := gate.prompt(gate.services[drafts], &Request{Parts: []berylspoke.Part{{ID: subject, Tokens: shared}, {}}}).home
 			seen[shared][home.FailureDomain] = true
 		}
 	}
@@ -163,7 +163,7 @@
 	require.Equal(t, map[berylspoke.FailureDomain]bool{"a": true, "b": true}, seen[600])
 	require.Len(t, seen[5000], 3)
 	gate.SetTargets(now, targets[1:2])
-	home := gate.prompt(gate.services[drafts], []berylspoke.Part{{ID: 1, Tokens: 200}, {}}).home
+	home := gate.prompt(gate.services[drafts], &Request{Parts: []berylspoke.Part{{ID: 1, Tokens: 200}, {}}}).home
 	require.EqualValues(t, "t-1", home.ID, "without a target nearby the next one is taken")
 }
 
@@ -283,3 +283,34 @@
 	gate.services[drafts].budget.Earn(2)
 	require.False(t, gate.Reserve(now, submit(2)), "there is no other target")
 }
+
+// Guards against requests, and memory of their prompts, in regions that their route or
+// their organisation does not allow.
+func TestRequestsStayInTheirRegions(t *testing.T) {
+	now := time.Unix(0, 0)
+	gate := newGate(now, 1, 0, false)
+	var targets []berylspoke.Target
+	for i, domain := range []berylspoke.FailureDomain{"a", "a", "b"} {
+		targets = append(targets, berylspoke.Target{
+			ID: berylspoke.TargetID(fmt.Sprint("t-", i)), Service: drafts, Address: fmt.Sprint("10.0.0.", i, ":1"), FailureDomain: domain, Slots: 64,
+		})
+	}
+	gate.SetTargets(now, targets)
+	for part := range uint64(40) {
+		request := newRequest(now, "clergy", berylspoke.Part{ID: part, Tokens: 5_000}, berylspoke.Part{ID: 1_000 + part, Tokens: 10})
+		request.Regions = berylspoke.Regions{"s"}
+		request.Objective = time.Minute
+		decision := gate.Submit(now, request)
+		require.Nil(t, decision.Refusal)
+		require.EqualValues(t, "t-2", decision.Target.ID)
+		require.Nil(t, decision.Source)
+		require.False(t, gate.Reserve(now, request), "no other target may serve it")
+		gate.Ended(now, request, Broken)
+		now = now.Add(10 * time.Second)
+		request.Deadline = now.Add(time.Minute)
+		require.NotNil(t, gate.Submit(now, request).Refusal)
+	}
+	request := newRequest(now, "clergy")
+	request.Regions = berylspoke.Regions{"r"}.And(berylspoke.Regions{"s"})
+	require.NotNil(t, gate.Submit(now, request).Refusal, "no region is allowed by both")
+}
--- a/core/berylgate/parts.go
+++ b/core/berylgate/parts.go
@@ -31,36 +31,39 @@
 type prompt struct {
 	shared []berylspoke.Part
 	total  berylspoke.Tokens
+	// regions are those in which the request may be served.
+	regions berylspoke.Regions
 	// home is the target that requests with the same shared parts prefer, nil if
 	// there is none, and homes the ones of each scope.
 	home  *target
 	homes [scopes]*target
 }
 
-func (gate *Gate) prompt(pool *pool, parts []berylspoke.Part) prompt {
-	shared := parts[:max(len(parts)-1, 0)]
-	prompt := prompt{shared: shared}
+func (gate *Gate) prompt(pool *pool, request *Request) prompt {
+	shared := request.Parts[:max(len(request.Parts)-1, 0)]
+	prompt := prompt{shared: shared, regions: request.Regions}
 	for _, part := range shared {
 		prompt.total += part.Tokens
 	}
 	if len(shared) == 0 {
 		return prompt
 	}
-	prompt.homes = pool.homes(shared[len(shared)-1].ID)
+	prompt.homes = gate.homes(pool, request.Regions, shared[len(shared)-1].ID)
 	for scope := scopeOf(prompt.total); scope < scopes && prompt.home == nil; scope++ {
 		prompt.home = prompt.homes[scope]
 	}
 	return prompt
 }
 
-// homes returns the homes of a shared part: in this failure domain, in this region
-// and in the fleet, nil where a scope has no target. Every daemon there picks the
-// same from the list of targets, so a part is read once without any message about it.
-func (pool *pool) homes(part uint64) [scopes]*target {
+// homes returns the homes of a shared part among the targets of some regions: in this
+// failure domain, in this region and in the fleet, nil where a scope has no target. Every
+// daemon there picks the same from the list of targets, so a part is read once without
+// any message about it.
+func (gate *Gate) homes(pool *pool, regions berylspoke.Regions, part uint64) [scopes]*target {
 	var found [scopes]*target
 	var top [scopes]uint64
 	for _, target := range pool.targets {
-		if target.Leaving {
+		if target.Leaving || !gate.allows(regions, target) {
 			continue
 		}
 		score := mix(part, uint64(target.hash))
@@ -84,7 +87,7 @@
 	lacks := prompt.total - to.cached(now, prompt.shared)
 	var sent *target
 	for _, target := range pool.targets {
-		if target.cached(now, prompt.shared) < prompt.total || !gate.worthFetching(now, to, target, lacks) {
+		if !gate.allows(prompt.regions, target) || target.cached(now, prompt.shared) < prompt.total || !gate.worthFetching(now, to, target, lacks) {
 			continue
 		}
 		if sent == nil || gate.distanceOf(to, target) < gate.distanceOf(to, sent) {
--- a/core/berylgate/parts_test.go
+++ b/core/berylgate/parts_test.go
@@ -33,7 +33,7 @@
 	now := time.Unix(0, 0)
 	gate := newSpreadGate(now)
 	parts := []berylspoke.Part{{ID: 7, Tokens: 5000}, {ID: 8, Tokens: 3000}}
-	home := gate.prompt(gate.services[drafts], parts).home
+	home := gate.prompt(gate.services[drafts], &Request{Parts: parts}).home
 	sent := make(map[berylspoke.TargetID]int)
 	for range 60 {
 		now = now.Add(2 * time.Millisecond)
@@ -59,7 +59,7 @@
 	now := time.Unix(0, 0)
 	gate := newSpreadGate(now)
 	pool := gate.services[drafts]
-	prompt := gate.prompt(pool, []berylspoke.Part{{ID: 7, Tokens: 5000}, {ID: 8, Tokens: 3000}})
+	prompt := gate.prompt(pool, &Request{Parts: []berylspoke.Part{{ID: 7, Tokens: 5000}, {ID: 8, Tokens: 3000}}})
 	prompt.homes = [scopes]*target{acrossRegions: gate.targets["t-4"]}
 	to := gate.targets["t-2"]
 	require.EqualValues(t, "t-4", gate.source(now, pool, to, prompt).ID, "the home, where nothing else is known")
@@ -86,7 +86,7 @@
 	gate := newSpreadGate(now)
 	pool := gate.services[drafts]
 	from := func(source string, to berylspoke.TargetID, tokens berylspoke.Tokens) *target {
-		prompt := gate.prompt(pool, []berylspoke.Part{{ID: 7, Tokens: tokens}, {ID: 8, Tokens: 3000}})
+		prompt := gate.prompt(pool, &Request{Parts: []berylspoke.Part{{ID: 7, Tokens: tokens}, {ID: 8, Tokens: 3000}}})
 		prompt.homes = [scopes]*target{acrossRegions: gate.targets[berylspoke.TargetID(source)]}
 		return gate.source(now, pool, gate.targets[to], prompt)
 	}
@@ -105,7 +105,7 @@
 	pool := gate.services[drafts]
 	differ := 0
 	for subject := range uint64(40) {
-		prompt := gate.prompt(pool, []berylspoke.Part{{ID: subject, Tokens: 200}, {ID: 1 << 40, Tokens: 600}})
+		prompt := gate.prompt(pool, &Request{Parts: []berylspoke.Part{{ID: subject, Tokens: 200}, {ID: 1 << 40, Tokens: 600}}})
 		require.Equal(t, prompt.homes[withinDomain], prompt.home)
 		source := gate.source(now, pool, prompt.home, prompt)
 		if wider := prompt.homes[acrossDomains]; wider != prompt.home {
