Send nothing to targets of a failure domain that operators empty

Such targets count as leaving until the key is gone: they are not chosen, and a request that waits for a connection to one is decided anew. Once taken back they are used again, with what is known of them.

--- a/dialect.go
+++ b/dialect.go
@@ -94,6 +94,9 @@
 	Name(header http.Header, id RequestID)
 	// Catalog decodes the configuration, nil if none is published.
 	Catalog(items []Item) (*Catalog, error)
+	// Emptied returns the failure domains to whose targets operators want nothing more to
+	// be sent, from the items of the configuration.
+	Emptied(items []Item) []FailureDomain
 	// Target decodes one published target; an error means that the item names
 	// none.
 	Target(item Item) (Target, error)
--- a/io/beryledge/actor.go
+++ b/io/beryledge/actor.go
@@ -94,9 +94,11 @@
 	feeds  [berylfeed.Count]*berylfeed.Feed
 	// contacts are the answers of the store to any daemon.
 	contacts berylfeed.Contacts
-	behind   [berylfeed.Count]time.Time
-	regrace  time.Time
-	ticked   time.Time
+	// emptied are the failure domains to whose targets nothing more is to be sent.
+	emptied map[berylspoke.FailureDomain]bool
+	behind  [berylfeed.Count]time.Time
+	regrace time.Time
+	ticked  time.Time
 	// withdrawn is until when callers are not told of this daemon.
 	withdrawn time.Time
 	reported  time.Time
--- a/io/beryledge/callers.go
+++ b/io/beryledge/callers.go
@@ -113,11 +113,11 @@
 		call.refuse(http.StatusServiceUnavailable, berylspoke.ReasonDraining, stopWait)
 		return false
 	}
-	call.request = call.newRequest(index.Catalog().Limits)
+	call.request = call.newRequest(index)
 	return true
 }
 
-func (call *call) newRequest(limits berylspoke.Limits) *berylgate.Request {
+func (call *call) newRequest(index *berylcatalog.Index) *berylgate.Request {
 	wait := call.ask.TimeLeft
 	if wait == 0 {
 		wait = waitUnstated
@@ -133,7 +133,7 @@
 	if hint := call.ask.OutputHint; hint > 0 && hint < output {
 		output = hint
 	}
-	most := limits.BodyBytes
+	most := index.Catalog().Limits.BodyBytes
 	if most <= 0 {
 		most = bodyBytes
 	}
@@ -143,6 +143,7 @@
 		Kind: call.route.Kind, Arrived: call.arrived, Objective: call.route.Objective,
 		Deadline: call.arrived.Add(wait), Attempts: attempts,
 		Input: call.ask.Input, Output: output, Parts: call.ask.Parts,
+		Regions: index.Regions(call.route, call.organisation),
 	}
 }
 
--- a/io/beryledge/daemon_test.go
+++ b/io/beryledge/daemon_test.go
@@ -376,3 +376,23 @@
 	require.ErrorAs(t, named, &kept, "whether it was sent still counts")
 	require.True(t, kept.Unsent)
 }
+
+// Guards against requests to targets of a failure domain that operators empty, and
+// against targets that stay unused once it is taken back.
+func TestEmptiedFailureDomainGetsNothing(t *testing.T) {
+	target := newTestTarget(t, "d1", sealed(http.StatusOK, "done"))
+	daemon, store := startServing(t, map[string]*testTarget{"desk": target})
+	status := func() int {
+		response, _, err := ask(t, daemon, http.MethodGet, "/read/x", "id", "")
+		require.NoError(t, err)
+		return response.StatusCode
+	}
+	require.Equal(t, http.StatusOK, status())
+	store.put("c/empty/a", "yes")
+	require.Eventually(t, func() bool { return status() == http.StatusServiceUnavailable }, 3*time.Second, 20*time.Millisecond)
+	seen := target.seen.Load()
+	require.Equal(t, http.StatusServiceUnavailable, status())
+	require.Equal(t, seen, target.seen.Load())
+	store.put("c/empty/a", "")
+	require.Eventually(t, func() bool { return status() == http.StatusOK }, 3*time.Second, 20*time.Millisecond)
+}
--- a/io/beryledge/news.go
+++ b/io/beryledge/news.go
@@ -3,6 +3,8 @@
 // This file defines how news of the published items come and are put in force.
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -72,12 +74,28 @@
 	core.publish(name)
 	if name == berylfeed.Configuration {
 		core.refreshCatalog(now)
+		core.refreshEmptied(now)
 	} else {
 		core.refreshTargets(now)
 	}
 	core.announce()
 }
 
+// refreshEmptied takes which failure domains are to be emptied.
+func (core *core) refreshEmptied(now time.Time) {
+	items, _ := core.feeds[berylfeed.Configuration].Items(now)
+	emptied := make(map[berylspoke.FailureDomain]bool)
+	for _, domain := range core.daemon.dialect.Emptied(items) {
+		emptied[domain] = true
+	}
+	if maps.Equal(emptied, core.emptied) {
+		return
+	}
+	core.emptied = emptied
+	core.daemon.log.Info("failure domains to be emptied changed", zap.Any("emptied", slices.Sorted(maps.Keys(emptied))))
+	core.refreshTargets(now)
+}
+
 // refreshCatalog puts the newest configuration in force; one that cannot be
 // read, or an older one, changes nothing.
 func (core *core) refreshCatalog(now time.Time) {
@@ -108,6 +126,7 @@
 			core.daemon.log.Debug("target ignored", cause(err))
 			continue
 		}
+		target.Leaving = target.Leaving || core.emptied[target.FailureDomain]
 		if !target.Leaving {
 			taking[target.ID] = true
 		}
--- a/io/beryledge/standin_test.go
+++ b/io/beryledge/standin_test.go
@@ -77,6 +77,16 @@
 
 func (testDialect) Name(header http.Header, id berylspoke.RequestID) { header.Set("X-Id", string(id)) }
 
+func (testDialect) Emptied(items []berylspoke.Item) []berylspoke.FailureDomain {
+	var domains []berylspoke.FailureDomain
+	for _, item := range items {
+		if domain, found := strings.CutPrefix(item.Key, "c/empty/"); found {
+			domains = append(domains, berylspoke.FailureDomain(domain))
+		}
+	}
+	return domains
+}
+
 func (dialect testDialect) Catalog(items []berylspoke.Item) (*berylspoke.Catalog, error) {
 	if len(items) == 0 {
 		return nil, nil
