Send a cold target only what it bears, from few daemons

Cause: an engine that comes back is idle, so all daemons send to it; that it is cold (coldLeftMs) was not read.

The rate that a cold target bears holds over all daemons. At most four of them, near it and chosen by rendezvous, send there while it is cold: 0.7 of the rate together, and one request each at once. One that could not be reached counts as cold until its own word of it has come.

--- a/catalog.go
+++ b/catalog.go
@@ -98,6 +98,11 @@
 	// together.
 	MaxConnections int
 	Engine         *EngineSpec
+	// ColdFor is how long a target is cold after it starts, zero if it never is.
+	ColdFor time.Duration
+	// ColdPerSecond is the rate of requests from all daemons together that a cold target
+	// bears.
+	ColdPerSecond float64
 }
 
 // Limits bound what a caller may send.
@@ -137,6 +142,8 @@
 	Slots         int
 	// Leaving targets take no new requests.
 	Leaving bool
+	// ColdFor is how much longer the target was cold when it said so.
+	ColdFor time.Duration
 	// Born tells two runs under one id apart.
 	Born int64
 }
--- a/core/berylgate/choose.go
+++ b/core/berylgate/choose.go
@@ -116,7 +116,7 @@
 		return false
 	}
 	another := slices.ContainsFunc(pool.targets, func(target *target) bool {
-		return target.usable(now) && !request.tried[target.ID] && gate.allows(request.Regions, target)
+		return target.usable(now) && target.bears(now) && !request.tried[target.ID] && gate.allows(request.Regions, target)
 	})
 	if !another {
 		return false
@@ -159,7 +159,7 @@
 func (gate *Gate) best(now time.Time, pool *pool, request *Request, prompt prompt, allowance allowance) (candidate, bool) {
 	var best, late, spare candidate
 	for _, target := range pool.targets {
-		if target.Leaving || request.tried[target.ID] || !gate.allows(request.Regions, target) {
+		if target.Leaving || request.tried[target.ID] || !gate.allows(request.Regions, target) || !target.bears(now) {
 			continue
 		}
 		option := gate.weigh(now, target, request, prompt)
--- a/core/berylgate/gate.go
+++ b/core/berylgate/gate.go
@@ -88,8 +88,10 @@
 	collected collected
 	// live are the daemons known to be alive, daemons the most that ever were.
 	live, daemons int
-	random        *rand.Rand
-	ticked        time.Time
+	// domains says where the live daemons stand.
+	domains map[berylspoke.VMID]berylspoke.FailureDomain
+	random  *rand.Rand
+	ticked  time.Time
 	// reported is when the last report was made, urgent whether a dispatch since then
 	// must not wait for the next one.
 	reported time.Time
@@ -162,8 +164,11 @@
 		kept := gate.targets[item.ID]
 		if kept == nil || kept.Born != item.Born || kept.Address != item.Address || kept.Service != item.Service {
 			kept = newTarget(now, item)
+			kept.ColdFor = 0
 		}
+		coldBefore := kept.ColdFor
 		kept.Target = item
+		gate.heardCold(now, kept, coldBefore)
 		kept.scope = gate.distance(gate.options.FailureDomain, item.FailureDomain)
 		if kept.way == 0 {
 			kept.way = nearWay
@@ -282,6 +287,7 @@
 	}
 	target.attempts[attempt] = true
 	target.running++
+	target.sendCold(now)
 	request.live = attempt
 	request.sends++
 	if request.tried == nil {
--- a/core/berylgate/outcome.go
+++ b/core/berylgate/outcome.go
@@ -65,7 +65,10 @@
 			target.mean += weight * (millis(now.Sub(attempt.sent)) - target.way - target.mean)
 			target.mean = max(target.mean, 1)
 		}
-	case Unreached, Broken:
+	case Unreached:
+		target.failed(now)
+		gate.maybeRestarted(now, target)
+	case Broken:
 		target.failed(now)
 	case Erred:
 		target.heard = now
--- a/core/berylgate/target.go
+++ b/core/berylgate/target.go
@@ -97,6 +97,7 @@
 	suspect  bool
 	attempts map[*attempt]bool
 	held     map[uint64]time.Time
+	cold     coldness
 }
 
 // scope says how far away a target stands.
--- a/io/beryledge/members.go
+++ b/io/beryledge/members.go
@@ -63,6 +63,7 @@
 	}
 	live := len(core.table.Live())
 	core.gate.SetDaemons(now, live)
+	core.gate.SetVMs(now, fresh.domains)
 	// The same daemons watch all feeds: one in contact on one feed only could not
 	// tell the others that it has all news.
 	chosen := berylmember.Ranked("watcher", core.table.Live(), watchers)
