--- a/core/berylgate/report.go
+++ b/core/berylgate/report.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"berylspoke"
+	"berylspoke/core/berylfeed"
 )
 
 const (
@@ -31,7 +32,7 @@
 	// Contact is how long ago the store answered the sender, or a daemon that it
 	// heard of; ContactID tells such answers apart.
 	Contact   time.Duration
-	ContactID uint64
+	ContactID berylfeed.ContactID
 	// Targets is what the sender has at the targets; Loads are what targets told
 	// it of themselves since its last report. A large fleet tells only loads, as a
 	// daemon would hear of a small part of what the others sent.
--- a/io/beryledge/actor.go
+++ b/io/beryledge/actor.go
@@ -203,7 +203,7 @@
 		report.Feeds = append(report.Feeds, feed.Last())
 	}
 	contact := core.contact(now)
-	report.Contact, report.ContactID = contact.Age, uint64(contact.ID)
+	report.Contact, report.ContactID = contact.Age, contact.ID
 	to := core.others()
 	if len(to) > berylgate.FullMesh {
 		to = core.table.Links()
@@ -255,7 +255,7 @@
 		}
 	case berylgate.Report:
 		core.gate.Heard(now, from, message)
-		core.fed(now, berylfeed.Contact{ID: berylfeed.ContactID(message.ContactID), Age: message.Contact})
+		core.fed(now, berylfeed.Contact{ID: message.ContactID, Age: message.Contact})
 		core.compare(now, from, message.Feeds)
 	case berylgate.Usage:
 		core.gate.HeardUsage(now, from, message)
--- a/io/berylpeer/wirefeed.go
+++ b/io/berylpeer/wirefeed.go
@@ -140,7 +140,7 @@
 }
 
 func dispatchesToWire(report berylgate.Report) *wireDispatches {
-	wire := &wireDispatches{Incarnation: uint64(report.Incarnation), ContactMillis: uint32(report.Contact.Milliseconds()), ContactID: report.ContactID}
+	wire := &wireDispatches{Incarnation: uint64(report.Incarnation), ContactMillis: uint32(report.Contact.Milliseconds()), ContactID: uint64(report.ContactID)}
 	for _, revision := range report.Feeds {
 		wire.Feeds = append(wire.Feeds, uint64(revision))
 	}
@@ -159,7 +159,7 @@
 }
 
 func (wire *wireDispatches) message(berylspoke.VMID) berylspoke.Message {
-	report := berylgate.Report{Incarnation: berylspoke.Incarnation(wire.Incarnation), Contact: time.Duration(wire.ContactMillis) * time.Millisecond, ContactID: wire.ContactID}
+	report := berylgate.Report{Incarnation: berylspoke.Incarnation(wire.Incarnation), Contact: time.Duration(wire.ContactMillis) * time.Millisecond, ContactID: berylfeed.ContactID(wire.ContactID)}
 	for _, revision := range wire.Feeds {
 		report.Feeds = append(report.Feeds, berylspoke.Revision(revision))
 	}
