--- a/core/beryladmission/queue.go
+++ b/core/beryladmission/queue.go
@@ -35,10 +35,26 @@
 type Request struct {
 	Ticket       Ticket
 	Organisation berylspoke.OrganisationID
-	// Tokens are what the request counts in its organisation's share.
+	// Tokens are what the request counts in its organisation's share, zero for one that
+	// no engine serves.
 	Tokens berylspoke.Tokens
 }
 
+// Cause is why a request is rejected at once.
+type Cause uint8
+
+// The causes of a rejection.
+const (
+	// NotRejected requests may be offered.
+	NotRejected Cause = iota
+	// Overload says that the processor cannot serve the request in time.
+	Overload
+	// OverCap says that the organisation has used up its allowance.
+	OverCap
+	// Causes is the number of causes.
+	Causes
+)
+
 // Change lists the requests that were decided on, in order.
 type Change struct {
 	Admitted, Rejected []Ticket
@@ -63,6 +79,9 @@
 	last     time.Time
 	// overloaded is until when the processor counts as overloaded.
 	overloaded time.Time
+	// allowances are the tokens that may still be admitted of organisations beyond
+	// their cap; others are not bounded.
+	allowances map[berylspoke.OrganisationID]float64
 }
 
 // flow is one organisation's part of the queue.
@@ -76,11 +95,13 @@
 
 // entry is one request that waits.
 type entry struct {
-	ticket Ticket
-	cost   float64
-	since  time.Time
+	Request
+	since time.Time
 }
 
+// cost returns what the request counts in the queue.
+func (request Request) cost() float64 { return float64(max(request.Tokens, minCost)) }
+
 // NewQueue returns an empty queue that admits so many requests at once.
 func NewQueue(slots int) *Queue {
 	return &Queue{slots: max(slots, 1), flows: make(map[berylspoke.OrganisationID]*flow)}
@@ -91,6 +112,45 @@
 	return len(queue.backlogged) > 0 || now.Before(queue.overloaded)
 }
 
+// SetAllowances sets the tokens that may be admitted until the next call of
+// organisations beyond their cap. The queue takes the map over.
+func (queue *Queue) SetAllowances(allowances map[berylspoke.OrganisationID]float64) {
+	queue.allowances = allowances
+}
+
+// Reject reports why Offer would reject a request at once, and counts it as rejected
+// if so. It spares the caller what only a waiting request needs.
+func (queue *Queue) Reject(now time.Time, request Request) Cause {
+	if queue.exhausted(request) {
+		return OverCap
+	}
+	if !queue.Overloaded(now) || queue.waiting < queue.limit() {
+		return NotRejected
+	}
+	flow := queue.flow(request.Organisation)
+	ahead := flow.tag + flow.queued + request.cost()
+	for _, other := range queue.backlogged {
+		if other != flow && other.tag+other.queued > ahead {
+			return NotRejected
+		}
+	}
+	queue.overloaded = now.Add(overloadHold)
+	return Overload
+}
+
+// exhausted reports whether a request's organisation has used up its allowance,
+// counting what waits.
+func (queue *Queue) exhausted(request Request) bool {
+	allowance, bounded := queue.allowances[request.Organisation]
+	if !bounded || request.Tokens == 0 {
+		return false
+	}
+	if flow := queue.flows[request.Organisation]; flow != nil {
+		allowance -= flow.queued
+	}
+	return allowance <= 0
+}
+
 // Offer asks for a request to be admitted. Unless the processor is overloaded that
 // happens at once; otherwise the request waits or is rejected, or another one is
 // rejected for it.
@@ -107,8 +167,7 @@
 	if len(queue.backlogged) == 0 {
 		queue.last = now
 	}
-	cost := float64(max(request.Tokens, minCost))
-	queue.push(queue.flow(request.Organisation), entry{request.Ticket, cost, now})
+	queue.push(queue.flow(request.Organisation), entry{request, now})
 	for queue.waiting > queue.limit() {
 		change.Rejected = append(change.Rejected, queue.evict())
 	}
@@ -140,7 +199,7 @@
 	for i := len(queue.backlogged) - 1; i >= 0; i-- {
 		flow := queue.backlogged[i]
 		for len(flow.waiting) > 0 && now.Sub(flow.waiting[0].since) >= maxWait {
-			change.Rejected = append(change.Rejected, queue.remove(flow, 0).ticket)
+			change.Rejected = append(change.Rejected, queue.remove(flow, 0).Ticket)
 			queue.overloaded = now.Add(overloadHold)
 		}
 	}
@@ -184,7 +243,7 @@
 		queue.backlogged = append(queue.backlogged, flow)
 	}
 	flow.waiting = append(flow.waiting, waiting)
-	flow.queued += waiting.cost
+	flow.queued += waiting.cost()
 	queue.waiting++
 	queue.overloaded = waiting.since.Add(overloadHold)
 }
@@ -193,7 +252,7 @@
 func (queue *Queue) remove(flow *flow, at int) entry {
 	removed := flow.waiting[at]
 	flow.waiting = slices.Delete(flow.waiting, at, at+1)
-	flow.queued -= removed.cost
+	flow.queued -= removed.cost()
 	queue.waiting--
 	if len(flow.waiting) == 0 {
 		at := slices.Index(queue.backlogged, flow)
@@ -212,12 +271,15 @@
 	}
 	oldest := queue.remove(least, 0)
 	queue.virtual = max(queue.virtual, least.tag)
-	least.tag += oldest.cost
+	least.tag += oldest.cost()
+	if _, bounded := queue.allowances[oldest.Organisation]; bounded {
+		queue.allowances[oldest.Organisation] -= float64(oldest.Tokens)
+	}
 	queue.busy++
 	queue.interval += time.Duration(intervalWeight * float64(now.Sub(queue.last)-queue.interval))
 	queue.last = now
 	queue.overloaded = now.Add(overloadHold)
-	return oldest.ticket
+	return oldest.Ticket
 }
 
 // limit returns how many may wait: those that can expect to be admitted in time.
@@ -237,5 +299,5 @@
 			most = flow
 		}
 	}
-	return queue.remove(most, len(most.waiting)-1).ticket
+	return queue.remove(most, len(most.waiting)-1).Ticket
 }
--- a/core/berylgate/allowance.go
+++ b/core/berylgate/allowance.go
@@ -100,6 +100,26 @@
 	return max(1, given/gate.shares.level)
 }
 
+// Allowances returns the tokens that each organisation beyond its cap may still begin
+// here. Whoever is within it is not named.
+func (gate *Gate) Allowances(now time.Time) map[berylspoke.OrganisationID]float64 {
+	gate.refreshLevels(now)
+	if math.IsInf(gate.shares.cap, 1) {
+		return nil
+	}
+	allowances := make(map[berylspoke.OrganisationID]float64)
+	for hash, usage := range gate.shares.own {
+		switch {
+		case usage.organisation == "":
+		case gate.given(now, hash) > capGuard*gate.shares.cap:
+			allowances[usage.organisation] = 0
+		case !gate.thin(now, hash) || usage.thinned:
+			allowances[usage.organisation] = max(usage.credit, 0)
+		}
+	}
+	return allowances
+}
+
 // share returns what a request's organisation is judged by.
 func (gate *Gate) share(now time.Time, request *Request) Share {
 	organisation := hashOf(string(request.Organisation))
--- a/core/berylgate/choose.go
+++ b/core/berylgate/choose.go
@@ -146,7 +146,7 @@
 	request.tried = make(map[berylspoke.TargetID]bool)
 	pool.budget.Earn(retryEarn * gate.options.RetryRatio)
 	if pool.declared.Engine != nil {
-		gate.shares.usage(hashOf(string(request.Organisation))).ask(now, TokensOf(request))
+		gate.shares.usageOf(request.Organisation).ask(now, TokensOf(request))
 	}
 }
 
--- a/core/berylgate/gate.go
+++ b/core/berylgate/gate.go
@@ -214,8 +214,16 @@
 // as the processor of its VM is overloaded.
 func (gate *Gate) Rejected(now time.Time, rejected map[berylspoke.OrganisationID]berylspoke.Tokens) {
 	for organisation, tokens := range rejected {
-		hash := hashOf(string(organisation))
-		gate.shares.usage(hash).reject(now, tokens, gate.shares.others[hash].asked)
+		elsewhere := gate.shares.others[hashOf(string(organisation))].asked
+		gate.shares.usageOf(organisation).reject(now, tokens, elsewhere)
+	}
+}
+
+// RejectedOverCap counts the tokens of requests that this daemon rejected, by
+// organisation, for want of an allowance.
+func (gate *Gate) RejectedOverCap(now time.Time, rejected map[berylspoke.OrganisationID]berylspoke.Tokens) {
+	for organisation, tokens := range rejected {
+		gate.shares.usageOf(organisation).ask(now, tokens)
 	}
 }
 
--- a/core/berylgate/share.go
+++ b/core/berylgate/share.go
@@ -38,6 +38,8 @@
 
 // usage is what one organisation asked for and was given.
 type usage struct {
+	// organisation is empty while nothing was asked for here.
+	organisation berylspoke.OrganisationID
 	asked, given rate
 	// rejected is what was rejected before the gate saw it.
 	rejected rate
@@ -143,6 +145,13 @@
 	return &shares{own: make(map[uint32]*usage), level: math.Inf(1), cap: math.Inf(1)}
 }
 
+// usageOf returns the usage of an organisation by its name.
+func (shares *shares) usageOf(organisation berylspoke.OrganisationID) *usage {
+	found := shares.usage(hashOf(string(organisation)))
+	found.organisation = organisation
+	return found
+}
+
 func (shares *shares) usage(organisation uint32) *usage {
 	found := shares.own[organisation]
 	if found == nil {
--- a/core/berylgate/usage_test.go
+++ b/core/berylgate/usage_test.go
@@ -287,3 +287,29 @@
 	held := map[uint32]total{1: {1e6, 90_000, true}, 2: {2e6, 300_000, false}}
 	require.InDelta(t, sampledGap*90_000, capOf(level, beyond, sampledGap, held), 1, "who is held back by its VM holds the others")
 }
+
+// Guards against a VM that admits requests which the gate then refuses for their
+// organisation's cap: whoever is beyond it must be named, with what it may begin.
+func TestAllowancesNameWhoIsBeyondItsCap(t *testing.T) {
+	now := time.Unix(0, 0)
+	gate := newGate(now, 1, 4, false)
+	require.Empty(t, gate.Allowances(now))
+	for range 20 {
+		gate.RejectedOverCap(now, map[berylspoke.OrganisationID]berylspoke.Tokens{"flood": 100_000})
+	}
+	gate.Submit(now, newRequest(now, "small", berylspoke.Part{ID: 1, Tokens: 1_000}))
+	now = now.Add(levelEvery)
+	allowances := gate.Allowances(now)
+	require.Len(t, allowances, 1, "only the flood is beyond its cap")
+	require.Positive(t, allowances["flood"])
+	for allowances["flood"] > 0 {
+		request := newRequest(now, "flood", berylspoke.Part{ID: 2, Tokens: 30_000})
+		require.False(t, math.IsInf(gate.over(now, gate.services[drafts], request), 1), "it may begin what it is allowed")
+		gate.shares.usageOf("flood").begin(now, TokensOf(request))
+		allowances = gate.Allowances(now)
+	}
+	require.True(t, math.IsInf(gate.over(now, gate.services[drafts], newRequest(now, "flood")), 1))
+	require.False(t, now.Before(gate.shares.usageOf("flood").short), "it is not held back by the processor")
+	gate.shares.usageOf("flood").given.add(now, 10_000_000)
+	require.Zero(t, gate.Allowances(now.Add(creditFor))["flood"], "it was given far too much")
+}
--- a/io/beryledge/actor.go
+++ b/io/beryledge/actor.go
@@ -166,7 +166,7 @@
 			core.daemon.transport.Send(to, due.Beat)
 		}
 	}
-	core.gate.Rejected(now, core.daemon.admission.collect())
+	core.refreshAdmission(now)
 	core.daemon.logRejections(now)
 	core.withdraw(now)
 	core.syncMembers(now)
--- a/io/beryledge/admission.go
+++ b/io/beryledge/admission.go
@@ -42,8 +42,12 @@
 	queue   *beryladmission.Queue
 	waiters map[beryladmission.Ticket]waiter
 	last    beryladmission.Ticket
-	// rejected are the tokens of requests rejected since they were last collected.
-	rejected map[berylspoke.OrganisationID]berylspoke.Tokens
+	// rejected are the tokens of requests rejected since they were last collected, by
+	// the cause.
+	rejected [beryladmission.Causes]map[berylspoke.OrganisationID]berylspoke.Tokens
+	// undecided are the tokens of requests that were admitted and that the gate has not
+	// decided on.
+	undecided map[berylspoke.OrganisationID]berylspoke.Tokens
 	// wakeup is the pipe to the goroutine that admits waiting requests; woken says that
 	// it was written to.
 	wakeup io.Writer
@@ -53,10 +57,9 @@
 // demand is what a request says of itself that decides when it is admitted.
 type demand struct {
 	organisation berylspoke.OrganisationID
-	// tokens are what it counts in its organisation's share.
+	// tokens are what it counts in its organisation's share, zero if it is not for a
+	// model engine.
 	tokens berylspoke.Tokens
-	// engine is set if it is for a model engine.
-	engine bool
 	// objective is the time within which its answer counts, zero if not known.
 	objective time.Duration
 }
@@ -73,10 +76,10 @@
 		return nil, errors.Wrap(err, "pipe cannot be opened")
 	}
 	admission := &admission{
-		queue:    beryladmission.NewQueue(slotsPerCore * runtime.GOMAXPROCS(0)),
-		waiters:  make(map[beryladmission.Ticket]waiter),
-		rejected: make(map[berylspoke.OrganisationID]berylspoke.Tokens),
-		wakeup:   writer,
+		queue:     beryladmission.NewQueue(slotsPerCore * runtime.GOMAXPROCS(0)),
+		waiters:   make(map[beryladmission.Ticket]waiter),
+		undecided: make(map[berylspoke.OrganisationID]berylspoke.Tokens),
+		wakeup:    writer,
 	}
 	context.AfterFunc(ctx, func() {
 		_ = reader.Close()
@@ -136,23 +139,55 @@
 	admission.change(func(now time.Time) beryladmission.Change {
 		admission.last++
 		admission.waiters[admission.last] = waiter
-		return admission.queue.Offer(now, beryladmission.Request{
-			Ticket: admission.last, Organisation: demand.organisation, Tokens: demand.tokens,
-		})
+		return admission.queue.Offer(now, demand.request(admission.last))
 	})
 }
 
-// begin takes a slot for a request that was admitted before it was read whole.
-func (admission *admission) begin() *slot {
+// request returns what the queue judges by.
+func (demand demand) request(ticket beryladmission.Ticket) beryladmission.Request {
+	return beryladmission.Request{Ticket: ticket, Organisation: demand.organisation, Tokens: demand.tokens}
+}
+
+// reject reports why a request is to be rejected without being offered.
+func (admission *admission) reject(demand demand) beryladmission.Cause {
+	admission.mutex.Lock()
+	defer admission.mutex.Unlock()
+	return admission.queue.Reject(time.Now(), demand.request(0))
+}
+
+// allow takes what organisations beyond their cap may still begin. What was admitted
+// and is not decided on will draw on it.
+func (admission *admission) allow(allowances map[berylspoke.OrganisationID]float64) {
+	admission.mutex.Lock()
+	defer admission.mutex.Unlock()
+	for organisation := range allowances {
+		allowances[organisation] -= float64(admission.undecided[organisation])
+	}
+	admission.queue.SetAllowances(allowances)
+}
+
+// hold returns the slot of an admitted request.
+func (admission *admission) hold(demand demand) *slot {
 	admission.mutex.Lock()
 	defer admission.mutex.Unlock()
+	admission.undecided[demand.organisation] += demand.tokens
+	return &slot{admission: admission, demand: demand}
+}
+
+// begin takes a slot for a request that was admitted before it was read whole.
+func (admission *admission) begin(demand demand) *slot {
+	admission.mutex.Lock()
 	admission.queue.Begin()
-	return &slot{admission: admission}
+	admission.mutex.Unlock()
+	return admission.hold(demand)
 }
 
 // done frees a slot.
-func (admission *admission) done() {
+func (admission *admission) done(demand demand) {
 	admission.change(func(time.Time) beryladmission.Change {
+		if admission.undecided[demand.organisation] -= demand.tokens; admission.undecided[demand.organisation] <= 0 {
+			delete(admission.undecided, demand.organisation)
+		}
 		admission.queue.Done()
 		return beryladmission.Change{}
 	})
@@ -169,30 +204,31 @@
 }
 
 // count adds a rejected request to those that count in shares.
-func (admission *admission) count(demand demand) {
-	if !demand.engine {
+func (admission *admission) count(demand demand, cause beryladmission.Cause) {
+	if demand.tokens == 0 {
 		return
 	}
 	admission.mutex.Lock()
 	defer admission.mutex.Unlock()
-	admission.rejected[demand.organisation] += demand.tokens
+	if admission.rejected[cause] == nil {
+		admission.rejected[cause] = make(map[berylspoke.OrganisationID]berylspoke.Tokens)
+	}
+	admission.rejected[cause][demand.organisation] += demand.tokens
 }
 
-// collect returns the tokens of requests rejected since the last call.
-func (admission *admission) collect() map[berylspoke.OrganisationID]berylspoke.Tokens {
+// collect returns the tokens of requests rejected for a cause since the last call.
+func (admission *admission) collect(cause beryladmission.Cause) map[berylspoke.OrganisationID]berylspoke.Tokens {
 	admission.mutex.Lock()
 	defer admission.mutex.Unlock()
-	if len(admission.rejected) == 0 {
-		return nil
-	}
-	rejected := admission.rejected
-	admission.rejected = make(map[berylspoke.OrganisationID]berylspoke.Tokens)
+	rejected := admission.rejected[cause]
+	admission.rejected[cause] = nil
 	return rejected
 }
 
 // slot is held by an admitted request until it is sent on; a nil slot is free.
 type slot struct {
 	admission *admission
+	demand    demand
 	freed     atomic.Bool
 }
 
@@ -201,7 +237,7 @@
 	if slot == nil || slot.freed.Swap(true) {
 		return false
 	}
-	slot.admission.done()
+	slot.admission.done(slot.demand)
 	return true
 }
 
@@ -230,7 +266,7 @@
 	if !admitted {
 		return nil
 	}
-	return &slot{admission: admission}
+	return admission.hold(demand)
 }
 
 // retryAfter returns when the rejected caller may come back.
@@ -246,24 +282,56 @@
 // before it was parsed does not wait again.
 func (call *call) takeSlot(admitted bool) bool {
 	admission := call.daemon.admission
+	demand := newDemand(call.organisation, call.request.Input, call.request.Output, call.route)
 	if admitted {
-		call.slot = admission.begin()
+		call.slot = admission.begin(demand)
 		return true
 	}
-	demand := demand{
-		organisation: call.organisation, tokens: berylgate.TokensOf(call.request),
-		engine: call.ask.Input > 0, objective: call.route.Objective,
-	}
-	if call.slot = admission.wait(demand); call.slot != nil {
-		return true
+	cause := admission.reject(demand)
+	if cause == beryladmission.NotRejected {
+		if call.slot = admission.wait(demand); call.slot != nil {
+			return true
+		}
+		cause = beryladmission.Overload
 	}
-	call.daemon.rejected(demand)
-	call.answer(http.StatusServiceUnavailable, berylspoke.ReasonProcessor, demand.retryAfter())
+	call.daemon.rejected(demand, cause)
+	call.answer(http.StatusServiceUnavailable, reasons[cause], demand.retryAfter())
 	return false
 }
 
-// rejected counts a request that was rejected as the processor is overloaded.
-func (daemon *Daemon) rejected(demand demand) {
-	daemon.admission.count(demand)
-	daemon.meters.rejections.count(demand.organisation)
+// reasons are what callers are told of a rejection.
+var reasons = [beryladmission.Causes]berylspoke.Reason{
+	beryladmission.Overload: berylspoke.ReasonProcessor,
+	beryladmission.OverCap:  berylspoke.ReasonOverload,
+}
+
+// newDemand returns the demand of a request; its route is nil if not known.
+func newDemand(organisation berylspoke.OrganisationID, input, output berylspoke.Tokens, route *berylspoke.Route) demand {
+	demand := demand{organisation: organisation}
+	if input > 0 {
+		demand.tokens = berylgate.TokensOf(&berylgate.Request{Input: input, Output: output})
+	}
+	if route != nil {
+		demand.objective = route.Objective
+	}
+	return demand
+}
+
+// rejected counts a rejected request.
+func (daemon *Daemon) rejected(demand demand, cause beryladmission.Cause) {
+	daemon.admission.count(demand, cause)
+	daemon.meters.rejections.count(demand.organisation, cause)
+}
+
+// refreshAdmission tells the gate what was rejected and the queue what organisations
+// beyond their cap may begin.
+func (core *core) refreshAdmission(now time.Time) {
+	admission := core.daemon.admission
+	core.gate.Rejected(now, admission.collect(beryladmission.Overload))
+	core.gate.RejectedOverCap(now, admission.collect(beryladmission.OverCap))
+	if !admission.overloaded(now) {
+		admission.allow(nil)
+		return
+	}
+	admission.allow(core.gate.Allowances(now))
 }
--- a/io/beryledge/listener.go
+++ b/io/beryledge/listener.go
@@ -15,7 +15,7 @@
 
 	"golang.org/x/sys/unix"
 
-	"berylspoke/core/berylgate"
+	"berylspoke/core/beryladmission"
 )
 
 const (
@@ -134,13 +134,23 @@
 		// A request without its whole header would hold a slot while it comes.
 		listener.pass(newConn(conn.descriptor, bytes.Clone(listener.buffer[:count]), nil))
 	default:
-		head := bytes.Clone(listener.buffer[:count])
-		waiter := &connWaiter{listener: listener, descriptor: conn.descriptor, head: head, demand: listener.daemon.demandOf(head)}
-		listener.deciding.Add(1)
-		listener.daemon.admission.offer(waiter.demand, waiter)
+		listener.decide(conn.descriptor, bytes.Clone(listener.buffer[:count]))
 	}
 }
 
+// decide rejects a request or offers it to the admission queue.
+func (listener *admissionListener) decide(descriptor int, head []byte) {
+	daemon := listener.daemon
+	demand := daemon.demandOf(head)
+	if cause := daemon.admission.reject(demand); cause != beryladmission.NotRejected {
+		daemon.rejectConn(descriptor, head, demand, cause)
+		return
+	}
+	waiter := &connWaiter{listener: listener, descriptor: descriptor, head: head, demand: demand}
+	listener.deciding.Add(1)
+	daemon.admission.offer(demand, waiter)
+}
+
 // pass gives a connection to the server without a decision.
 func (listener *admissionListener) pass(conn net.Conn) {
 	if conn != nil {
@@ -172,8 +182,7 @@
 // abandon rejects the requests that the server will not have as it stops.
 func (listener *admissionListener) abandon() {
 	for _, conn := range listener.fresh {
-		waiter := connWaiter{listener: listener, descriptor: conn.descriptor, head: make([]byte, headBytes)}
-		waiter.reject()
+		listener.daemon.rejectConn(conn.descriptor, make([]byte, headBytes), demand{}, beryladmission.Overload)
 	}
 	listener.fresh = nil
 	for len(listener.admitted) > 0 {
@@ -193,10 +202,10 @@
 func (waiter *connWaiter) decided(admitted bool) {
 	defer waiter.listener.deciding.Add(-1)
 	if !admitted {
-		waiter.reject()
+		waiter.listener.daemon.rejectConn(waiter.descriptor, waiter.head, waiter.demand, beryladmission.Overload)
 		return
 	}
-	slot := &slot{admission: waiter.listener.daemon.admission}
+	slot := waiter.listener.daemon.admission.hold(waiter.demand)
 	conn := newConn(waiter.descriptor, waiter.head, slot)
 	if conn == nil {
 		slot.free()
@@ -209,19 +218,20 @@
 	}
 }
 
-// reject answers that the request did not run, and closes the connection.
-func (waiter *connWaiter) reject() {
-	waiter.listener.daemon.meters.shed.Inc()
-	waiter.listener.daemon.rejected(waiter.demand)
+// rejectConn answers that a request did not run, and closes its connection. The bytes
+// that were read of it are overwritten.
+func (daemon *Daemon) rejectConn(descriptor int, head []byte, demand demand, cause beryladmission.Cause) {
+	daemon.meters.shed.Inc()
+	daemon.rejected(demand, cause)
 	// Closed with unread bytes the connection is reset, and the answer is lost.
-	for count := len(waiter.head); count == headBytes; {
-		count, _ = unix.Read(waiter.descriptor, waiter.head)
+	for count := len(head); count == headBytes; {
+		count, _ = unix.Read(descriptor, head)
 	}
-	answer := append(waiter.head[:0], rejection...)
-	answer = strconv.AppendFloat(answer, waiter.demand.retryAfter().Seconds(), 'f', 2, 64)
+	answer := append(head[:0], rejection...)
+	answer = strconv.AppendFloat(answer, demand.retryAfter().Seconds(), 'f', 2, 64)
 	// A caller that has left needs no answer.
-	_, _ = unix.Write(waiter.descriptor, append(answer, "\r\n\r\n"...))
-	_ = unix.Close(waiter.descriptor)
+	_, _ = unix.Write(descriptor, append(answer, "\r\n\r\n"...))
+	_ = unix.Close(descriptor)
 }
 
 // rejection is the answer to an unparsed request, up to when its caller may come back.
@@ -278,13 +288,8 @@
 		return demand{}
 	}
 	ask := daemon.dialect.Peek(head)
-	tokens := berylgate.TokensOf(&berylgate.Request{Input: ask.Input, Output: ask.Output})
-	demand := demand{tokens: tokens, engine: ask.Input > 0}
-	demand.organisation, _ = index.Organisation(ask.Key)
-	if route := index.Route(routeOf(head)); route != nil {
-		demand.objective = route.Objective
-	}
-	return demand
+	organisation, _ := index.Organisation(ask.Key)
+	return newDemand(organisation, ask.Input, ask.Output, index.Route(routeOf(head)))
 }
 
 // routeOf returns the host and the path of an unparsed request, empty where they are
--- a/io/beryledge/rejections.go
+++ b/io/beryledge/rejections.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"berylspoke"
+	"berylspoke/core/beryladmission"
 )
 
 const (
@@ -31,9 +32,11 @@
 	set   *metrics.Set
 	mutex sync.Mutex
 	named map[berylspoke.OrganisationID]*metrics.Counter
-	// fresh are those counted since the last line.
-	fresh  map[berylspoke.OrganisationID]int
-	logged time.Time
+	// fresh are those counted since the last line, overCap those of them that were
+	// rejected for their organisation's cap.
+	fresh   map[berylspoke.OrganisationID]int
+	overCap int
+	logged  time.Time
 }
 
 func newRejections(set *metrics.Set) *rejections {
@@ -45,10 +48,13 @@
 }
 
 // count counts one request; its organisation is empty if that is not known.
-func (rejections *rejections) count(organisation berylspoke.OrganisationID) {
+func (rejections *rejections) count(organisation berylspoke.OrganisationID, cause beryladmission.Cause) {
 	rejections.mutex.Lock()
 	defer rejections.mutex.Unlock()
 	rejections.fresh[organisation]++
+	if cause == beryladmission.OverCap {
+		rejections.overCap++
+	}
 	counter := rejections.named[organisation]
 	if counter == nil {
 		label := organisation
@@ -63,22 +69,23 @@
 	counter.Inc()
 }
 
-// due returns the counts since the last line if one is due.
-func (rejections *rejections) due(now time.Time) map[berylspoke.OrganisationID]int {
+// due returns the counts since the last line if one is due, and how many of them were
+// rejected for their organisation's cap.
+func (rejections *rejections) due(now time.Time) (counts map[berylspoke.OrganisationID]int, overCap int) {
 	rejections.mutex.Lock()
 	defer rejections.mutex.Unlock()
 	if len(rejections.fresh) == 0 || now.Sub(rejections.logged) < rejectionsEvery {
-		return nil
+		return nil, 0
 	}
-	counts := rejections.fresh
-	rejections.fresh, rejections.logged = make(map[berylspoke.OrganisationID]int), now
-	return counts
+	counts, overCap = rejections.fresh, rejections.overCap
+	rejections.fresh, rejections.overCap, rejections.logged = make(map[berylspoke.OrganisationID]int), 0, now
+	return counts, overCap
 }
 
 // logRejections logs at most once a second how many requests were rejected, and of
 // which organisations most.
 func (daemon *Daemon) logRejections(now time.Time) {
-	counts := daemon.meters.rejections.due(now)
+	counts, overCap := daemon.meters.rejections.due(now)
 	if len(counts) == 0 {
 		return
 	}
@@ -93,6 +100,6 @@
 	for _, organisation := range most[:min(len(most), loggedMost)] {
 		named = append(named, fmt.Sprintf("%s:%d", organisation, counts[organisation]))
 	}
-	daemon.log.Warn("requests rejected, processor overloaded", zap.Int("count", total),
+	daemon.log.Warn("requests rejected, processor overloaded", zap.Int("count", total), zap.Int("overCap", overCap),
 		zap.String("organisations", strings.Join(named, " ")), zap.Duration("delay", daemon.strain.delay()))
 }
