Log and metrics of how old the replicas of the store are

The log says which changes arrive, not how old what a VM believes is, nor what it pulled, from where and how often. So copies over the regions' link, a busy processor and a fresh contact beside an old replica look alike in it.

Each pull and what it brought is logged and counted by link; the age of a replica is the time since the newest answer of the store whose changes it has, as a metric, and logged when it passes the age up to which a VM relies on others' contact. Nothing decides by it yet.

--- a/core/berylfeed/contacts.go
+++ b/core/berylfeed/contacts.go
@@ -47,16 +47,19 @@
 	contacts.add(ContactID(contacts.origin)<<32|ContactID(contacts.count), at)
 }
 
-// Receive records a contact that a peer reported.
-func (contacts *Contacts) Receive(now time.Time, contact Contact) {
-	if _, known := contacts.received[contact.ID]; known || uint32(contact.ID>>32) == contacts.origin && contacts.count > 0 {
-		return
+// Receive records a contact that a peer reported and returns its time, zero for an own
+// contact that is no longer remembered.
+func (contacts *Contacts) Receive(now time.Time, contact Contact) time.Time {
+	if at, known := contacts.received[contact.ID]; known || uint32(contact.ID>>32) == contacts.origin && contacts.count > 0 {
+		return at
 	}
-	contacts.add(contact.ID, now.Add(-contact.Age))
+	at := now.Add(-contact.Age)
+	contacts.add(contact.ID, at)
 	if now.Sub(contacts.prunedAt) > contactRetention {
 		contacts.prunedAt = now
 		maps.DeleteFunc(contacts.received, func(_ ContactID, at time.Time) bool { return now.Sub(at) > contactRetention })
 	}
+	return at
 }
 
 // add records a contact and the time of its answer.
--- a/core/berylfeed/messages.go
+++ b/core/berylfeed/messages.go
@@ -19,6 +19,9 @@
 	Count
 )
 
+// String returns the feed as a metric label.
+func (name Name) String() string { return [...]string{"configuration", "targets"}[name] }
+
 // Pull asks a peer for its changes after a revision.
 type Pull struct {
 	Feed  Name
@@ -42,6 +45,15 @@
 	Changes []Change
 }
 
+// Bytes returns the size of the items of the delta without keys and revisions.
+func (delta Delta) Bytes() int {
+	size := 0
+	for _, change := range delta.Changes {
+		size += len(change.Item.Value)
+	}
+	return size
+}
+
 // PeerMessage implements berylspoke.Message.
 func (Pull) PeerMessage() {}
 
--- a/io/beryledge/actor.go
+++ b/io/beryledge/actor.go
@@ -96,11 +96,17 @@
 	feeds  [berylfeed.Count]*berylfeed.Feed
 	// contacts are the latest answers of the store to any daemon.
 	contacts berylfeed.Contacts
+	// currency tracks as of when the feeds are complete; oldReplica is set for each feed
+	// whose age was logged as too high.
+	currency   berylfeed.Currency
+	oldReplica [berylfeed.Count]bool
 	// evacuated are the failure domains whose targets get no more requests.
 	evacuated map[berylspoke.FailureDomain]bool
 	// behindSince is when a peer was first seen to have changes that this daemon lacks, or
 	// when they were last pulled; zero if there are none.
 	behindSince [berylfeed.Count]time.Time
+	// pulledAt is when the changes of a feed were last pulled.
+	pulledAt [berylfeed.Count]time.Time
 	// graceEnd is when the first grace period of a vanished target ends, zero for none.
 	graceEnd time.Time
 	lastTick time.Time
@@ -200,6 +206,7 @@
 		core.refreshTargets(now)
 	}
 	core.refreshMembers(now)
+	core.logReplicaAges(now)
 }
 
 // report sends the peers what this daemon dispatched and the state of its feeds.
@@ -261,7 +268,9 @@
 		}
 	case berylgate.Report:
 		core.gate.ReceiveReport(now, from, message)
-		core.observeContact(now, berylfeed.Contact{ID: message.ContactID, Age: message.Contact})
+		contact := berylfeed.Contact{ID: message.ContactID, Age: message.Contact}
+		core.observeContact(now, contact)
+		core.claimComplete(now, contact, message.Feeds)
 		core.compareFeeds(now, from, message.Feeds)
 	case berylgate.Usage:
 		core.gate.ReceiveUsage(now, from, message)
--- a/io/beryledge/daemon.go
+++ b/io/beryledge/daemon.go
@@ -72,8 +72,10 @@
 	known       [berylfeed.Count]atomic.Bool
 	// watcher is set if this daemon reads the store for the fleet. lastContact is when
 	// the store last answered any daemon known here, in Unix nanoseconds.
-	watcher      atomic.Bool
-	lastContact  atomic.Int64
+	watcher     atomic.Bool
+	lastContact atomic.Int64
+	// completeAsOf is the time as of which each feed is complete, in Unix nanoseconds.
+	completeAsOf [berylfeed.Count]atomic.Int64
 	meters       *meters
 	servers      []*http.Server
 	callerServer *http.Server
--- a/io/beryledge/feeds.go
+++ b/io/beryledge/feeds.go
@@ -31,25 +31,40 @@
 		}
 		if now.Sub(core.behindSince[name]) >= pullDelay || first && !core.daemon.watcher.Load() {
 			core.behindSince[name] = now
-			core.daemon.transport.Send(from, berylfeed.Pull{Feed: berylfeed.Name(name), After: feed.AsOf()})
+			core.pull(now, berylfeed.Name(name), from)
 		}
 	}
 }
 
+// pull asks a peer for the changes that a feed lacks.
+func (core *core) pull(now time.Time, name berylfeed.Name, from berylspoke.VMID) {
+	after := core.feeds[name].AsOf()
+	link := core.daemon.Link(from)
+	core.daemon.meters.pulls[link].Inc()
+	core.pulledAt[name] = now
+	core.daemon.log.Info("pulling changes from a peer", zap.String("peer", string(from)), zap.Stringer("link", link),
+		zap.Uint8("feed", uint8(name)), zap.Uint64("after", uint64(after)))
+	core.daemon.transport.Send(from, berylfeed.Pull{Feed: name, After: after})
+}
+
 func (core *core) mergeDelta(now time.Time, from berylspoke.VMID, delta berylfeed.Delta) {
 	feed := core.feeds[delta.Feed]
+	link := core.daemon.Link(from)
+	core.daemon.meters.pulledBytes[link].Add(delta.Bytes())
 	if feed.Merge(now, delta) {
 		// The next tick sends a report: the daemons that receive it have already waited
 		// for the change.
 		core.lastReport = time.Time{}
 		core.daemon.log.Info("received changes from a peer", zap.String("peer", string(from)),
-			zap.Uint8("feed", uint8(delta.Feed)), zap.Uint64("asOf", uint64(delta.AsOf)), zap.Int("changes", len(delta.Changes)))
+			zap.Uint8("feed", uint8(delta.Feed)), zap.Uint64("asOf", uint64(delta.AsOf)), zap.Int("changes", len(delta.Changes)),
+			zap.Stringer("link", link), zap.Int("bytes", delta.Bytes()), zap.Int64("after", now.Sub(core.pulledAt[delta.Feed]).Milliseconds()))
 		core.refreshFeed(now, delta.Feed)
 	}
 }
 
 func (core *core) applyStoreAnswer(now time.Time, message storeAnswer) {
 	feed := core.feeds[message.feed]
+	core.currency.Confirm(message.feed, now)
 	if feed.Answered(now) {
 		core.daemon.log.Info("store is reachable again", zap.Uint8("feed", uint8(message.feed)), zap.Uint64("asOf", uint64(message.asOf)))
 	}
@@ -65,10 +80,57 @@
 	core.publishRevision(message.feed)
 }
 
+// claimComplete records as of when the feeds are complete according to a peer.
+func (core *core) claimComplete(now time.Time, contact berylfeed.Contact, revisions []berylspoke.Revision) {
+	core.currency.Claim(contact.ID, core.contacts.Receive(now, contact), revisions, core.feeds)
+	core.publishCurrency()
+}
+
+// publishCurrency sets the times as of which the feeds are complete.
+func (core *core) publishCurrency() {
+	for name := range core.feeds {
+		if at := core.currency.CompleteAsOf(berylfeed.Name(name)); !at.IsZero() {
+			core.daemon.completeAsOf[name].Store(at.UnixNano())
+		}
+	}
+}
+
+// logReplicaAges logs each feed whose replica becomes older than a daemon may rely on, and
+// its return.
+func (core *core) logReplicaAges(now time.Time) {
+	for name, feed := range core.feeds {
+		if !feed.Known() {
+			continue
+		}
+		age := core.daemon.replicaAge(berylfeed.Name(name), now)
+		old := age > core.daemon.contactAgeLimit()
+		if old == core.oldReplica[name] {
+			continue
+		}
+		core.oldReplica[name] = old
+		text := "replica of the store is recent again"
+		if old {
+			text = "replica of the store is old"
+		}
+		core.daemon.log.Info(text, zap.Uint8("feed", uint8(name)), zap.Int64("age", age.Milliseconds()), zap.Int64("contact", now.Sub(core.contacts.Newest()).Milliseconds()), zap.Uint64("asOf", uint64(feed.AsOf())))
+	}
+}
+
+// replicaAge returns the time since a feed was last known to be complete, or since the
+// daemon's start if it never was.
+func (daemon *Daemon) replicaAge(name berylfeed.Name, now time.Time) time.Duration {
+	if at := daemon.completeAsOf[name].Load(); at != 0 {
+		return now.Sub(time.Unix(0, at))
+	}
+	return now.Sub(daemon.started)
+}
+
 // publishRevision sets the revision after which the readers of the store continue.
 func (core *core) publishRevision(name berylfeed.Name) {
 	core.daemon.revisions[name].Store(uint64(core.feeds[name].AsOf()))
 	core.daemon.known[name].Store(core.feeds[name].Known())
+	core.currency.Advance(core.feeds)
+	core.publishCurrency()
 }
 
 func (core *core) refreshFeed(now time.Time, name berylfeed.Name) {
--- a/io/beryledge/meters.go
+++ b/io/beryledge/meters.go
@@ -12,6 +12,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"berylspoke"
+	"berylspoke/core/berylfeed"
 	"berylspoke/core/berylgate"
 	"berylspoke/io/berylpeer"
 )
@@ -24,8 +25,11 @@
 	callersDisconnected *metrics.Counter
 	shed                *metrics.Counter
 	rejections          *rejections
-	outcomes            [berylgate.Outcomes]*metrics.Counter
-	latency             map[berylspoke.Kind]*metrics.Histogram
+	// pulls and pulledBytes count the requests for changes of the feeds and what they
+	// brought, by link.
+	pulls, pulledBytes [berylpeer.LinkCount]*metrics.Counter
+	outcomes           [berylgate.Outcomes]*metrics.Counter
+	latency            map[berylspoke.Kind]*metrics.Histogram
 }
 
 func newMeters(daemon *Daemon) *meters {
@@ -50,6 +54,7 @@
 	set.NewGauge("berylspoke_requests_active", func() float64 { return float64(daemon.active.Load()) })
 	set.NewGauge("berylspoke_connections_opened_total", func() float64 { return float64(daemon.pool.DialCount()) })
 	meters.addPeerMetrics(daemon)
+	meters.addFeedMetrics(daemon)
 	return meters
 }
 
@@ -64,7 +69,7 @@
 			return float64(read(daemon.transport.Traffic()))
 		}
 	}
-	for _, link := range []berylpeer.Link{berylpeer.WithinDomain, berylpeer.AcrossDomains, berylpeer.AcrossRegions} {
+	for link := berylpeer.WithinDomain; link < berylpeer.LinkCount; link++ {
 		meters.set.NewGauge(fmt.Sprintf("berylspoke_peer_bytes_sent_total{link=%q}", link),
 			traffic(func(traffic *berylpeer.Traffic) uint64 { return traffic.Sent[link].Load() }))
 	}
@@ -74,6 +79,19 @@
 	}
 }
 
+// addFeedMetrics registers the ages of the feeds and what they pulled from peers.
+func (meters *meters) addFeedMetrics(daemon *Daemon) {
+	for link := berylpeer.WithinDomain; link < berylpeer.LinkCount; link++ {
+		meters.pulls[link] = meters.set.NewCounter(fmt.Sprintf("berylspoke_feed_pulls_total{link=%q}", link))
+		meters.pulledBytes[link] = meters.set.NewCounter(fmt.Sprintf("berylspoke_feed_pulled_bytes_total{link=%q}", link))
+	}
+	for name := range berylfeed.Count {
+		meters.set.NewGauge(fmt.Sprintf("berylspoke_feed_age_seconds{feed=%q}", name), func() float64 {
+			return daemon.replicaAge(name, time.Now()).Seconds()
+		})
+	}
+}
+
 func (meters *meters) refusal(reason berylspoke.Reason) *metrics.Counter {
 	return meters.set.GetOrCreateCounter(fmt.Sprintf("berylspoke_refusals_total{reason=%q}", reason))
 }
--- a/io/berylpeer/count.go
+++ b/io/berylpeer/count.go
@@ -21,7 +21,8 @@
 	WithinDomain Link = iota
 	AcrossDomains
 	AcrossRegions
-	linkCount
+	// LinkCount is the number of kinds of links.
+	LinkCount
 )
 
 // String returns the link as a metric label.
@@ -35,7 +36,7 @@
 // Traffic counts bytes sent, bytes received and packets sent by link, and messages sent
 // by kind.
 type Traffic struct {
-	Sent, Received, Packets [linkCount]atomic.Uint64
+	Sent, Received, Packets [LinkCount]atomic.Uint64
 	messages, messageBytes  [kindsEnd]atomic.Uint64
 }
 
