--- a/io/beryledge/fakes_test.go
+++ b/io/beryledge/fakes_test.go
@@ -260,10 +260,15 @@
 
 // startWith runs a daemon with a dialect.
 func startWith(t *testing.T, store berylspoke.Store, dialect berylspoke.Dialect, seeds ...berylspoke.VMID) *Daemon {
+	return startIn(t, store, dialect, "a", map[berylspoke.FailureDomain]berylspoke.Region{"a": "r"}, seeds...)
+}
+
+// startIn runs a daemon in a failure domain.
+func startIn(t *testing.T, store berylspoke.Store, dialect berylspoke.Dialect, domain berylspoke.FailureDomain, regions map[berylspoke.FailureDomain]berylspoke.Region, seeds ...berylspoke.VMID) *Daemon {
 	host := uniqueHost()
 	settings := &Settings{
 		Name: t.Name(), VM: berylspoke.VMID(host + ":7001"),
-		FailureDomain: "a", Region: "r", RegionOf: map[berylspoke.FailureDomain]berylspoke.Region{"a": "r"},
+		FailureDomain: domain, Region: regions[domain], RegionOf: regions,
 		Seeds: seeds, CallersAddress: host + ":7002", ReadyAddress: host + ":7003", ResolveAddress: host + ":7004",
 		OperatorsAddress: host + ":7005", MaxDescriptors: 1000, Capacity: 19, StopTimeout: 8 * time.Second,
 		RetryRatio: 1, RetrySlack: 1000, StoreAddress: "127.0.0.1:1", FleetKey: "a key of the tests only",
--- a/io/berylpeer/peer_test.go
+++ b/io/berylpeer/peer_test.go
@@ -232,3 +232,39 @@
 		})
 	}
 }
+
+// Guards against reports that are late because a large message to the same peer, which
+// its receiver takes slowly, is sent before them.
+func TestLargeMessageDoesNotDelaySmallOnes(t *testing.T) {
+	const large = 6 << 20
+	release := make(chan struct{})
+	small := make(chan struct{}, 1)
+	addresses := locations{"a": freeAddress(t, "127.0.0.1"), "b": freeAddress(t, "127.0.0.1")}
+	open := func(vm berylspoke.VMID, handler Handler) *Transport {
+		transport, err := Listen(Options{
+			VM: vm, Address: addresses[vm], Keys: [][]byte{[]byte(fleetKey)}, Locator: addresses, Handler: handler, Log: zap.NewNop(),
+		})
+		require.NoError(t, err)
+		t.Cleanup(transport.Close)
+		return transport
+	}
+	open("b", func(_ berylspoke.VMID, messages []berylspoke.Message) {
+		if _, isDelta := messages[0].(berylfeed.Delta); isDelta {
+			<-release
+			return
+		}
+		small <- struct{}{}
+	})
+	t.Cleanup(func() { close(release) })
+	sender := open("a", func(berylspoke.VMID, []berylspoke.Message) {})
+	delta := berylfeed.Delta{AsOf: 1, Changes: []berylfeed.Change{{Item: berylspoke.Item{Key: "k", Value: make([]byte, large)}}}}
+	sender.Send("b", delta)
+	sender.Send("b", delta)
+	time.Sleep(time.Second)
+	sender.Send("b", berylfeed.Pull{After: 1})
+	select {
+	case <-small:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the small message waits behind the large ones")
+	}
+}
