Few copies of a change cross the link to a region

Cause: a daemon pulled each change from the first peer that reported it, wherever that peer was, and again from the next reporter every 250 ms while the answer was under way. 30 VMs of a region each pulled a configuration of 282 KB up to 14 times over a link of 60 Mbit/s. The link was full for seconds, copies grew with its delay (congestion collapse by repeated pulls), and changes of targets, reports and engines' own calls waited behind them.

Ruled out: the processor (1.8% of the VMs' time in those seconds), the store and its watchers (the store's own region had each change within 0.5 s).

Change: a Puller for each feed. Two gateways of a region pull from other regions at once; the others wait for a peer of their region, and while none has the change, the number of daemons that pull across doubles each 400 ms. One pull at a time, repeated elsewhere after 0.5 s, doubling to 4 s.

--- a/io/beryledge/actor.go
+++ b/io/beryledge/actor.go
@@ -102,9 +102,10 @@
 	oldReplica [berylfeed.Count]bool
 	// evacuated are the failure domains whose targets get no more requests.
 	evacuated map[berylspoke.FailureDomain]bool
-	// behindSince is when a peer was first seen to have changes that this daemon lacks, or
-	// when they were last pulled; zero if there are none.
-	behindSince [berylfeed.Count]time.Time
+	// pullers decide which changes to pull from peers. regionRank is the rank of this
+	// daemon among those of its region.
+	pullers    [berylfeed.Count]berylfeed.Puller
+	regionRank int
 	// pulledAt is when the changes of a feed were last pulled.
 	pulledAt [berylfeed.Count]time.Time
 	// graceEnd is when the first grace period of a vanished target ends, zero for none.
@@ -206,6 +207,7 @@
 		core.refreshTargets(now)
 	}
 	core.refreshMembers(now)
+	core.pullChanges(now)
 	core.logReplicaAges(now)
 }
 
--- a/io/beryledge/feeds.go
+++ b/io/beryledge/feeds.go
@@ -12,25 +12,31 @@
 	"berylspoke"
 	"berylspoke/core/berylcatalog"
 	"berylspoke/core/berylfeed"
+	"berylspoke/io/berylpeer"
 )
 
-// compareFeeds pulls changes from a peer if the store did not deliver them here in time:
-// the store may reject calls of this VM while it serves others.
+// compareFeeds pulls the changes that a peer has and this daemon lacks: the store may
+// reject calls of this VM while it serves others.
 func (core *core) compareFeeds(now time.Time, from berylspoke.VMID, revisions []berylspoke.Revision) {
+	remote := core.daemon.Link(from) == berylpeer.AcrossRegions
 	for name, revision := range revisions[:min(len(revisions), len(core.feeds))] {
 		feed := core.feeds[name]
 		if feed.Known() && revision <= feed.AsOf() || revision == 0 {
-			core.behindSince[name] = time.Time{}
 			continue
 		}
-		// All linked peers report the same change within milliseconds, and a daemon that
-		// pulled it from each of them would receive it eight times.
-		first := core.behindSince[name].IsZero()
-		if first {
-			core.behindSince[name] = now
-		}
-		if now.Sub(core.behindSince[name]) >= pullDelay || first && !core.daemon.watcher.Load() {
-			core.behindSince[name] = now
+		core.pullers[name].Offer(now, from, remote, revision)
+	}
+	core.pullChanges(now)
+}
+
+// pullChanges sends the pulls that are due.
+func (core *core) pullChanges(now time.Time) {
+	delay := time.Duration(0)
+	if core.daemon.watcher.Load() {
+		delay = pullDelay
+	}
+	for name := range core.pullers {
+		if from, due := core.pullers[name].Next(now, core.regionRank, delay); due {
 			core.pull(now, berylfeed.Name(name), from)
 		}
 	}
@@ -51,7 +57,9 @@
 	feed := core.feeds[delta.Feed]
 	link := core.daemon.Link(from)
 	core.daemon.meters.pulledBytes[link].Add(delta.Bytes())
-	if feed.Merge(now, delta) {
+	changed := feed.Merge(now, delta)
+	core.publishRevision(now, delta.Feed)
+	if changed {
 		// The next tick sends a report: the daemons that receive it have already waited
 		// for the change.
 		core.lastReport = time.Time{}
@@ -77,7 +85,7 @@
 		// The next tick reports the change to the peers that do not watch the store.
 		core.lastReport = time.Time{}
 	}
-	core.publishRevision(message.feed)
+	core.publishRevision(now, message.feed)
 }
 
 // claimComplete records as of when the feeds are complete according to a peer.
@@ -126,7 +134,10 @@
 }
 
 // publishRevision sets the revision after which the readers of the store continue.
-func (core *core) publishRevision(name berylfeed.Name) {
+func (core *core) publishRevision(now time.Time, name berylfeed.Name) {
+	if asOf := core.feeds[name].AsOf(); asOf > berylspoke.Revision(core.daemon.revisions[name].Load()) {
+		core.pullers[name].Advance(now, asOf)
+	}
 	core.daemon.revisions[name].Store(uint64(core.feeds[name].AsOf()))
 	core.daemon.known[name].Store(core.feeds[name].Known())
 	core.currency.Advance(core.feeds)
@@ -134,7 +145,6 @@
 }
 
 func (core *core) refreshFeed(now time.Time, name berylfeed.Name) {
-	core.publishRevision(name)
 	if name == berylfeed.Configuration {
 		core.refreshCatalog(now)
 		core.refreshEvacuated(now)
--- a/io/beryledge/members.go
+++ b/io/beryledge/members.go
@@ -68,5 +68,18 @@
 	// report to the others that it has all changes.
 	watchers := berylmember.Ranked("watcher", core.table.Live(), watcherCount)
 	core.daemon.watcher.Store(slices.Contains(watchers, core.daemon.settings.VM))
+	core.regionRank = core.rankInRegion(fresh)
 	core.daemon.log.Info("membership changed", zap.Int("live", live), zap.Int("entries", fresh.count()))
 }
+
+// rankInRegion returns the rank of this daemon among the live daemons of its region.
+func (core *core) rankInRegion(entries *entries) int {
+	settings := core.daemon.settings
+	var sameRegion []berylspoke.VMID
+	for vm, domain := range entries.domains {
+		if settings.RegionOf[domain] == settings.Region {
+			sameRegion = append(sameRegion, vm)
+		}
+	}
+	return max(slices.Index(berylmember.Ranked("gateway", sameRegion, len(sameRegion)), settings.VM), 0)
+}
