A VM reads the store when its replica is old, not only when contacts are

Cause: reports carry the age of the newest answer of the store to any daemon. A daemon took it for the age of what it knows itself, so that one which lacked changes for seconds did not read the store as long as small reports kept arriving. The class is liveness taken for freshness. A second case of it: a daemon that had listed the store reported the revision of the newest item it saw, which hides removals before the list; peers that lack such a removal heard of nothing to pull, and of fresh contacts.

Change: a report says at which revisions a replica is complete as of the contact it carries. A contact counts for a feed once the feed has reached that revision, is passed on only when all feeds have, and a daemon reads the store when the age of its own replica of a feed passes the limit. A daemon that listed claims the revision of the list.

TestReplicaIsAsCompleteAsItsCurrencyTells draws lists, watches, pulls and reports in any order; it fails without the list's revision. The tests of contacts pass the revisions along; what they check is unchanged.

--- a/core/berylfeed/contacts.go
+++ b/core/berylfeed/contacts.go
@@ -29,7 +29,6 @@
 	origin, count uint32
 	lastOwn       time.Time
 	newest        time.Time
-	newestID      ContactID
 	received      map[ContactID]time.Time
 	prunedAt      time.Time
 }
@@ -37,14 +36,19 @@
 // NewContacts returns the contacts of a daemon. The origin must differ between daemons.
 func NewContacts(origin uint32) Contacts { return Contacts{origin: origin} }
 
-// RecordOwn records when the store answered this daemon.
-func (contacts *Contacts) RecordOwn(at time.Time) {
-	if !at.After(contacts.lastOwn) {
-		return
+// RecordOwn records when the store answered this daemon and returns the id of the answer.
+func (contacts *Contacts) RecordOwn(at time.Time) ContactID {
+	if at.After(contacts.lastOwn) {
+		contacts.lastOwn = at
+		contacts.count++
+		contacts.add(contacts.ownID(), at)
 	}
-	contacts.lastOwn = at
-	contacts.count++
-	contacts.add(ContactID(contacts.origin)<<32|ContactID(contacts.count), at)
+	return contacts.ownID()
+}
+
+// ownID returns the id of this daemon's newest contact.
+func (contacts *Contacts) ownID() ContactID {
+	return ContactID(contacts.origin)<<32 | ContactID(contacts.count)
 }
 
 // Receive records a contact that a peer reported and returns its time, zero for an own
@@ -69,14 +73,9 @@
 	}
 	contacts.received[id] = at
 	if at.After(contacts.newest) {
-		contacts.newest, contacts.newestID = at, id
+		contacts.newest = at
 	}
 }
 
 // Newest returns when the store last answered any daemon, zero if no answer is known.
 func (contacts *Contacts) Newest() time.Time { return contacts.newest }
-
-// Contact returns the newest contact to report to peers, with its age limited to maxAge.
-func (contacts *Contacts) Contact(now time.Time, maxAge time.Duration) Contact {
-	return Contact{ID: contacts.newestID, Age: min(max(now.Sub(contacts.newest), 0), maxAge)}
-}
--- a/core/berylfeed/currency.go
+++ b/core/berylfeed/currency.go
@@ -46,8 +46,8 @@
 	}
 }
 
-// Claim records that feeds at the given revisions are complete as of a contact. The claim
-// holds for each feed of this daemon once it has reached the revision.
+// Claim records that feeds which are complete up to the given revisions are complete as of
+// a contact. The claim holds for each feed of this daemon once it has reached the revision.
 func (currency *Currency) Claim(id ContactID, at time.Time, revisions []berylspoke.Revision, feeds [Count]*Feed) {
 	if len(revisions) < int(Count) || !at.After(currency.newestAt) {
 		return
@@ -78,7 +78,7 @@
 func (currency *Currency) confirm(claim *claim, feeds [Count]*Feed) bool {
 	all := true
 	for name, feed := range feeds {
-		if !claim.confirmed[name] && feed.LastChange() >= claim.revisions[name] {
+		if !claim.confirmed[name] && feed.AsOf() >= claim.revisions[name] {
 			claim.confirmed[name] = true
 			currency.Confirm(Name(name), claim.at)
 		}
--- /dev/null
+++ b/core/berylfeed/currency_test.go
@@ -0,0 +1,107 @@
+package berylfeed
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"berylspoke"
+)
+
+// replica is a feed of targets with its currency, of a daemon that reads the store or
+// hears of it from others. The feed of the configuration stays empty.
+type replica struct {
+	feeds    [Count]*Feed
+	contacts Contacts
+	currency Currency
+}
+
+func newReplica(origin uint32) *replica {
+	return &replica{feeds: [Count]*Feed{New(), New()}, contacts: NewContacts(origin)}
+}
+
+func (replica *replica) targets() *Feed { return replica.feeds[Targets] }
+
+// answered records an answer of the store.
+func (replica *replica) answered(now time.Time) {
+	replica.currency.Confirm(Targets, now)
+	replica.currency.Claim(replica.contacts.RecordOwn(now), now, replica.claimRevisions(), replica.feeds)
+	replica.currency.Advance(replica.feeds)
+}
+
+func (replica *replica) claimRevisions() []berylspoke.Revision {
+	return []berylspoke.Revision{0, replica.targets().ClaimRevision()}
+}
+
+// report passes the newest contact on to another replica.
+func (replica *replica) report(now time.Time, to *replica) {
+	id, at := replica.currency.Newest()
+	if id == 0 {
+		return
+	}
+	at = to.contacts.Receive(now, Contact{ID: id, Age: now.Sub(at)})
+	to.currency.Claim(id, at, replica.claimRevisions(), to.feeds)
+}
+
+// Guards against a replica that is taken for complete although it lacks a change: daemons
+// list, watch and pull in any order, and a list hides which keys were removed before it.
+func TestReplicaIsAsCompleteAsItsCurrencyTells(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		store := new(history)
+		var written []time.Time
+		replicas := []*replica{newReplica(1), newReplica(2), newReplica(3)}
+		for range 60 {
+			now = now.Add(time.Millisecond)
+			one := replicas[rapid.IntRange(0, 2).Draw(t, "replica")]
+			other := replicas[rapid.IntRange(0, 2).Draw(t, "peer")]
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0, 1:
+				store.write(string(rune('a'+rapid.IntRange(0, 3).Draw(t, "key"))), rapid.Bool().Draw(t, "deleted"))
+				written = append(written, now)
+			case 2:
+				if one.targets().Known() {
+					one.targets().ApplyChanges(now, store.changes[one.targets().AsOf():], store.asOf())
+					one.answered(now)
+				}
+			case 3:
+				one.targets().Replace(now, store.list(), store.asOf())
+				one.answered(now)
+			case 4:
+				if delta, newer := other.targets().Since(now, Targets, one.targets().AsOf()); newer {
+					one.targets().Merge(now, delta)
+					one.currency.Advance(one.feeds)
+				}
+			case 5:
+				other.report(now, one)
+			}
+			for _, replica := range replicas {
+				requireComplete(t, now, replica, store, written)
+			}
+		}
+	})
+}
+
+// requireComplete checks that a replica holds what the store held at the time as of which
+// it is said to be complete, or something newer.
+func requireComplete(t *rapid.T, now time.Time, replica *replica, store *history, written []time.Time) {
+	asOf := replica.currency.CompleteAsOf(Targets)
+	items, _ := replica.targets().Items(now)
+	held := make(map[string]berylspoke.Revision)
+	for _, item := range items {
+		held[item.Key] = item.Revision
+	}
+	for i, change := range store.changes {
+		if written[i].After(asOf) {
+			break
+		}
+		revision, present := held[change.Key]
+		if present {
+			require.GreaterOrEqual(t, revision, change.Revision, "key %s", change.Key)
+		} else {
+			require.GreaterOrEqual(t, replica.targets().AsOf(), change.Revision, "key %s", change.Key)
+		}
+	}
+}
--- a/core/berylfeed/feed.go
+++ b/core/berylfeed/feed.go
@@ -66,6 +66,11 @@
 // LastChange returns the revision of the newest change that was applied.
 func (feed *Feed) LastChange() berylspoke.Revision { return feed.lastChange }
 
+// ClaimRevision returns the revision that another replica must have reached to be complete
+// if this one is. It is that of the newest change, or of the last list if that is newer: a
+// list does not tell which unknown keys were removed before it.
+func (feed *Feed) ClaimRevision() berylspoke.Revision { return max(feed.lastChange, feed.removalsFrom) }
+
 // Known reports whether the feed has ever held the store's state.
 func (feed *Feed) Known() bool { return feed.known }
 
--- a/core/berylgate/report.go
+++ b/core/berylgate/report.go
@@ -30,10 +30,12 @@
 	Incarnation berylspoke.Incarnation
 	// Feeds are the revisions up to which the sender's feeds are complete.
 	Feeds []berylspoke.Revision
-	// Contact is the age of the newest answer of the store that the sender knows of, to
-	// itself or another daemon; ContactID tells such answers apart.
+	// Contact is the age of the newest answer of the store, to the sender or another
+	// daemon, as of which the sender's feeds are complete; ContactID tells such answers
+	// apart. Complete are the revisions at which a receiver's feeds are so too.
 	Contact   time.Duration
 	ContactID berylfeed.ContactID
+	Complete  []berylspoke.Revision
 	// Targets describes the sender's requests at targets; Loads holds the loads that
 	// targets reported to it since its last report. In a large fleet only loads are
 	// reported, as a daemon would learn of a small part of what the others sent.
--- a/io/beryledge/actor.go
+++ b/io/beryledge/actor.go
@@ -217,6 +217,7 @@
 	for _, feed := range core.feeds {
 		report.Feeds = append(report.Feeds, feed.LastChange())
 	}
+	report.Complete = core.claimRevisions()
 	contact := core.newestContact(now)
 	report.Contact, report.ContactID = contact.Age, contact.ID
 	to := core.livePeers()
@@ -228,14 +229,27 @@
 	}
 }
 
-// newestContact returns the newest answer of the store to any daemon, as far as this one
-// knows. Daemons pass it on, so that a large fleet needs no more watchers than a small
-// one. The age is always exact: when watchers reported no age while their last answer was
-// still recent, the others took twice as long to notice that the store no longer
-// answered, and sent requests to targets that had left.
+// newestContact returns the newest answer of the store to any daemon as of which the
+// feeds of this one are complete. Daemons pass it on, so that a large fleet needs no more
+// watchers than a small one. The age is always exact: when watchers reported no age while
+// their last answer was still recent, the others took twice as long to notice that the
+// store no longer answered, and sent requests to targets that had left.
 func (core *core) newestContact(now time.Time) berylfeed.Contact {
-	core.contacts.RecordOwn(core.ownContact())
-	return core.contacts.Contact(now, unknownContactAge)
+	if own := core.ownContact(); !own.IsZero() {
+		core.currency.Claim(core.contacts.RecordOwn(own), own, core.claimRevisions(), core.feeds)
+	}
+	id, at := core.currency.Newest()
+	return berylfeed.Contact{ID: id, Age: min(max(now.Sub(at), 0), unknownContactAge)}
+}
+
+// claimRevisions returns the revisions at which other daemons' feeds are as complete as
+// those of this one.
+func (core *core) claimRevisions() []berylspoke.Revision {
+	var revisions []berylspoke.Revision
+	for _, feed := range core.feeds {
+		revisions = append(revisions, feed.ClaimRevision())
+	}
+	return revisions
 }
 
 // ownContact returns the oldest of the feeds' last answers from the store to this
@@ -250,16 +264,15 @@
 	return oldest
 }
 
-// observeContact records the newest answer of the store that a peer reports.
-func (core *core) observeContact(now time.Time, contact berylfeed.Contact) {
-	core.contacts.Receive(now, contact)
-	newest := core.contacts.Newest()
+// observeContact records an answer of the store that a peer reports, and that feeds at the
+// given revisions are complete as of it.
+func (core *core) observeContact(now time.Time, contact berylfeed.Contact, complete []berylspoke.Revision) {
+	at := core.contacts.Receive(now, contact)
 	for _, feed := range core.feeds {
-		feed.AnsweredAny(now, newest)
-	}
-	if newest.UnixNano() > core.daemon.lastContact.Load() {
-		core.daemon.lastContact.Store(newest.UnixNano())
+		feed.AnsweredAny(now, core.contacts.Newest())
 	}
+	core.currency.Claim(contact.ID, at, complete, core.feeds)
+	core.publishCurrency()
 }
 
 func (core *core) deliver(now time.Time, from berylspoke.VMID, message berylspoke.Message) {
@@ -270,9 +283,7 @@
 		}
 	case berylgate.Report:
 		core.gate.ReceiveReport(now, from, message)
-		contact := berylfeed.Contact{ID: message.ContactID, Age: message.Contact}
-		core.observeContact(now, contact)
-		core.claimComplete(now, contact, message.Feeds)
+		core.observeContact(now, berylfeed.Contact{ID: message.ContactID, Age: message.Contact}, message.Complete)
 		core.compareFeeds(now, from, message.Feeds)
 	case berylgate.Usage:
 		core.gate.ReceiveUsage(now, from, message)
--- a/io/beryledge/daemon.go
+++ b/io/beryledge/daemon.go
@@ -70,10 +70,8 @@
 	lastRequest atomic.Int64
 	revisions   [berylfeed.Count]atomic.Uint64
 	known       [berylfeed.Count]atomic.Bool
-	// watcher is set if this daemon reads the store for the fleet. lastContact is when
-	// the store last answered any daemon known here, in Unix nanoseconds.
-	watcher     atomic.Bool
-	lastContact atomic.Int64
+	// watcher is set if this daemon reads the store for the fleet.
+	watcher atomic.Bool
 	// completeAsOf is the time as of which each feed is complete, in Unix nanoseconds.
 	completeAsOf [berylfeed.Count]atomic.Int64
 	meters       *meters
--- a/io/beryledge/feeds.go
+++ b/io/beryledge/feeds.go
@@ -88,12 +88,6 @@
 	core.publishRevision(now, message.feed)
 }
 
-// claimComplete records as of when the feeds are complete according to a peer.
-func (core *core) claimComplete(now time.Time, contact berylfeed.Contact, revisions []berylspoke.Revision) {
-	core.currency.Claim(contact.ID, core.contacts.Receive(now, contact), revisions, core.feeds)
-	core.publishCurrency()
-}
-
 // publishCurrency sets the times as of which the feeds are complete.
 func (core *core) publishCurrency() {
 	for name := range core.feeds {
--- a/io/beryledge/replication_test.go
+++ b/io/beryledge/replication_test.go
@@ -119,6 +119,7 @@
 	for now := start; now.Sub(start) < bound-answer; now = now.Add(reportInterval) {
 		core.deliver(now, "127.0.0.9:1", berylgate.Report{
 			Incarnation: 1, Feeds: []berylspoke.Revision{0, 5}, ContactID: berylfeed.ContactID(now.UnixNano()),
+			Complete: []berylspoke.Revision{1, 5},
 		})
 	}
 	require.True(t, core.daemon.mustWatch(berylfeed.Targets, start.Add(bound-answer)))
--- a/io/beryledge/store.go
+++ b/io/beryledge/store.go
@@ -74,7 +74,8 @@
 }
 
 // mustWatch reports whether this daemon has to read the store itself: because it is one
-// of the watchers, has no items yet, or has no recent report of a contact.
+// of the watchers, has no items yet, or does not know that those it has are recent. That
+// others have contact with the store does not suffice: the changes may be late.
 func (daemon *Daemon) mustWatch(feed berylfeed.Name, now time.Time) bool {
 	if !daemon.known[feed].Load() {
 		return !daemon.settings.waitsForPeers() || now.Sub(daemon.started) > peerWait
@@ -82,11 +83,11 @@
 	if daemon.watcher.Load() {
 		return true
 	}
-	return now.Sub(time.Unix(0, daemon.lastContact.Load())) > daemon.contactAgeLimit()
+	return daemon.replicaAge(feed, now) > daemon.contactAgeLimit()
 }
 
-// contactAgeLimit returns how old the last contact of any daemon may be before a daemon
-// that is not a watcher reads the store itself.
+// contactAgeLimit returns how old the last contact as of which a feed is complete may be
+// before a daemon that is not a watcher reads the store itself.
 func (daemon *Daemon) contactAgeLimit() time.Duration {
 	if len(daemon.entries.Load().domains) > berylgate.MaxFullMeshPeers {
 		return largeFleetMaxContactAge
--- a/io/berylpeer/peer_test.go
+++ b/io/berylpeer/peer_test.go
@@ -62,7 +62,7 @@
 			Organisations: []berylgate.OrganisationReport{{Organisation: 8, Demand: 9_000, Served: 4_000}},
 		},
 		berylgate.Report{
-			Incarnation: 5, Feeds: []berylspoke.Revision{20, 21}, Contact: 300 * time.Millisecond, ContactID: 7<<32 | 1,
+			Incarnation: 5, Feeds: []berylspoke.Revision{20, 21}, Contact: 300 * time.Millisecond, ContactID: 7<<32 | 1, Complete: []berylspoke.Revision{20, 22},
 			Targets:       []berylgate.TargetReport{{Target: 9, WorkMillis: 1_200, Running: 3, Tokens: 24_000}},
 			Loads:         []berylgate.LoadReport{{Target: 9, Running: 12, Waiting: 3, Age: 200 * time.Millisecond}},
 			Organisations: []berylgate.OrganisationReport{{Organisation: 8, Demand: 9_000, Served: 4_000}},
--- a/io/berylpeer/wirefeed.go
+++ b/io/berylpeer/wirefeed.go
@@ -137,6 +137,7 @@
 	Targets          []wireTargetReport
 	Loads            []wireLoadReport
 	Organisations    []wireOrganisationReport
+	Complete         []uint64
 }
 
 func daemonReportToWire(report berylgate.Report) *wireDaemonReport {
@@ -144,6 +145,9 @@
 	for _, revision := range report.Feeds {
 		wire.FeedRevisions = append(wire.FeedRevisions, uint64(revision))
 	}
+	for _, revision := range report.Complete {
+		wire.Complete = append(wire.Complete, uint64(revision))
+	}
 	for _, item := range report.Targets {
 		wire.Targets = append(wire.Targets, wireTargetReport{
 			Target: item.Target, WorkMillis: item.WorkMillis, Running: item.Running, Tokens: int64(item.Tokens), PendingMillis: item.PendingMillis,
@@ -163,6 +167,9 @@
 	for _, revision := range wire.FeedRevisions {
 		report.Feeds = append(report.Feeds, berylspoke.Revision(revision))
 	}
+	for _, revision := range wire.Complete {
+		report.Complete = append(report.Complete, berylspoke.Revision(revision))
+	}
 	for _, item := range wire.Targets {
 		report.Targets = append(report.Targets, berylgate.TargetReport{
 			Target: item.Target, WorkMillis: item.WorkMillis, Running: item.Running, Tokens: berylspoke.Tokens(item.Tokens), PendingMillis: item.PendingMillis,
