Large messages between daemons have a queue of their own

Cause: one loop a peer wrote datagrams and streams in turn, and a stream is written only as fast as the link and the receiver take it. Reports, heartbeats and pulls to a peer waited behind a configuration on its way there (head-of-line blocking), for up to 20 s.

--- a/io/berylpeer/transport.go
+++ b/io/berylpeer/transport.go
@@ -31,8 +31,10 @@
 	maxDatagramBytes = 1100
 	// maxStreamBytes bounds a packet received on a stream.
 	maxStreamBytes = 8 << 20
-	// sendQueueLength bounds the packets that wait for the connection to a peer.
-	sendQueueLength = 256
+	// sendQueueLength bounds the small packets that wait for the connection to a peer,
+	// largeQueueLength those that are sent on streams.
+	sendQueueLength  = 256
+	largeQueueLength = 32
 	// minRedialDelay is the delay after the first failed dial of a peer; it doubles with
 	// each further failure, up to maxRedialDelay. A dial costs several packets of 1,200
 	// bytes.
@@ -71,11 +73,12 @@
 
 var _ berylspoke.Peers = (*Transport)(nil)
 
-// peer is the send queue and the current connection of one VM.
+// peer is the send queues and the current connection of one VM. Packets that need a
+// stream have a queue of their own, as a stream over a slow link would delay the others.
 type peer struct {
-	vm    berylspoke.VMID
-	queue chan []byte
-	conn  *quic.Conn
+	vm           berylspoke.VMID
+	small, large chan []byte
+	conn         *quic.Conn
 	// packetsSent and packetsReceived are the connection's packet counts at
 	// silentSince, the last check that found a packet received or none sent.
 	packetsSent, packetsReceived uint64
@@ -83,8 +86,9 @@
 	// wasSilent is set when a connection is closed as silent; from then on each dial
 	// uses a new local port.
 	wasSilent bool
-	// failures counts consecutive failed dials; nextDial is the earliest time of
-	// the next one.
+	// dialing is held during a dial. failures counts consecutive failed dials; nextDial
+	// is the earliest time of the next one.
+	dialing  sync.Mutex
 	failures int
 	nextDial time.Time
 }
@@ -187,8 +191,12 @@
 	transport.mutex.Lock()
 	found := transport.peer(to)
 	transport.mutex.Unlock()
+	queue := found.small
+	if len(packet) > maxDatagramBytes {
+		queue = found.large
+	}
 	select {
-	case found.queue <- packet:
+	case queue <- packet:
 	default:
 	}
 }
@@ -197,34 +205,39 @@
 func (transport *Transport) peer(vm berylspoke.VMID) *peer {
 	found := transport.peers[vm]
 	if found == nil {
-		found = &peer{vm: vm, queue: make(chan []byte, sendQueueLength)}
+		found = &peer{vm: vm, small: make(chan []byte, sendQueueLength), large: make(chan []byte, largeQueueLength)}
 		transport.peers[vm] = found
-		go transport.sendLoop(found)
+		go transport.sendLoop(found, found.small, transport.writeSmall)
+		go transport.sendLoop(found, found.large, transport.writeLarge)
 	}
 	return found
 }
 
-func (transport *Transport) sendLoop(peer *peer) {
+// sendLoop writes the packets of one queue of a peer.
+func (transport *Transport) sendLoop(peer *peer, queue <-chan []byte, write func(*quic.Conn, []byte)) {
 	for {
 		select {
 		case <-transport.ctx.Done():
 			return
-		case packet := <-peer.queue:
+		case packet := <-queue:
 			conn := transport.connection(peer)
 			if conn == nil {
 				continue // peer unreachable: the packet is dropped
 			}
-			transport.write(conn, packet)
+			write(conn, packet)
 		}
 	}
 }
 
-func (transport *Transport) write(conn *quic.Conn, packet []byte) {
-	if len(packet) <= maxDatagramBytes {
-		if err := conn.SendDatagram(packet); err == nil {
-			return
-		}
+// writeSmall writes a packet as a datagram, or on a stream if the peer takes none.
+func (transport *Transport) writeSmall(conn *quic.Conn, packet []byte) {
+	if err := conn.SendDatagram(packet); err != nil {
+		transport.writeLarge(conn, packet)
 	}
+}
+
+// writeLarge writes a packet on a stream of its own.
+func (transport *Transport) writeLarge(conn *quic.Conn, packet []byte) {
 	ctx, cancel := context.WithTimeout(transport.ctx, openStreamTimeout)
 	defer cancel()
 	stream, err := conn.OpenUniStreamSync(ctx)
@@ -239,6 +252,8 @@
 // connection returns the open connection to a peer, dialling one if there is none. It
 // returns nil if the peer cannot be reached or may not be dialled yet.
 func (transport *Transport) connection(peer *peer) *quic.Conn {
+	peer.dialing.Lock()
+	defer peer.dialing.Unlock()
 	transport.mutex.Lock()
 	conn, newPort := peer.conn, peer.wasSilent
 	transport.mutex.Unlock()
