Log a digest of what a request asks for

A repeat of a request comes with a new id, at any daemon. The log names ids only, so it does not show at which targets the same request ended before, and the hypotheses on requests that crash engines look alike in it.

The digest of organisation, method, host, path and body stands in the lines of attempts and refusals. Nothing decides by it yet.

--- a/core/berylgate/gate.go
+++ b/core/berylgate/gate.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"berylspoke"
+	"berylspoke/core/berylquarantine"
 	"berylspoke/core/berylroute"
 )
 
@@ -28,7 +29,9 @@
 
 // Request is one request of a caller.
 type Request struct {
-	ID           berylspoke.RequestID
+	ID berylspoke.RequestID
+	// Digest identifies what the request asks for.
+	Digest       berylquarantine.Digest
 	Service      berylspoke.ServiceID
 	Organisation berylspoke.OrganisationID
 	Kind         berylspoke.Kind
--- a/io/beryledge/attempt.go
+++ b/io/beryledge/attempt.go
@@ -157,7 +157,7 @@
 		zap.Float64("queue", decision.QueueMillis), zap.Float64("pace", decision.Slowdown),
 		zap.Int64("input", int64(call.info.Input)), zap.Int64("output", int64(call.request.Output)),
 		zap.Int64("shared", int64(decision.Shared)), zap.Int64("kept", int64(decision.Cached)),
-		zap.Int("running", decision.Running),
+		zap.Int("running", decision.Running), call.digestField(),
 	}
 	if decision.CacheSource != nil {
 		fields = append(fields, zap.String("source", string(decision.CacheSource.ID)))
--- a/io/beryledge/callers.go
+++ b/io/beryledge/callers.go
@@ -75,6 +75,7 @@
 		// The next request on this connection would be parsed before it is rejected.
 		writer.Header().Set("Connection", "close")
 	}
+	call.request.Digest = call.digest()
 	ctx, cancel := context.WithDeadline(incoming.Context(), call.request.Deadline)
 	defer cancel()
 	call.ctx = ctx
@@ -226,7 +227,7 @@
 		zap.Int("running", decision.Running), zap.Int64("tokens", int64(decision.Tokens)),
 		zap.Int64("input", int64(call.info.Input)), zap.Int64("output", int64(call.request.Output)),
 		zap.Float64("asked", decision.Share.Demand), zap.Float64("given", decision.Share.Served),
-		zap.Float64("level", decision.Share.Level), zap.Float64("cap", decision.Share.Cap),
+		zap.Float64("level", decision.Share.Level), zap.Float64("cap", decision.Share.Cap), call.digestField(),
 	}
 	if call.stream.started {
 		call.log("stream aborted", fields...)
