Test of a request that crashes the engines that run it, failing

Guards against one request that takes down a whole service: repeats of it come under new ids at every daemon, and each is sent to two engines. On this code the first repeat after four crashes is answered 502, as two more engines have crashed, where 503, not run, is due.

--- /dev/null
+++ b/io/beryledge/quarantine_test.go
@@ -0,0 +1,75 @@
+package beryledge
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const crashingBody = "a prompt that crashes engines"
+
+// newCrashingTarget returns a target that crashes when it runs crashingBody: its
+// connections end and it refuses new ones.
+func newCrashingTarget(t *testing.T, id string, crashes *atomic.Int64) *testTarget {
+	var target *testTarget
+	ready := make(chan struct{})
+	serve := events(9)
+	target = newTestTarget(t, id, func(writer http.ResponseWriter, request *http.Request) {
+		<-ready
+		body, _ := io.ReadAll(request.Body)
+		if string(body) == crashingBody {
+			crashes.Add(1)
+			_ = target.Listener.Close()
+			go target.CloseClientConnections()
+			<-request.Context().Done()
+			return
+		}
+		serve(writer, request)
+	})
+	close(ready)
+	return target
+}
+
+// startCrashing runs two daemons and engines that crash when they run crashingBody.
+func startCrashing(t *testing.T, engines int) (first, second *Daemon, crashes *atomic.Int64) {
+	crashes = new(atomic.Int64)
+	targets := make(map[string]*testTarget)
+	for i := range engines {
+		targets[fmt.Sprint("engines#", i)] = newCrashingTarget(t, fmt.Sprint("e", i), crashes)
+	}
+	first, store := startServing(t, targets)
+	second = startDaemon(t, store, first.settings.VM)
+	require.Eventually(t, func() bool {
+		return second.Ready() && len(first.entries.Load().domains) == 2 && len(second.entries.Load().domains) == 2
+	}, 10*time.Second, 10*time.Millisecond)
+	fillRetryBudget(second)
+	return first, second, crashes
+}
+
+// Guards against one request that takes down a whole service: its caller repeats it under
+// new ids at every daemon, and each engine that runs it crashes.
+func TestRequestThatCrashesTargetsIsRefusedEverywhere(t *testing.T) {
+	const engines, most, settle = 12, 4, time.Second
+	first, second, crashes := startCrashing(t, engines)
+	for i := range 2 {
+		_, _, _ = send(t, first, http.MethodPost, "/resume/x", fmt.Sprint("id-", i), crashingBody)
+	}
+	time.Sleep(settle)
+	before := crashes.Load()
+	require.LessOrEqual(t, before, int64(most))
+	for i, daemon := range []*Daemon{first, second, first, second, second} {
+		response, _, err := send(t, daemon, http.MethodPost, "/resume/x", fmt.Sprint("again-", i), crashingBody)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+		require.NotEmpty(t, response.Header.Get("Retry-After"))
+	}
+	require.Equal(t, before, crashes.Load())
+	response, _, err := send(t, second, http.MethodPost, "/resume/x", "another", "a prompt like any other")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, response.StatusCode)
+}
