Requests that crash their targets are refused at all daemons

Cause: what a daemon learns from an attempt is kept for the request's id. A repeat has a new id, comes to any daemon and was sent to two engines as if it were new; under one request 22 engines crashed, and with each the answers of all who ran there. The class is a poison request: a retry spreads the failure that it answers to.

Ruled out: the daemons' own retries alone (they double the crashes, one for each repeat remains) and bystanders that overload other engines (an engine that is full says so; these refuse connections).

Change: requests are told apart by a digest of what they ask for. A target that closes the connection of an attempt and refuses the next one has crashed; if the request is not served in the end, that is evidence, which daemons share. After three crashes since the digest was last served every daemon refuses it as not run, for ten minutes.

--- /dev/null
+++ b/core/berylquarantine/notice.go
@@ -0,0 +1,88 @@
+package berylquarantine
+
+// This file defines the messages by which daemons share evidence.
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"berylspoke"
+)
+
+// maxNoticesPerMessage bounds a message so that it fits one datagram.
+const maxNoticesPerMessage = 12
+
+// Crash is one run of a target that crashed, and how long ago.
+type Crash struct {
+	Run TargetRun
+	Age time.Duration
+}
+
+// Notice is a daemon's evidence on one digest. ServedAge is how long ago a request with
+// the digest was last served, zero if none was since the first crash.
+type Notice struct {
+	Digest    Digest
+	Crashes   []Crash
+	ServedAge time.Duration
+}
+
+// Notices is a message with evidence.
+type Notices struct{ List []Notice }
+
+// PeerMessage implements berylspoke.Message.
+func (Notices) PeerMessage() {}
+
+var _ berylspoke.Message = Notices{}
+
+// Unsent returns the evidence that is due to be sent to the peers.
+func (quarantine *Quarantine) Unsent(now time.Time) []berylspoke.Message {
+	var messages []berylspoke.Message
+	var list []Notice
+	for _, digest := range slices.Sorted(maps.Keys(quarantine.entries)) {
+		entry := quarantine.entries[digest]
+		if entry.unsent == 0 {
+			continue
+		}
+		entry.unsent--
+		list = append(list, entry.notice(now, digest))
+		if len(list) == maxNoticesPerMessage {
+			messages = append(messages, Notices{list})
+			list = nil
+		}
+	}
+	if len(list) > 0 {
+		messages = append(messages, Notices{list})
+	}
+	return messages
+}
+
+// SendAgain makes all evidence due to be sent once more, for a peer that has started.
+func (quarantine *Quarantine) SendAgain() {
+	for _, entry := range quarantine.entries {
+		entry.unsent = max(entry.unsent, 1)
+	}
+}
+
+// Receive adds the evidence of a peer.
+func (quarantine *Quarantine) Receive(now time.Time, notices Notices) {
+	for _, notice := range notices.List {
+		if notice.ServedAge > 0 {
+			quarantine.addServed(now, notice.Digest, now.Add(-notice.ServedAge))
+		}
+		for _, crash := range notice.Crashes {
+			quarantine.addCrash(now, notice.Digest, crash.Run, now.Add(-crash.Age))
+		}
+	}
+}
+
+func (entry *entry) notice(now time.Time, digest Digest) Notice {
+	notice := Notice{Digest: digest}
+	if !entry.servedAt.IsZero() {
+		notice.ServedAge = max(now.Sub(entry.servedAt), time.Millisecond)
+	}
+	for _, run := range slices.Sorted(maps.Keys(entry.crashes)) {
+		notice.Crashes = append(notice.Crashes, Crash{run, now.Sub(entry.crashes[run])})
+	}
+	return notice
+}
--- /dev/null
+++ b/core/berylquarantine/quarantine.go
@@ -0,0 +1,163 @@
+package berylquarantine
+
+// This file defines the quarantine and the evidence that it keeps.
+
+import (
+	"time"
+)
+
+const (
+	// CrashThreshold is the number of targets that must crash under a digest before it is
+	// refused. A request that only ran beside the one that crashes its targets may share
+	// the fate of two of them.
+	CrashThreshold = 3
+	// Retention is how long evidence counts. A digest that is refused may then be tried
+	// again, as the targets may have been repaired.
+	Retention = 10 * time.Minute
+	// maxEntries bounds the digests that are remembered.
+	maxEntries = 4096
+	// announcements is how often a change is sent to peers, as messages may be lost.
+	announcements = 3
+)
+
+// Digest identifies what a request asks for, whatever its id.
+type Digest uint64
+
+// TargetRun identifies one run of a target, from its start to its end.
+type TargetRun uint64
+
+// entry is the evidence on one digest.
+type entry struct {
+	// crashes are the runs of targets that crashed under the digest since it was last
+	// served.
+	crashes  map[TargetRun]time.Time
+	servedAt time.Time
+	// changedAt is when evidence was last added; unsent counts the announcements of it
+	// that are due.
+	changedAt time.Time
+	unsent    int
+}
+
+// Quarantine holds one daemon's evidence.
+type Quarantine struct {
+	entries map[Digest]*entry
+}
+
+// New returns an empty quarantine.
+func New() *Quarantine { return &Quarantine{entries: make(map[Digest]*entry)} }
+
+// Crashed records that a target crashed while it had a request with the digest.
+func (quarantine *Quarantine) Crashed(now time.Time, digest Digest, run TargetRun) {
+	quarantine.addCrash(now, digest, run, now)
+}
+
+// Served records that a request with the digest was served. It matters only if targets
+// crashed under the digest.
+func (quarantine *Quarantine) Served(now time.Time, digest Digest) {
+	if quarantine.entries[digest] != nil {
+		quarantine.addServed(now, digest, now)
+	}
+}
+
+// Refused reports whether requests with the digest must not be sent, and for how much
+// longer.
+func (quarantine *Quarantine) Refused(now time.Time, digest Digest) (time.Duration, bool) {
+	found := quarantine.entries[digest]
+	if found == nil || len(found.crashes) < CrashThreshold {
+		return 0, false
+	}
+	remaining := Retention - now.Sub(found.newestCrash())
+	return remaining, remaining > 0
+}
+
+// Count returns the number of digests that are refused.
+func (quarantine *Quarantine) Count(now time.Time) int {
+	count := 0
+	for digest := range quarantine.entries {
+		if _, refused := quarantine.Refused(now, digest); refused {
+			count++
+		}
+	}
+	return count
+}
+
+// Expire drops the evidence that no longer counts.
+func (quarantine *Quarantine) Expire(now time.Time) {
+	for digest, entry := range quarantine.entries {
+		if now.Sub(entry.changedAt) > Retention {
+			delete(quarantine.entries, digest)
+		}
+	}
+}
+
+// addCrash adds a crash and reports whether it is news.
+func (quarantine *Quarantine) addCrash(now time.Time, digest Digest, run TargetRun, at time.Time) bool {
+	found := quarantine.entries[digest]
+	if now.Sub(at) > Retention || found != nil && !at.After(found.servedAt) {
+		return false
+	}
+	if found == nil {
+		found = quarantine.newEntry(now, digest)
+	}
+	if _, known := found.crashes[run]; known || len(found.crashes) >= CrashThreshold {
+		return false
+	}
+	found.crashes[run] = at
+	found.changedAt, found.unsent = now, announcements
+	return true
+}
+
+// addServed drops the crashes before a request was served, and reports whether there were
+// any.
+func (quarantine *Quarantine) addServed(now time.Time, digest Digest, at time.Time) bool {
+	found := quarantine.entries[digest]
+	if found == nil {
+		found = quarantine.newEntry(now, digest)
+	}
+	if !at.After(found.servedAt) {
+		return false
+	}
+	dropped := false
+	for run, crashedAt := range found.crashes {
+		if !crashedAt.After(at) {
+			delete(found.crashes, run)
+			dropped = true
+		}
+	}
+	found.servedAt = at
+	if dropped {
+		found.changedAt, found.unsent = now, announcements
+	}
+	return dropped
+}
+
+// newEntry adds an entry, in place of the oldest one if there are too many.
+func (quarantine *Quarantine) newEntry(now time.Time, digest Digest) *entry {
+	if len(quarantine.entries) >= maxEntries {
+		quarantine.dropOldest()
+	}
+	fresh := &entry{crashes: make(map[TargetRun]time.Time), changedAt: now}
+	quarantine.entries[digest] = fresh
+	return fresh
+}
+
+func (quarantine *Quarantine) dropOldest() {
+	var oldest Digest
+	first := true
+	for digest, entry := range quarantine.entries {
+		if first || entry.changedAt.Before(quarantine.entries[oldest].changedAt) {
+			oldest, first = digest, false
+		}
+	}
+	delete(quarantine.entries, oldest)
+}
+
+func (entry *entry) newestCrash() time.Time {
+	var newest time.Time
+	for _, at := range entry.crashes {
+		if at.After(newest) {
+			newest = at
+		}
+	}
+	return newest
+}
--- a/io/berylconn/pool.go
+++ b/io/berylconn/pool.go
@@ -116,6 +116,23 @@
 	pool.idle[conn.address] = append(pool.idle[conn.address], conn)
 }
 
+// Refuses reports whether a target refuses connections, as the address of a process that
+// has ended does. If it takes one, the connection is kept for the next request.
+func (pool *Pool) Refuses(ctx context.Context, address string, maxOpen int) bool {
+	now := time.Now()
+	conn, err := pool.take(now, address, maxOpen)
+	if err != nil {
+		return false
+	}
+	if conn == nil {
+		if conn, err = pool.dial(ctx, address); err != nil {
+			return errors.Is(err, syscall.ECONNREFUSED)
+		}
+	}
+	pool.put(time.Now(), conn)
+	return false
+}
+
 func (pool *Pool) discard(conn *conn) {
 	_ = conn.Close()
 	pool.release(conn.address)
--- a/io/beryledge/actor.go
+++ b/io/beryledge/actor.go
@@ -14,6 +14,7 @@
 	"berylspoke/core/berylfeed"
 	"berylspoke/core/berylgate"
 	"berylspoke/core/berylmember"
+	"berylspoke/core/berylquarantine"
 )
 
 const (
@@ -100,6 +101,8 @@
 	// whose age was logged as too high.
 	currency   berylfeed.Currency
 	oldReplica [berylfeed.Count]bool
+	// quarantine holds the requests under which targets crashed.
+	quarantine *berylquarantine.Quarantine
 	// evacuated are the failure domains whose targets get no more requests.
 	evacuated map[berylspoke.FailureDomain]bool
 	// pullers decide which changes to pull from peers. regionRank is the rank of this
@@ -131,9 +134,10 @@
 			VM: settings.VM, Incarnation: daemon.incarnation, FailureDomain: settings.FailureDomain, RegionOf: settings.RegionOf,
 			RetryRatio: settings.RetryRatio, RetrySlack: settings.RetrySlack,
 		}),
-		table:    berylmember.NewTable(now, vm, daemon.incarnation, options),
-		contacts: berylfeed.NewContacts(uint32(xxhash.Sum64String(fmt.Sprint(settings.VM, daemon.incarnation)))),
-		lastTick: now,
+		table:      berylmember.NewTable(now, vm, daemon.incarnation, options),
+		contacts:   berylfeed.NewContacts(uint32(xxhash.Sum64String(fmt.Sprint(settings.VM, daemon.incarnation)))),
+		quarantine: berylquarantine.New(),
+		lastTick:   now,
 	}
 	core.table.Join(now, settings.Seeds)
 	for name := range core.feeds {
@@ -148,13 +152,18 @@
 	now := time.Now()
 	switch message := context.Message().(type) {
 	case submit:
-		message.decision <- core.gate.Submit(now, message.request)
+		message.decision <- core.submit(now, message.request)
 	case reserve:
 		message.granted <- core.gate.ReserveRetry(now, message.request)
 	case answerStarted:
 		core.gate.AnswerStarted(now, message.request, message.load)
 	case attemptEnded:
 		core.gate.AttemptEnded(now, message.request, message.outcome)
+		if message.outcome == berylgate.Succeeded {
+			core.quarantine.Served(now, message.request.Digest)
+		}
+	case crashed:
+		core.recordCrash(now, message)
 	case connectTimed:
 		core.gate.ObserveConnectTime(message.target, message.duration)
 	case tick:
@@ -227,6 +236,7 @@
 	for _, vm := range to {
 		core.daemon.transport.Send(vm, report)
 	}
+	core.shareCrashes(now, to)
 }
 
 // newestContact returns the newest answer of the store to any daemon as of which the
@@ -287,6 +297,8 @@
 		core.compareFeeds(now, from, message.Feeds)
 	case berylgate.Usage:
 		core.gate.ReceiveUsage(now, from, message)
+	case berylquarantine.Notices:
+		core.quarantine.Receive(now, message)
 	case berylfeed.Pull:
 		if message.Feed >= berylfeed.Count {
 			return
--- a/io/beryledge/attempt.go
+++ b/io/beryledge/attempt.go
@@ -132,6 +132,9 @@
 // complete answer. It returns false if the request may be retried.
 func (call *call) answerFailed(decision berylgate.Decision, err error) bool {
 	call.mayHaveRun = true
+	if closedByTarget(err) {
+		call.checkCrash(decision)
+	}
 	outcome := berylgate.Broken
 	if call.ctx.Err() != nil {
 		outcome = berylgate.Abandoned
@@ -149,6 +152,7 @@
 
 // endAttempt reports the outcome of an attempt to the core, the metrics and the log.
 func (call *call) endAttempt(decision berylgate.Decision, outcome berylgate.Outcome, err error) {
+	call.served = outcome == berylgate.Succeeded
 	call.daemon.send(attemptEnded{call.request, outcome})
 	call.daemon.meters.outcomes[outcome].Inc()
 	fields := []zap.Field{
--- a/io/beryledge/callers.go
+++ b/io/beryledge/callers.go
@@ -17,6 +17,7 @@
 	"berylspoke"
 	"berylspoke/core/berylcatalog"
 	"berylspoke/core/berylgate"
+	"berylspoke/core/berylquarantine"
 )
 
 const (
@@ -52,6 +53,10 @@
 	next *berylgate.Decision
 	// stream is what the caller has received of a stream so far.
 	stream stream
+	// served is set once an attempt succeeded; crashChecks tell which targets that broke
+	// an attempt had crashed.
+	served      bool
+	crashChecks []<-chan berylquarantine.TargetRun
 	// slot is held from the admission of the request until it is sent.
 	slot *slot
 }
@@ -76,6 +81,7 @@
 		writer.Header().Set("Connection", "close")
 	}
 	call.request.Digest = call.digest()
+	defer call.reportCrashes()
 	ctx, cancel := context.WithDeadline(incoming.Context(), call.request.Deadline)
 	defer cancel()
 	call.ctx = ctx
--- /dev/null
+++ b/io/beryledge/crashes.go
@@ -0,0 +1,95 @@
+package beryledge
+
+// This file defines how requests under which targets crash are recognised and reported.
+
+import (
+	"fmt"
+	"io"
+	"syscall"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"berylspoke"
+	"berylspoke/core/berylgate"
+	"berylspoke/core/berylquarantine"
+)
+
+// crashed reports that a target crashed while it had a request with the digest.
+type crashed struct {
+	digest berylquarantine.Digest
+	run    berylquarantine.TargetRun
+}
+
+// closedByTarget reports whether an attempt failed because its connection was closed.
+func closedByTarget(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
+		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
+// checkCrash checks whether a target that closed the connection of an attempt has crashed:
+// it then refuses connections until it has restarted.
+func (call *call) checkCrash(decision berylgate.Decision) {
+	found := make(chan berylquarantine.TargetRun, 1)
+	call.crashChecks = append(call.crashChecks, found)
+	daemon := call.daemon
+	go func() {
+		defer close(found)
+		if daemon.pool.Refuses(daemon.ctx, decision.Target.Address, decision.Connections) {
+			found <- targetRun(decision.Target)
+		}
+	}()
+}
+
+// targetRun identifies the run of a target.
+func targetRun(target berylspoke.Target) berylquarantine.TargetRun {
+	return berylquarantine.TargetRun(xxhash.Sum64String(fmt.Sprint(target.ID, " ", target.Started)))
+}
+
+// reportCrashes reports to the core which targets crashed under a request that was not
+// served in the end. One that was served did not crash them.
+func (call *call) reportCrashes() {
+	if call.served || len(call.crashChecks) == 0 {
+		return
+	}
+	daemon, checks, digest := call.daemon, call.crashChecks, call.request.Digest
+	go func() {
+		for _, check := range checks {
+			if run, found := <-check; found {
+				daemon.send(crashed{digest, run})
+			}
+		}
+	}()
+}
+
+// submit decides on a request, unless it is quarantined.
+func (core *core) submit(now time.Time, request *berylgate.Request) berylgate.Decision {
+	if remaining, refused := core.quarantine.Refused(now, request.Digest); refused {
+		return berylgate.Decision{Refusal: &berylspoke.Refusal{
+			Verdict: berylspoke.NotRun, Reason: berylspoke.ReasonCrashesTargets, RetryAfter: remaining,
+		}}
+	}
+	return core.gate.Submit(now, request)
+}
+
+func (core *core) recordCrash(now time.Time, message crashed) {
+	core.quarantine.Crashed(now, message.digest, message.run)
+	_, refused := core.quarantine.Refused(now, message.digest)
+	core.daemon.log.Info("target crashed under a request", zap.String("digest", fmt.Sprintf("%016x", uint64(message.digest))),
+		zap.Bool("refused", refused))
+}
+
+// shareCrashes sends the evidence that peers may lack.
+func (core *core) shareCrashes(now time.Time, to []berylspoke.VMID) {
+	core.quarantine.Expire(now)
+	core.daemon.quarantined.Store(int64(core.quarantine.Count(now)))
+	messages := core.quarantine.Unsent(now)
+	if len(messages) == 0 {
+		return
+	}
+	for _, vm := range to {
+		core.daemon.transport.SendAll(vm, messages)
+	}
+}
--- a/io/beryledge/daemon.go
+++ b/io/beryledge/daemon.go
@@ -72,6 +72,8 @@
 	known       [berylfeed.Count]atomic.Bool
 	// watcher is set if this daemon reads the store for the fleet.
 	watcher atomic.Bool
+	// quarantined is the number of digests whose requests are refused.
+	quarantined atomic.Int64
 	// completeAsOf is the time as of which each feed is complete, in Unix nanoseconds.
 	completeAsOf [berylfeed.Count]atomic.Int64
 	meters       *meters
--- a/io/beryledge/members.go
+++ b/io/beryledge/members.go
@@ -54,6 +54,7 @@
 		return
 	}
 	core.daemon.entries.Store(fresh)
+	core.quarantine.SendAgain()
 	if core.daemon.transport != nil {
 		core.daemon.transport.UpdateLinks()
 	}
--- a/io/beryledge/quarantine_test.go
+++ b/io/beryledge/quarantine_test.go
@@ -73,3 +73,38 @@
 	require.NoError(t, err)
 	require.Equal(t, http.StatusOK, response.StatusCode)
 }
+
+// Guards against a daemon that starts empty and sends to engines again what the others
+// refuse.
+func TestStartedDaemonLearnsWhatIsRefused(t *testing.T) {
+	const engines = 12
+	first, _, crashes := startCrashing(t, engines)
+	for i := range 2 {
+		_, _, _ = send(t, first, http.MethodPost, "/resume/x", fmt.Sprint("id-", i), crashingBody)
+	}
+	require.Eventually(t, func() bool { return first.quarantined.Load() == 1 }, 10*time.Second, 10*time.Millisecond)
+	before := crashes.Load()
+	third := startDaemon(t, first.store, first.settings.VM)
+	require.Eventually(t, func() bool { return third.Ready() && third.quarantined.Load() == 1 }, 10*time.Second, 10*time.Millisecond)
+	response, _, err := send(t, third, http.MethodPost, "/resume/x", "again", crashingBody)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	require.Equal(t, before, crashes.Load())
+}
+
+// Guards against the refusal of a request whose answers were lost although its targets are
+// alive, as when a target closes connections at random.
+func TestBrokenAnswersOfLiveTargetsAreNoCrashes(t *testing.T) {
+	closing := func(string) string { return "" }
+	targets := make(map[string]*testTarget)
+	for i := range 6 {
+		targets[fmt.Sprint("desk#", i)] = newTestTarget(t, fmt.Sprint("d", i), raw(closing))
+	}
+	daemon, _ := startServing(t, targets)
+	for i := range 6 {
+		response, _, err := send(t, daemon, http.MethodGet, "/read/x", fmt.Sprint("id-", i), "")
+		require.NoError(t, err)
+		require.Equal(t, http.StatusBadGateway, response.StatusCode, "request %d", i)
+	}
+	require.Zero(t, daemon.quarantined.Load())
+}
--- a/io/berylpeer/codec.go
+++ b/io/berylpeer/codec.go
@@ -30,6 +30,7 @@
 	kindFeedDelta
 	kindDaemonReport
 	kindUsage
+	kindCrashNotices
 	// kindsEnd is one more than the last kind.
 	kindsEnd
 )
@@ -41,6 +42,7 @@
 	kindPermitRequest: "permitRequest", kindPermitAnswer: "permitAnswer",
 	kindSettleRequest: "settleRequest", kindCloseRequest: "closeRequest", kindSettleAnswer: "settleAnswer",
 	kindFeedPull: "pull", kindFeedDelta: "delta", kindDaemonReport: "report", kindUsage: "usage",
+	kindCrashNotices: "crashes",
 }
 
 // wireMessage is the encoded form of one kind of message.
@@ -98,6 +100,7 @@
 	kindFeedDelta:     func() wireMessage { return new(wireFeedDelta) },
 	kindDaemonReport:  func() wireMessage { return new(wireDaemonReport) },
 	kindUsage:         func() wireMessage { return new(wireUsage) },
+	kindCrashNotices:  func() wireMessage { return new(wireCrashNotices) },
 }
 
 // encode returns the kind byte and the CBOR encoding of a message.
--- a/io/berylpeer/peer_test.go
+++ b/io/berylpeer/peer_test.go
@@ -16,6 +16,7 @@
 	"berylspoke/core/berylfeed"
 	"berylspoke/core/berylgate"
 	"berylspoke/core/berylmember"
+	"berylspoke/core/berylquarantine"
 	"berylspoke/core/berylshare"
 	"berylspoke/core/berylslot"
 	"berylspoke/core/berylticket"
@@ -61,6 +62,9 @@
 			Extent: berylgate.DomainUsage, Domain: "a", RestDemand: 5_000,
 			Organisations: []berylgate.OrganisationReport{{Organisation: 8, Demand: 9_000, Served: 4_000}},
 		},
+		berylquarantine.Notices{List: []berylquarantine.Notice{{
+			Digest: 1 << 63, Crashes: []berylquarantine.Crash{{Run: 9, Age: 70 * time.Millisecond}}, ServedAge: time.Second,
+		}}},
 		berylgate.Report{
 			Incarnation: 5, Feeds: []berylspoke.Revision{20, 21}, Contact: 300 * time.Millisecond, ContactID: 7<<32 | 1, Complete: []berylspoke.Revision{20, 22},
 			Targets:       []berylgate.TargetReport{{Target: 9, WorkMillis: 1_200, Running: 3, Tokens: 24_000}},
--- a/io/berylpeer/wire.go
+++ b/io/berylpeer/wire.go
@@ -10,6 +10,7 @@
 	"berylspoke/core/berylfeed"
 	"berylspoke/core/berylgate"
 	"berylspoke/core/berylmember"
+	"berylspoke/core/berylquarantine"
 	"berylspoke/core/berylshare"
 	"berylspoke/core/berylslot"
 	"berylspoke/core/berylticket"
@@ -391,6 +392,8 @@
 		return daemonReportToWire(message), kindDaemonReport
 	case berylgate.Usage:
 		return usageToWire(message), kindUsage
+	case berylquarantine.Notices:
+		return crashNoticesToWire(message), kindCrashNotices
 	case berylslot.Demand:
 		return demandToWire(message), kindDemand
 	case berylslot.Lease:
--- a/verdict.go
+++ b/verdict.go
@@ -49,6 +49,7 @@
 	ReasonTicketRequired     Reason = "ticketRequired"
 	ReasonOutcomeForgotten   Reason = "outcomeForgotten"
 	ReasonTargetFailed       Reason = "targetFailed"
+	ReasonCrashesTargets     Reason = "crashesTargets"
 	ReasonNoTarget           Reason = "noTarget"
 	ReasonOwnerUnreachable   Reason = "ownerUnreachable"
 	ReasonWaitedTooLong      Reason = "waitedTooLong"
