Wording of the feed package and of reports

The package's page names the puller and the currency; the number of gateways is of no use outside; a report's revisions are those of the newest changes, not of completeness, which has a field of its own.

--- a/core/berylfeed/doc.go
+++ b/core/berylfeed/doc.go
@@ -7,6 +7,10 @@
 // an older value. Removed keys are remembered, since a peer with an older replica would
 // add them again.
 //
+// A Puller decides when changes are pulled from peers, so that few copies of them cross the
+// link to a region. Currency tells as of when a replica is complete, which contact with the
+// store alone does not.
+//
 // Items that disappear around an outage of the store may have lapsed only because
 // their writers could not renew them. They are kept for a grace period in which
 // writers that are alive write them again.
--- a/core/berylfeed/puller.go
+++ b/core/berylfeed/puller.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// Gateways is the number of daemons of a region that pull from other regions at once.
+	// gateways is the number of daemons of a region that pull from other regions at once.
 	// There are two, so that a fault at one of them delays nothing.
-	Gateways = 2
+	gateways = 2
 	// gatewayStep is how long a daemon that is no gateway waits for a peer of its own
 	// region. Each further step doubles the number of daemons that pull from other regions.
 	gatewayStep = 400 * time.Millisecond
@@ -77,8 +77,8 @@
 }
 
 // Next returns the peer to pull from now, if there is one. The rank is that of this daemon
-// among those of its region, the first Gateways of which are gateways; the delay is how
-// long to wait for the changes before the first pull.
+// among those of its region, the first of which are its gateways; the delay is how long to
+// wait for the changes before the first pull.
 func (puller *Puller) Next(now time.Time, rank int, delay time.Duration) (berylspoke.VMID, bool) {
 	if len(puller.offers) == 0 || now.Sub(puller.behindSince) < delay || !puller.pulledAt.IsZero() && now.Sub(puller.pulledAt) < puller.timeout() {
 		return "", false
@@ -125,5 +125,5 @@
 
 // remoteDelay returns how long the daemon of a rank waits for a peer of its own region.
 func remoteDelay(rank int) time.Duration {
-	return gatewayStep * time.Duration(bits.Len(uint(rank/Gateways)))
+	return gatewayStep * time.Duration(bits.Len(uint(rank/gateways)))
 }
--- a/core/berylgate/report.go
+++ b/core/berylgate/report.go
@@ -28,7 +28,7 @@
 // Report describes one daemon's requests at targets and its usage by organisations.
 type Report struct {
 	Incarnation berylspoke.Incarnation
-	// Feeds are the revisions up to which the sender's feeds are complete.
+	// Feeds are the revisions of the newest changes that the sender has.
 	Feeds []berylspoke.Revision
 	// Contact is the age of the newest answer of the store, to the sender or another
 	// daemon, as of which the sender's feeds are complete; ContactID tells such answers
