Evidence of crashes is dated at the crash and bounded a round

Crashes carry the time at which the connection broke, older ones are dropped one by one, and a round sends 96 digests at most.

--- a/core/berylquarantine/notice.go
+++ b/core/berylquarantine/notice.go
@@ -10,8 +10,12 @@
 	"berylspoke"
 )
 
-// maxNoticesPerMessage bounds a message so that it fits one datagram.
-const maxNoticesPerMessage = 12
+const (
+	// maxNoticesPerMessage bounds a message so that it fits one datagram.
+	maxNoticesPerMessage = 12
+	// maxNoticesPerRound bounds what is sent to the peers at a time.
+	maxNoticesPerRound = 8 * maxNoticesPerMessage
+)
 
 // Crash is one run of a target that crashed, and how long ago.
 type Crash struct {
@@ -37,21 +41,21 @@
 
 // Unsent returns the evidence that is due to be sent to the peers.
 func (quarantine *Quarantine) Unsent(now time.Time) []berylspoke.Message {
-	var messages []berylspoke.Message
-	var list []Notice
-	for _, digest := range slices.Sorted(maps.Keys(quarantine.entries)) {
-		entry := quarantine.entries[digest]
-		if entry.unsent == 0 {
-			continue
-		}
-		entry.unsent--
-		list = append(list, entry.notice(now, digest))
-		if len(list) == maxNoticesPerMessage {
-			messages = append(messages, Notices{list})
-			list = nil
+	var digests []Digest
+	for digest, entry := range quarantine.entries {
+		if entry.unsent > 0 {
+			digests = append(digests, digest)
 		}
 	}
-	if len(list) > 0 {
+	slices.Sort(digests)
+	var messages []berylspoke.Message
+	for chunk := range slices.Chunk(digests[:min(len(digests), maxNoticesPerRound)], maxNoticesPerMessage) {
+		var list []Notice
+		for _, digest := range chunk {
+			entry := quarantine.entries[digest]
+			entry.unsent--
+			list = append(list, entry.notice(now, digest))
+		}
 		messages = append(messages, Notices{list})
 	}
 	return messages
--- a/core/berylquarantine/quarantine.go
+++ b/core/berylquarantine/quarantine.go
@@ -3,6 +3,7 @@
 // This file defines the quarantine and the evidence that it keeps.
 
 import (
+	"maps"
 	"time"
 )
 
@@ -46,9 +47,9 @@
 // New returns an empty quarantine.
 func New() *Quarantine { return &Quarantine{entries: make(map[Digest]*entry)} }
 
-// Crashed records that a target crashed while it had a request with the digest.
-func (quarantine *Quarantine) Crashed(now time.Time, digest Digest, run TargetRun) {
-	quarantine.addCrash(now, digest, run, now)
+// Crashed records that a target crashed at a time at which it had a request with the digest.
+func (quarantine *Quarantine) Crashed(now time.Time, digest Digest, run TargetRun, at time.Time) {
+	quarantine.addCrash(now, digest, run, at)
 }
 
 // Served records that a request with the digest was served. It matters only if targets
@@ -90,45 +91,43 @@
 	}
 }
 
-// addCrash adds a crash and reports whether it is news.
-func (quarantine *Quarantine) addCrash(now time.Time, digest Digest, run TargetRun, at time.Time) bool {
+// addCrash adds a crash unless it is known or no longer counts.
+func (quarantine *Quarantine) addCrash(now time.Time, digest Digest, run TargetRun, at time.Time) {
 	found := quarantine.entries[digest]
 	if now.Sub(at) > Retention || found != nil && !at.After(found.servedAt) {
-		return false
+		return
 	}
 	if found == nil {
 		found = quarantine.newEntry(now, digest)
 	}
+	found.dropCrashes(now.Add(-Retention))
 	if _, known := found.crashes[run]; known || len(found.crashes) >= CrashThreshold {
-		return false
+		return
 	}
 	found.crashes[run] = at
 	found.changedAt, found.unsent = now, announcements
-	return true
 }
 
-// addServed drops the crashes before a request was served, and reports whether there were
-// any.
-func (quarantine *Quarantine) addServed(now time.Time, digest Digest, at time.Time) bool {
+// addServed drops the crashes before a request was served.
+func (quarantine *Quarantine) addServed(now time.Time, digest Digest, at time.Time) {
 	found := quarantine.entries[digest]
 	if found == nil {
 		found = quarantine.newEntry(now, digest)
 	}
 	if !at.After(found.servedAt) {
-		return false
-	}
-	dropped := false
-	for run, crashedAt := range found.crashes {
-		if !crashedAt.After(at) {
-			delete(found.crashes, run)
-			dropped = true
-		}
+		return
 	}
 	found.servedAt = at
-	if dropped {
+	if found.dropCrashes(at) {
 		found.changedAt, found.unsent = now, announcements
 	}
-	return dropped
+}
+
+// dropCrashes drops the crashes up to a time and reports whether there were any.
+func (entry *entry) dropCrashes(until time.Time) bool {
+	before := len(entry.crashes)
+	maps.DeleteFunc(entry.crashes, func(_ TargetRun, at time.Time) bool { return !at.After(until) })
+	return len(entry.crashes) < before
 }
 
 // newEntry adds an entry, in place of the oldest one if there are too many.
--- a/core/berylquarantine/quarantine_test.go
+++ b/core/berylquarantine/quarantine_test.go
@@ -47,7 +47,7 @@
 			for i, step := range script.Steps {
 				now := start.Add(time.Duration(step.At) * time.Second)
 				if step.Crashed != 0 {
-					quarantine.Crashed(now, digest, step.Crashed)
+					quarantine.Crashed(now, digest, step.Crashed, now)
 				}
 				if step.Served {
 					quarantine.Served(now, digest)
@@ -76,7 +76,7 @@
 			switch rapid.IntRange(0, 4).Draw(t, "step") {
 			case 0, 1:
 				run := TargetRun(rapid.IntRange(1, 6).Draw(t, "run"))
-				daemons[daemon].Crashed(now, digest, run)
+				daemons[daemon].Crashed(now, digest, run, now)
 				if runs[digest] == nil {
 					runs[digest] = make(map[TargetRun]bool)
 				}
@@ -134,7 +134,8 @@
 	now := time.Unix(1000, 0)
 	quarantine := New()
 	for i := range 2 * maxEntries {
-		quarantine.Crashed(now.Add(time.Duration(i)*time.Microsecond), Digest(i+1), 1)
+		at := now.Add(time.Duration(i) * time.Microsecond)
+		quarantine.Crashed(at, Digest(i+1), 1, at)
 	}
 	require.Len(t, quarantine.entries, maxEntries)
 	require.Contains(t, quarantine.entries, Digest(2*maxEntries))
--- a/io/beryledge/callers.go
+++ b/io/beryledge/callers.go
@@ -17,7 +17,6 @@
 	"berylspoke"
 	"berylspoke/core/berylcatalog"
 	"berylspoke/core/berylgate"
-	"berylspoke/core/berylquarantine"
 )
 
 const (
@@ -56,7 +55,7 @@
 	// served is set once an attempt succeeded; crashChecks tell which targets that broke
 	// an attempt had crashed.
 	served      bool
-	crashChecks []<-chan berylquarantine.TargetRun
+	crashChecks []crashCheck
 	// slot is held from the admission of the request until it is sent.
 	slot *slot
 }
--- a/io/beryledge/crashes.go
+++ b/io/beryledge/crashes.go
@@ -21,6 +21,14 @@
 type crashed struct {
 	digest berylquarantine.Digest
 	run    berylquarantine.TargetRun
+	at     time.Time
+}
+
+// crashCheck is the check whether a target that closed a connection has crashed; found
+// delivers its run if so.
+type crashCheck struct {
+	at    time.Time
+	found <-chan berylquarantine.TargetRun
 }
 
 // closedByTarget reports whether an attempt failed because its connection was closed.
@@ -33,7 +41,7 @@
 // it then refuses connections until it has restarted.
 func (call *call) checkCrash(decision berylgate.Decision) {
 	found := make(chan berylquarantine.TargetRun, 1)
-	call.crashChecks = append(call.crashChecks, found)
+	call.crashChecks = append(call.crashChecks, crashCheck{time.Now(), found})
 	daemon := call.daemon
 	go func() {
 		defer close(found)
@@ -57,8 +65,8 @@
 	daemon, checks, digest := call.daemon, call.crashChecks, call.request.Digest
 	go func() {
 		for _, check := range checks {
-			if run, found := <-check; found {
-				daemon.send(crashed{digest, run})
+			if run, found := <-check.found; found {
+				daemon.send(crashed{digest, run, check.at})
 			}
 		}
 	}()
@@ -75,7 +83,7 @@
 }
 
 func (core *core) recordCrash(now time.Time, message crashed) {
-	core.quarantine.Crashed(now, message.digest, message.run)
+	core.quarantine.Crashed(now, message.digest, message.run, message.at)
 	_, refused := core.quarantine.Refused(now, message.digest)
 	core.daemon.log.Info("target crashed under a request", zap.String("digest", fmt.Sprintf("%016x", uint64(message.digest))),
 		zap.Bool("refused", refused))
