A digest that was served just before is no suspect

Found in reading the change: several targets that crash at once, for a reason of their own, under requests that ask for the same thing would have condemned it for ten minutes, though it is served all the time. A daemon remembers what it served last; evidence on a digest within 20 s after that clears it, and the daemon tells the others. Daemons may differ by a second on when something happened, so evidence counts only from a second after a digest was served.

--- a/core/berylquarantine/quarantine.go
+++ b/core/berylquarantine/quarantine.go
@@ -15,8 +15,15 @@
 	// Retention is how long evidence counts. A digest that is refused may then be tried
 	// again, as the targets may have been repaired.
 	Retention = 10 * time.Minute
-	// maxEntries bounds the digests that are remembered.
+	// servedGrace is how long after it was served a digest is above suspicion. Several
+	// targets may crash at once for another reason, under requests that all ask for the
+	// same thing and are served all the time.
+	servedGrace = 20 * time.Second
+	// datingError is by how much daemons may differ on when something happened.
+	datingError = time.Second
+	// maxEntries bounds the digests with evidence, maxServed those known to be served.
 	maxEntries = 4096
+	maxServed  = 8192
 	// announcements is how often a change is sent to peers, as messages may be lost.
 	announcements = 3
 )
@@ -42,24 +49,41 @@
 // Quarantine holds one daemon's evidence.
 type Quarantine struct {
 	entries map[Digest]*entry
+	// served has the digests that this daemon served last, servedBefore those before
+	// them.
+	served, servedBefore map[Digest]time.Time
 }
 
 // New returns an empty quarantine.
-func New() *Quarantine { return &Quarantine{entries: make(map[Digest]*entry)} }
+func New() *Quarantine {
+	return &Quarantine{entries: make(map[Digest]*entry), served: make(map[Digest]time.Time)}
+}
 
 // Crashed records that a target crashed at a time at which it had a request with the digest.
 func (quarantine *Quarantine) Crashed(now time.Time, digest Digest, run TargetRun, at time.Time) {
 	quarantine.addCrash(now, digest, run, at)
 }
 
-// Served records that a request with the digest was served. It matters only if targets
-// crashed under the digest.
+// Served records that a request with the digest was served.
 func (quarantine *Quarantine) Served(now time.Time, digest Digest) {
+	if len(quarantine.served) >= maxServed/2 {
+		quarantine.servedBefore, quarantine.served = quarantine.served, make(map[Digest]time.Time, maxServed/2)
+	}
+	quarantine.served[digest] = now
 	if quarantine.entries[digest] != nil {
 		quarantine.addServed(now, digest, now)
 	}
 }
 
+// servedJustBefore reports whether this daemon served the digest shortly before a time.
+func (quarantine *Quarantine) servedJustBefore(digest Digest, at time.Time) bool {
+	served, known := quarantine.served[digest]
+	if !known {
+		served, known = quarantine.servedBefore[digest]
+	}
+	return known && at.Sub(served) < servedGrace
+}
+
 // Refused reports whether requests with the digest must not be sent, and for how much
 // longer.
 func (quarantine *Quarantine) Refused(now time.Time, digest Digest) (time.Duration, bool) {
@@ -94,13 +118,18 @@
 // addCrash adds a crash unless it is known or no longer counts.
 func (quarantine *Quarantine) addCrash(now time.Time, digest Digest, run TargetRun, at time.Time) {
 	found := quarantine.entries[digest]
-	if now.Sub(at) > Retention || found != nil && !at.After(found.servedAt) {
+	if now.Sub(at) > Retention || found != nil && !at.After(found.servedAt.Add(datingError)) {
 		return
 	}
 	if found == nil {
 		found = quarantine.newEntry(now, digest)
 	}
 	found.dropCrashes(now.Add(-Retention))
+	if quarantine.servedJustBefore(digest, at) {
+		found.servedAt, found.changedAt, found.unsent = at, now, announcements
+		found.dropCrashes(at.Add(datingError))
+		return
+	}
 	if _, known := found.crashes[run]; known || len(found.crashes) >= CrashThreshold {
 		return
 	}
@@ -118,7 +147,7 @@
 		return
 	}
 	found.servedAt = at
-	if found.dropCrashes(at) {
+	if found.dropCrashes(at.Add(datingError)) {
 		found.changedAt, found.unsent = now, announcements
 	}
 }
