--- a/io/beryledge/quarantine_test.go
+++ b/io/beryledge/quarantine_test.go
@@ -108,3 +108,29 @@
 	}
 	require.Zero(t, daemon.quarantined.Load())
 }
+
+// Guards against evidence that stays near where it was found: in a large fleet each daemon
+// hears only some of the others.
+func TestEvidenceReachesAllDaemonsOfALargeFleet(t *testing.T) {
+	const perRegion, engines, bound = 10, 12, 4 * time.Second
+	store := newTestStore()
+	store.put("c/1", "catalog")
+	crashes := new(atomic.Int64)
+	for i := range engines {
+		target := newCrashingTarget(t, fmt.Sprint("e", i), crashes)
+		store.put("t/"+target.id, "engines "+target.address())
+	}
+	daemons := startRegions(t, store, perRegion)
+	fillRetryBudget(daemons[0])
+	for i := range 2 {
+		_, _, _ = send(t, daemons[0], http.MethodPost, "/resume/x", fmt.Sprint("id-", i), crashingBody)
+	}
+	require.Eventually(t, func() bool {
+		for _, daemon := range daemons {
+			if daemon.quarantined.Load() != 1 {
+				return false
+			}
+		}
+		return true
+	}, bound, 20*time.Millisecond)
+}
