Large replicas are read from the store in turns

Cause: the same as of the copies between peers, at the store: when nobody has contact, each VM of a region reads the store for itself at the same moment.

Change: a replica of over 64 KB is read by the gateways of the region at the limit of its age, and by twice as many daemons with each second after it; the others meanwhile get it from them. Small replicas are read at once, as before.

--- a/core/berylfeed/feed.go
+++ b/core/berylfeed/feed.go
@@ -71,6 +71,17 @@
 // list does not tell which unknown keys were removed before it.
 func (feed *Feed) ClaimRevision() berylspoke.Revision { return max(feed.lastChange, feed.removalsFrom) }
 
+// Bytes returns the size of the present items without keys and revisions.
+func (feed *Feed) Bytes() int {
+	size := 0
+	for _, record := range feed.records {
+		if !record.item.Deleted {
+			size += len(record.item.Value)
+		}
+	}
+	return size
+}
+
 // Known reports whether the feed has ever held the store's state.
 func (feed *Feed) Known() bool { return feed.known }
 
--- a/core/berylfeed/puller.go
+++ b/core/berylfeed/puller.go
@@ -21,6 +21,10 @@
 	// slow because it is full must not get more copies of what it already carries.
 	minPullTimeout = 500 * time.Millisecond
 	maxPullTimeout = 4 * time.Second
+	// storeStep replaces gatewayStep for reads of the store, which take longer than pulls.
+	storeStep = time.Second
+	// smallReplicaBytes is the size up to which all daemons may read the store at once.
+	smallReplicaBytes = 64 << 10
 	// offerMaxAge is how long a peer counts as a source after its last report.
 	offerMaxAge = 2 * time.Second
 )
@@ -124,6 +128,17 @@
 }
 
 // remoteDelay returns how long the daemon of a rank waits for a peer of its own region.
-func remoteDelay(rank int) time.Duration {
-	return gatewayStep * time.Duration(bits.Len(uint(rank/gateways)))
+func remoteDelay(rank int) time.Duration { return gatewayStep * rung(rank) }
+
+// StoreDelay returns how long the daemon of a rank in its region waits for its peers before
+// it reads a replica of the given size from the store.
+func StoreDelay(rank, bytes int) time.Duration {
+	if bytes <= smallReplicaBytes {
+		return 0
+	}
+	return storeStep * rung(rank)
 }
+
+// rung returns the step at which the daemon of a rank acts: the gateways at zero, and at each
+// further step as many daemons as at all steps before.
+func rung(rank int) time.Duration { return time.Duration(bits.Len(uint(rank / gateways))) }
--- a/io/beryledge/actor.go
+++ b/io/beryledge/actor.go
@@ -105,10 +105,8 @@
 	quarantine *berylquarantine.Quarantine
 	// evacuated are the failure domains whose targets get no more requests.
 	evacuated map[berylspoke.FailureDomain]bool
-	// pullers decide which changes to pull from peers. regionRank is the rank of this
-	// daemon among those of its region.
-	pullers    [berylfeed.Count]berylfeed.Puller
-	regionRank int
+	// pullers decide which changes to pull from peers.
+	pullers [berylfeed.Count]berylfeed.Puller
 	// pulledAt is when the changes of a feed were last pulled.
 	pulledAt [berylfeed.Count]time.Time
 	// graceEnd is when the first grace period of a vanished target ends, zero for none.
--- a/io/beryledge/daemon.go
+++ b/io/beryledge/daemon.go
@@ -72,6 +72,10 @@
 	known       [berylfeed.Count]atomic.Bool
 	// watcher is set if this daemon reads the store for the fleet.
 	watcher atomic.Bool
+	// replicaBytes is the size of each feed. regionRank is the rank of this daemon among
+	// those of its region.
+	replicaBytes [berylfeed.Count]atomic.Int64
+	regionRank   atomic.Int64
 	// quarantined is the number of digests whose requests are refused.
 	quarantined atomic.Int64
 	// completeAsOf is the time as of which each feed is complete, in Unix nanoseconds.
--- a/io/beryledge/feeds.go
+++ b/io/beryledge/feeds.go
@@ -35,8 +35,9 @@
 	if core.daemon.watcher.Load() {
 		delay = pullDelay
 	}
+	rank := int(core.daemon.regionRank.Load())
 	for name := range core.pullers {
-		if from, due := core.pullers[name].Next(now, core.regionRank, delay); due {
+		if from, due := core.pullers[name].Next(now, rank, delay); due {
 			core.pull(now, berylfeed.Name(name), from)
 		}
 	}
@@ -131,6 +132,7 @@
 func (core *core) publishRevision(now time.Time, name berylfeed.Name) {
 	if asOf := core.feeds[name].AsOf(); asOf > berylspoke.Revision(core.daemon.revisions[name].Load()) {
 		core.pullers[name].Advance(now, asOf)
+		core.daemon.replicaBytes[name].Store(int64(core.feeds[name].Bytes()))
 	}
 	core.daemon.revisions[name].Store(uint64(core.feeds[name].AsOf()))
 	core.daemon.known[name].Store(core.feeds[name].Known())
--- a/io/beryledge/members.go
+++ b/io/beryledge/members.go
@@ -69,7 +69,7 @@
 	// report to the others that it has all changes.
 	watchers := berylmember.Ranked("watcher", core.table.Live(), watcherCount)
 	core.daemon.watcher.Store(slices.Contains(watchers, core.daemon.settings.VM))
-	core.regionRank = core.rankInRegion(fresh)
+	core.daemon.regionRank.Store(int64(core.rankInRegion(fresh)))
 	core.daemon.log.Info("membership changed", zap.Int("live", live), zap.Int("entries", fresh.count()))
 }
 
--- a/io/beryledge/replication_test.go
+++ b/io/beryledge/replication_test.go
@@ -126,6 +126,33 @@
 	require.False(t, core.daemon.mustWatch(berylfeed.Configuration, start.Add(bound-answer)))
 }
 
+// Guards against a link between regions that is filled by reads of the store: when nobody
+// has contact, each VM of a region reads the same large configuration at the same moment.
+func TestOldLargeReplicasAreReadInTurns(t *testing.T) {
+	const perRegion, gateways, size = 30, 2, 500_000
+	start := time.Unix(1000, 0)
+	readers := func(feed berylfeed.Name, age time.Duration) int {
+		count := 0
+		for rank := range perRegion {
+			daemon := &Daemon{settings: &Settings{}, started: start}
+			daemon.entries.Store(new(entries))
+			daemon.known[feed].Store(true)
+			daemon.regionRank.Store(int64(rank))
+			daemon.replicaBytes[berylfeed.Configuration].Store(size)
+			daemon.completeAsOf[feed].Store(start.UnixNano())
+			if daemon.mustWatch(feed, start.Add(age)) {
+				count++
+			}
+		}
+		return count
+	}
+	limit := maxContactAge + tickInterval
+	require.Equal(t, gateways, readers(berylfeed.Configuration, limit))
+	require.Equal(t, 2*gateways, readers(berylfeed.Configuration, limit+time.Second))
+	require.Equal(t, perRegion, readers(berylfeed.Configuration, limit+10*time.Second))
+	require.Equal(t, perRegion, readers(berylfeed.Targets, limit))
+}
+
 // newSilentCore returns the core of a daemon whose peers never answer.
 func newSilentCore(t *testing.T, now time.Time) *core {
 	host := uniqueHost()
--- a/io/beryledge/store.go
+++ b/io/beryledge/store.go
@@ -75,7 +75,8 @@
 
 // mustWatch reports whether this daemon has to read the store itself: because it is one
 // of the watchers, has no items yet, or does not know that those it has are recent. That
-// others have contact with the store does not suffice: the changes may be late.
+// others have contact with the store does not suffice: the changes may be late. Large
+// replicas are read in turns, as a whole region that reads one at once fills its link.
 func (daemon *Daemon) mustWatch(feed berylfeed.Name, now time.Time) bool {
 	if !daemon.known[feed].Load() {
 		return !daemon.settings.waitsForPeers() || now.Sub(daemon.started) > peerWait
@@ -83,7 +84,8 @@
 	if daemon.watcher.Load() {
 		return true
 	}
-	return daemon.replicaAge(feed, now) > daemon.contactAgeLimit()
+	turn := berylfeed.StoreDelay(int(daemon.regionRank.Load()), int(daemon.replicaBytes[feed].Load()))
+	return daemon.replicaAge(feed, now) > daemon.contactAgeLimit()+turn
 }
 
 // contactAgeLimit returns how old the last contact as of which a feed is complete may be
