--- a/core/berylfeed/currency.go
+++ b/core/berylfeed/currency.go
@@ -47,9 +47,10 @@
 }
 
 // Claim records that feeds which are complete up to the given revisions are complete as of
-// a contact. The claim holds for each feed of this daemon once it has reached the revision.
+// a contact, unless none is known. The claim holds for each feed of this daemon once it has
+// reached the revision.
 func (currency *Currency) Claim(id ContactID, at time.Time, revisions []berylspoke.Revision, feeds [Count]*Feed) {
-	if len(revisions) < int(Count) || !at.After(currency.newestAt) {
+	if id == 0 || len(revisions) < int(Count) || !at.After(currency.newestAt) {
 		return
 	}
 	fresh := claim{contact: id, at: at}
--- a/io/beryledge/replication_test.go
+++ b/io/beryledge/replication_test.go
@@ -153,6 +153,24 @@
 	require.Equal(t, perRegion, readers(berylfeed.Targets, limit))
 }
 
+// Guards against a fleet that reads the store as one at its start: a daemon that has just
+// learned everything from a peer took the peer's unknown contact for one an hour old.
+func TestUnknownContactMakesNoReplicaOld(t *testing.T) {
+	start := time.Unix(1000, 0)
+	core := newSilentCore(t, start)
+	for name := range berylfeed.Count {
+		core.deliver(start, "127.0.0.9:1", berylfeed.Delta{Feed: name, Full: true, AsOf: 5})
+	}
+	core.daemon.watcher.Store(false)
+	core.deliver(start, "127.0.0.9:1", berylgate.Report{
+		Incarnation: 1, Feeds: []berylspoke.Revision{0, 5}, Contact: unknownContactAge, Complete: []berylspoke.Revision{5, 5},
+	})
+	for name := range berylfeed.Count {
+		require.False(t, core.daemon.mustWatch(name, start.Add(time.Second)))
+		require.True(t, core.daemon.mustWatch(name, start.Add(maxContactAge+time.Second)))
+	}
+}
+
 // newSilentCore returns the core of a daemon whose peers never answer.
 func newSilentCore(t *testing.T, now time.Time) *core {
 	host := uniqueHost()
