--- a/io/beryledge/feeds.go
+++ b/io/beryledge/feeds.go
@@ -45,13 +45,13 @@
 
 // pull asks a peer for the changes that a feed lacks.
 func (core *core) pull(now time.Time, name berylfeed.Name, from berylspoke.VMID) {
-	after := core.feeds[name].AsOf()
+	asOf := core.feeds[name].AsOf()
 	link := core.daemon.Link(from)
 	core.daemon.meters.pulls[link].Inc()
 	core.pulledAt[name] = now
 	core.daemon.log.Info("pulling changes from a peer", zap.String("peer", string(from)), zap.Stringer("link", link),
-		zap.Uint8("feed", uint8(name)), zap.Uint64("after", uint64(after)))
-	core.daemon.transport.Send(from, berylfeed.Pull{Feed: name, After: after})
+		zap.Uint8("feed", uint8(name)), zap.Uint64("asOf", uint64(asOf)))
+	core.daemon.transport.Send(from, berylfeed.Pull{Feed: name, After: asOf})
 }
 
 func (core *core) mergeDelta(now time.Time, from berylspoke.VMID, delta berylfeed.Delta) {
@@ -115,7 +115,8 @@
 		if old {
 			text = "replica of the store is old"
 		}
-		core.daemon.log.Info(text, zap.Uint8("feed", uint8(name)), zap.Int64("age", age.Milliseconds()), zap.Int64("contact", now.Sub(core.contacts.Newest()).Milliseconds()), zap.Uint64("asOf", uint64(feed.AsOf())))
+		core.daemon.log.Info(text, zap.Uint8("feed", uint8(name)), zap.Int64("age", age.Milliseconds()),
+			zap.Int64("contact", now.Sub(core.contacts.Newest()).Milliseconds()), zap.Uint64("asOf", uint64(feed.AsOf())))
 	}
 }
 
@@ -128,7 +129,8 @@
 	return now.Sub(daemon.started)
 }
 
-// publishRevision sets the revision after which the readers of the store continue.
+// publishRevision sets the revision after which the readers of the store continue, and
+// tells the puller and the currency how far a feed has come.
 func (core *core) publishRevision(now time.Time, name berylfeed.Name) {
 	if asOf := core.feeds[name].AsOf(); asOf > berylspoke.Revision(core.daemon.revisions[name].Load()) {
 		core.pullers[name].Advance(now, asOf)
