Rejected requests are taken back from an organisation's service once

Cause: an attempt that its target rejected was taken back whole although its share of the rate had decayed while it waited, and a second rejected attempt was taken back though only the first was counted; the rate fell below zero and the unsigned number in the usage report wrapped around.

An attempt that is counted now remembers it, and is taken back by what is left of it; a retry after a rejection counts; credit of a throttled organisation is returned. TestRejectedRequestsAreTakenBackOnce failed before (-4963 tokens).

--- a/core/berylgate/choose.go
+++ b/core/berylgate/choose.go
@@ -106,9 +106,11 @@
 		decision.CacheSource = &source.Target
 	}
 	gate.startAttempt(now, request, best, prompt)
-	if pool.service.Engine != nil && request.sends == 1 {
-		gate.shares.observeCached(best.cached, TokensOf(request))
-		gate.shares.usage(hashOf(string(request.Organisation))).countSent(now, TokensOf(request))
+	if pool.service.Engine != nil {
+		if request.sends == 1 {
+			gate.shares.observeCached(best.cached, TokensOf(request))
+		}
+		gate.countServed(now, request.current)
 	}
 	return decision
 }
--- a/core/berylgate/gate.go
+++ b/core/berylgate/gate.go
@@ -50,6 +50,8 @@
 	// it must not be sent to again.
 	sends int
 	tried map[berylspoke.TargetID]bool
+	// served is set while an attempt is counted in the organisation's service.
+	served bool
 	// current is the attempt in progress, nil if there is none.
 	current *attempt
 	// retryReserved is set once a retry was reserved for the request.
@@ -68,6 +70,8 @@
 	addedMillis   float64
 	kvTokens      berylspoke.Tokens
 	answerStarted bool
+	// served is set if this attempt was counted in the organisation's service.
+	served bool
 }
 
 // pool holds the targets and the retry budget of one service.
--- a/core/berylgate/outcome.go
+++ b/core/berylgate/outcome.go
@@ -91,10 +91,31 @@
 	if target.engine == nil {
 		return
 	}
-	gate.shares.usage(hashOf(string(attempt.request.Organisation))).served.add(now, -TokensOf(attempt.request))
+	gate.undoServed(now, attempt)
 	target.drain(now)
 	target.backlogMillis = max(0, target.backlogMillis-attempt.addedMillis)
 	if outcome == Rejected {
 		target.backlogMillis += stepMillis
 	}
 }
+
+// countServed counts a request in its organisation's service unless an earlier attempt was
+// counted.
+func (gate *Gate) countServed(now time.Time, attempt *attempt) {
+	request := attempt.request
+	if request.served {
+		return
+	}
+	request.served, attempt.served = true, true
+	gate.shares.usage(hashOf(string(request.Organisation))).countSent(now, TokensOf(request))
+}
+
+// undoServed takes back what countServed counted for an attempt that did not run.
+func (gate *Gate) undoServed(now time.Time, attempt *attempt) {
+	request := attempt.request
+	if !attempt.served {
+		return
+	}
+	request.served = false
+	gate.shares.usage(hashOf(string(request.Organisation))).undoSent(now, TokensOf(request), attempt.sentAt)
+}
--- a/core/berylgate/share.go
+++ b/core/berylgate/share.go
@@ -36,6 +36,12 @@
 	rate.value += float64(tokens) / shareWindow.Seconds()
 }
 
+// remove takes back tokens that were counted at an earlier time.
+func (rate *rate) remove(now time.Time, tokens berylspoke.Tokens, added time.Time) {
+	remaining := math.Exp(-float64(now.Sub(added)) / float64(shareWindow))
+	rate.value = max(0, rate.now(now)-remaining*float64(tokens)/shareWindow.Seconds())
+}
+
 // usage is the demand and the service of one organisation at this daemon.
 type usage struct {
 	// organisation is empty until a request of the organisation was counted here.
@@ -77,6 +83,14 @@
 	}
 }
 
+// undoSent takes back a request that was sent at an earlier time and did not run.
+func (usage *usage) undoSent(now time.Time, tokens berylspoke.Tokens, sent time.Time) {
+	usage.served.remove(now, tokens, sent)
+	if usage.throttled {
+		usage.credit += float64(tokens)
+	}
+}
+
 const (
 	// cpuLimitedShare is the minimum fraction of an organisation's demand that a VM
 	// must reject for lack of CPU time for the organisation to count as limited by CPU.
--- a/core/berylgate/usage_test.go
+++ b/core/berylgate/usage_test.go
@@ -314,3 +314,34 @@
 	gate.shares.usageOf("flood").served.add(now, 10_000_000)
 	require.Zero(t, gate.Allowances(now.Add(creditWindow))["flood"], "it was served far beyond its cap")
 }
+
+// Guards against a service below zero, which the fleet's sum showed as four billion tokens
+// per second: the organisation's requests were all refused although it was served little.
+func TestRejectedRequestsAreTakenBackOnce(t *testing.T) {
+	now := time.Unix(0, 0)
+	gate := newGate(now, 1, 4, false)
+	gate.pools[drafts].budget.Earn(10)
+	usage := gate.shares.usageOf("o")
+	attempt := func(request *Request, outcome Outcome, wait time.Duration) {
+		t.Helper()
+		require.Nil(t, gate.Submit(now, request).Refusal)
+		now = now.Add(wait)
+		gate.AttemptEnded(now, request, outcome)
+	}
+	served := func() float64 { return usage.served.now(now) * shareWindow.Seconds() }
+	request := newRequest(now, "o", berylspoke.PromptSegment{ID: 1, Tokens: 10_000})
+	attempt(request, Rejected, time.Second)
+	require.InDelta(t, 0, served(), 0.001, "it waited a second at the target")
+	attempt(request, Rejected, 0)
+	require.InDelta(t, 0, served(), 0.001, "both attempts were rejected")
+
+	broken := newRequest(now, "o", berylspoke.PromptSegment{ID: 1, Tokens: 10_000})
+	attempt(broken, Broken, 0)
+	attempt(broken, Rejected, 0)
+	require.InDelta(t, float64(TokensOf(broken)), served(), 0.001, "the first attempt may have run")
+
+	retried := newRequest(now, "o", berylspoke.PromptSegment{ID: 1, Tokens: 10_000})
+	attempt(retried, Rejected, 0)
+	attempt(retried, Succeeded, 0)
+	require.InDelta(t, float64(TokensOf(broken)+TokensOf(retried)), served(), 0.001, "the second attempt ran")
+}
