Daemons share which targets do not answer

Cause: each daemon of a large fleet sends one target a request in several seconds and found out by itself, forgot it when its caller gave up, and saw a target without recent load as idle.

Reports name the targets that did not answer some daemon, with the age of the newest evidence and of the newest answer; news is passed on within 0.1 s. Two daemons near the target go on sending to it, one request at a time, and its answer ends the silence everywhere; without evidence it ends after 5 s. Evidence of a peer counts only if it is half a second newer, so that it does not become younger by going round.

--- a/core/berylgate/cold.go
+++ b/core/berylgate/cold.go
@@ -25,6 +25,9 @@
 	gate.domains = domains
 	for _, target := range gate.sorted {
 		target.cold.budget = gate.coldBudget(now, target)
+		if target.silent(now) {
+			gate.chooseTrial(target)
+		}
 	}
 }
 
--- a/core/berylgate/gate.go
+++ b/core/berylgate/gate.go
@@ -110,6 +110,8 @@
 	// then should be reported at once.
 	lastReport time.Time
 	urgent     bool
+	// silenceNews is set if a target was found silent since the last report.
+	silenceNews bool
 }
 
 // New returns a gate without targets.
@@ -280,7 +282,7 @@
 	gate.lastTick = now
 	for _, target := range gate.sorted {
 		target.updateInflow(elapsed)
-		target.checkSilence(now)
+		gate.checkSilence(now, target)
 		target.expireCached(now)
 	}
 	gate.sumOthers(now)
--- a/core/berylgate/report.go
+++ b/core/berylgate/report.go
@@ -41,6 +41,8 @@
 	// reported, as a daemon would learn of a small part of what the others sent.
 	Targets []TargetReport
 	Loads   []LoadReport
+	// Silences are the targets that did not answer some daemon recently.
+	Silences []SilenceReport
 	// Organisations is empty in a large fleet, where Usage messages sum up organisations.
 	Organisations []OrganisationReport
 }
@@ -102,7 +104,8 @@
 		report.Targets = gate.targetReports()
 		report.Organisations = gate.newUsage(DaemonUsage, gate.ownUsage(now)).Organisations
 	}
-	gate.lastReport, gate.urgent = now, false
+	report.Silences = gate.silenceReports(now)
+	gate.lastReport, gate.urgent, gate.silenceNews = now, false, false
 	return report
 }
 
@@ -110,6 +113,9 @@
 // is urgent, as only the loads of the targets show what others sent.
 func (gate *Gate) Urgent() bool { return gate.urgent && !gate.largeFleet() }
 
+// SilenceNews reports whether a target was found silent since the last report.
+func (gate *Gate) SilenceNews() bool { return gate.silenceNews }
+
 // loadReports returns the loads that targets reported to this daemon after the given
 // time. Loads that peers reported are not forwarded: that would multiply the bytes by the
 // number of links, and the peers' own reports cover each target often enough.
@@ -163,6 +169,7 @@
 			target.adoptLoad(now, load{now.Add(-item.Age), item.Running, item.Waiting})
 		}
 	}
+	gate.receiveSilences(now, report.Silences)
 	sender.report, sender.receivedAt = report, now
 	gate.sumOthers(now)
 }
--- a/core/berylgate/target.go
+++ b/core/berylgate/target.go
@@ -97,6 +97,7 @@
 	pausedUntil time.Time
 	lastAnswer  time.Time
 	suspect     bool
+	evidence    evidence
 	attempts    map[*attempt]bool
 	// lastSent is when this daemon last sent each shared segment there.
 	lastSent map[uint64]time.Time
@@ -283,7 +284,7 @@
 // responsive reports whether the target is neither suspect nor paused after a failure.
 // A draining target remains responsive for a while.
 func (target *target) responsive(now time.Time) bool {
-	return !target.suspect && !now.Before(target.pausedUntil)
+	return !target.suspect && !now.Before(target.pausedUntil) && !target.avoided(now)
 }
 
 // recordFailure pauses the target, for longer after each consecutive failure.
@@ -313,14 +314,21 @@
 // checkSilence marks the target suspect while a request has waited for its answer for
 // much longer than expected and the target has not answered any other recently. An
 // engine that hangs accepts connections and sends nothing; without this check it would
-// be detected only by the callers' timeouts.
-func (target *target) checkSilence(now time.Time) {
+// be detected only by the callers' timeouts. It returns the time of the newest evidence
+// of silence, zero if there is none.
+func (target *target) checkSilence(now time.Time) time.Time {
 	target.suspect = false
+	var newest time.Time
 	for attempt := range target.attempts {
 		maxSilence := max(minSilence, silenceFactor*duration(attempt.expectedMillis))
-		if !attempt.answerStarted && now.Sub(attempt.sentAt) > maxSilence && target.lastAnswer.Before(attempt.sentAt.Add(maxSilence/2)) {
-			target.suspect = true
-			return
+		at := attempt.sentAt.Add(maxSilence / 2)
+		if attempt.answerStarted || now.Sub(attempt.sentAt) <= maxSilence || !target.lastEvidence().Before(at) {
+			continue
+		}
+		target.suspect = true
+		if at.After(newest) {
+			newest = at
 		}
 	}
+	return newest
 }
--- a/io/beryledge/actor.go
+++ b/io/beryledge/actor.go
@@ -29,6 +29,9 @@
 	// rely on the load that engines report themselves and the rates of organisations
 	// change slowly.
 	largeFleetReportInterval = 400 * time.Millisecond
+	// silenceReportInterval replaces both while a target was found silent since the last
+	// report.
+	silenceReportInterval = 100 * time.Millisecond
 	// syncInterval is the time between two full exchanges of the membership with a
 	// seed or a peer.
 	syncInterval = 5 * time.Second
@@ -203,7 +206,13 @@
 	if core.gate.LargeFleet() {
 		interval = largeFleetReportInterval
 	}
-	if now.Sub(core.lastReport) >= interval || core.gate.Urgent() {
+	switch {
+	case core.gate.Urgent():
+		interval = 0
+	case core.gate.SilenceNews():
+		interval = silenceReportInterval
+	}
+	if now.Sub(core.lastReport) >= interval {
 		core.lastReport = now
 		core.report(now)
 	}
--- a/io/berylpeer/wirefeed.go
+++ b/io/berylpeer/wirefeed.go
@@ -4,6 +4,7 @@
 // of the reports on targets and organisations.
 
 import (
+	"math"
 	"time"
 
 	"berylspoke"
@@ -81,6 +82,12 @@
 	AgeMillis        uint32
 }
 
+type wireSilenceReport struct {
+	_                            struct{} `cbor:",toarray"`
+	Target                       uint32
+	SilentMillis, AnsweredMillis uint32
+}
+
 type wireOrganisationReport struct {
 	_              struct{} `cbor:",toarray"`
 	Organisation   uint32
@@ -138,6 +145,7 @@
 	Loads            []wireLoadReport
 	Organisations    []wireOrganisationReport
 	Complete         []uint64
+	Silences         []wireSilenceReport
 }
 
 func daemonReportToWire(report berylgate.Report) *wireDaemonReport {
@@ -158,10 +166,20 @@
 			Target: item.Target, Running: item.Running, Waiting: item.Waiting, AgeMillis: uint32(item.Age.Milliseconds()),
 		})
 	}
+	for _, item := range report.Silences {
+		wire.Silences = append(wire.Silences, wireSilenceReport{
+			Target: item.Target, SilentMillis: millisToWire(item.Silent), AnsweredMillis: millisToWire(item.Answered),
+		})
+	}
 	wire.Organisations = organisationsToWire(report.Organisations)
 	return wire
 }
 
+// millisToWire returns a duration in milliseconds, at most the largest that fits.
+func millisToWire(duration time.Duration) uint32 {
+	return uint32(min(max(duration.Milliseconds(), 0), math.MaxUint32))
+}
+
 func (wire *wireDaemonReport) message(berylspoke.VMID) berylspoke.Message {
 	report := berylgate.Report{Incarnation: berylspoke.Incarnation(wire.Incarnation), Contact: time.Duration(wire.ContactAgeMillis) * time.Millisecond, ContactID: berylfeed.ContactID(wire.ContactID)}
 	for _, revision := range wire.FeedRevisions {
@@ -181,6 +199,11 @@
 			Age: time.Duration(item.AgeMillis) * time.Millisecond,
 		})
 	}
+	for _, item := range wire.Silences {
+		report.Silences = append(report.Silences, berylgate.SilenceReport{
+			Target: item.Target, Silent: time.Duration(item.SilentMillis) * time.Millisecond, Answered: time.Duration(item.AnsweredMillis) * time.Millisecond,
+		})
+	}
 	report.Organisations = organisationsFromWire(wire.Organisations)
 	return report
 }
