Daemons of a large fleet share how long targets let requests wait

Evidence: in seconds 1 and 2 the median of the expected first byte is 80 ms, that of the observed one 672 and 768 ms, the 90th percentile 1.6 and 2 s. Cause: a daemon of a large fleet knows a target's queue only from the load in answers, and that counts requests beyond the slots: prompts that are being prefilled are "running", and an engine that is ten times slower reports the same numbers.

Each first byte, and each request that still waits for one, now shows how much longer than at an idle target a request waits. The newest observation of any daemon counts; it drains as time passes, and grows by what is sent there. Reports carry the waits over 150 ms, 64 at most.

--- a/core/berylgate/allowance.go
+++ b/core/berylgate/allowance.go
@@ -45,7 +45,7 @@
 // of organisations within their level: with the shorter limit, even the least served
 // organisation beyond its level would be refused at idle engines.
 func (allowance allowance) admits(option candidate) bool {
-	idle := option.target.idle()
+	idle := option.idle
 	switch {
 	case allowance.capped:
 		return false
--- a/core/berylgate/choose.go
+++ b/core/berylgate/choose.go
@@ -38,6 +38,8 @@
 	unloadedMillis float64
 	expectedMillis float64
 	costMillis     float64
+	// idle is set if next to nothing is queued at the target.
+	idle bool
 	// cached counts the shared tokens that are assumed to be in the target's KV cache,
 	// uncached the others.
 	cached, uncached berylspoke.Tokens
@@ -92,7 +94,7 @@
 	if !found {
 		return refused(berylspoke.ReasonNoTarget, defaultRetryAfter)
 	}
-	decision := gate.newDecision(best, prompt, allowance)
+	decision := gate.newDecision(now, best, prompt, allowance)
 	decision.Share = gate.share(now, request)
 	if !allowance.admits(best) {
 		decision.Refusal = gate.refuseOverload(request, best, allowance)
@@ -134,11 +136,11 @@
 
 // newDecision returns the decision to send a request to the best candidate, with the
 // values that it is based on.
-func (gate *Gate) newDecision(best candidate, prompt prompt, allowance allowance) Decision {
+func (gate *Gate) newDecision(now time.Time, best candidate, prompt prompt, allowance allowance) Decision {
 	target := best.target
 	decision := Decision{
 		Target: target.Target, Connections: gate.connections(target),
-		Expected: duration(best.expectedMillis), QueueMillis: target.backlogMillis, Slowdown: target.slowdown,
+		Expected: duration(best.expectedMillis), QueueMillis: target.queueMillis(now), Slowdown: target.slowdown,
 		Shared: prompt.total, Cached: best.cached,
 		Running: target.occupied(), Tokens: target.kvTokens + target.others.kvTokens,
 		Overuse: allowance.overuse,
@@ -214,6 +216,7 @@
 	}
 	option.expectedMillis = target.expectedMillis(now, option.addedMillis)
 	option.unloadedMillis = target.unloadedMillis(option.addedMillis)
+	option.idle = target.idle(now)
 	if target.full(request.Input + request.Output) {
 		option.expectedMillis += fullPenaltyMillis
 	}
--- a/core/berylgate/gate.go
+++ b/core/berylgate/gate.go
@@ -70,6 +70,8 @@
 	addedMillis   float64
 	kvTokens      berylspoke.Tokens
 	answerStarted bool
+	// unloadedMillis is the expected time to first byte at an idle target.
+	unloadedMillis float64
 	// served is set if this attempt was counted in the organisation's service.
 	served bool
 }
@@ -283,6 +285,9 @@
 	for _, target := range gate.sorted {
 		target.updateInflow(elapsed)
 		gate.checkSilence(now, target)
+		if gate.largeFleet() && target.engine != nil {
+			target.observeWaits(now)
+		}
 		target.expireCached(now)
 	}
 	gate.sumOthers(now)
@@ -302,8 +307,9 @@
 	target := candidate.target
 	attempt := &attempt{
 		request: request, target: target, sentAt: now,
-		expectedMillis: candidate.expectedMillis, queueMillis: target.backlogMillis, addedMillis: candidate.addedMillis,
-		kvTokens: request.Input + request.Output,
+		expectedMillis: candidate.expectedMillis, queueMillis: target.queueMillis(now), addedMillis: candidate.addedMillis,
+		unloadedMillis: candidate.unloadedMillis,
+		kvTokens:       request.Input + request.Output,
 	}
 	target.attempts[attempt] = true
 	target.running++
@@ -320,6 +326,7 @@
 	target.kvTokens += attempt.kvTokens
 	target.drain(now)
 	target.backlogMillis += attempt.addedMillis
+	target.wait.millis += attempt.addedMillis
 	target.pendingMillis += attempt.addedMillis
 	target.sentMillis += attempt.addedMillis
 	gate.urgent = gate.urgent || attempt.addedMillis > urgentMillis
@@ -342,6 +349,9 @@
 		return
 	}
 	observedMillis := millis(now.Sub(attempt.sentAt))
+	if gate.largeFleet() {
+		target.observeWait(now, attempt, true)
+	}
 	gate.correctEstimate(now, attempt, observedMillis)
 	switch {
 	case reported == nil:
--- a/core/berylgate/report.go
+++ b/core/berylgate/report.go
@@ -43,6 +43,8 @@
 	Loads   []LoadReport
 	// Silences are the targets that did not answer some daemon recently.
 	Silences []SilenceReport
+	// Waits are the longest waits that the sender knows of, in a large fleet only.
+	Waits []WaitReport
 	// Organisations is empty in a large fleet, where Usage messages sum up organisations.
 	Organisations []OrganisationReport
 }
@@ -100,6 +102,7 @@
 	report := Report{Incarnation: gate.options.Incarnation}
 	if gate.largeFleet() {
 		report.Loads = gate.loadReports(now, gate.lastReport)
+		report.Waits = gate.waitReports(now)
 	} else {
 		report.Targets = gate.targetReports()
 		report.Organisations = gate.newUsage(DaemonUsage, gate.ownUsage(now)).Organisations
@@ -170,6 +173,7 @@
 		}
 	}
 	gate.receiveSilences(now, report.Silences)
+	gate.receiveWaits(now, report.Waits)
 	sender.report, sender.receivedAt = report, now
 	gate.sumOthers(now)
 }
--- a/core/berylgate/silence_test.go
+++ b/core/berylgate/silence_test.go
@@ -27,6 +27,7 @@
 	gates     []*Gate
 	reported  []time.Time
 	dark      map[berylspoke.TargetID]bool
+	slow      map[berylspoke.TargetID]time.Duration
 	pending   meshEvents
 	sent      map[berylspoke.TargetID]int
 	random    *rand.Rand
@@ -57,6 +58,7 @@
 func newMeshFleet(daemons, targets int) *meshFleet {
 	fleet := &meshFleet{
 		now: time.Unix(1000, 0), reported: make([]time.Time, daemons), dark: make(map[berylspoke.TargetID]bool),
+		slow: make(map[berylspoke.TargetID]time.Duration),
 		sent: make(map[berylspoke.TargetID]int), random: rand.New(rand.NewPCG(1, 1)), plainLoad: berylspoke.EngineLoad{Running: 1, Slots: 64},
 	}
 	domains := make(map[berylspoke.VMID]berylspoke.FailureDomain)
@@ -104,7 +106,7 @@
 		return
 	}
 	fleet.sent[decision.Target.ID]++
-	event := meshEvent{fleet.now.Add(meshAnswerTime), gate, request, Succeeded}
+	event := meshEvent{fleet.now.Add(meshAnswerTime + fleet.slow[decision.Target.ID]), gate, request, Succeeded}
 	if fleet.dark[decision.Target.ID] {
 		event.at, event.outcome = fleet.now.Add(meshCallerPatience), Abandoned
 	}
@@ -163,3 +165,28 @@
 		}
 	}
 }
+
+// Guards against slow engines that take requests from each daemon of a large fleet until
+// that daemon has found out by itself, because they report neither waiting nor more
+// running requests than others.
+func TestWaitsOfATargetAreKnownToTheFleet(t *testing.T) {
+	const daemons, engines, slowEngines, steps = 80, 40, 10, 30
+	fleet := newMeshFleet(daemons, engines)
+	fleet.run(2*time.Second, steps)
+	for i := range slowEngines {
+		fleet.slow[berylspoke.TargetID(fmt.Sprint("t-", i))] = 1200 * time.Millisecond
+	}
+	clear(fleet.sent)
+	fleet.run(6*time.Second, steps)
+	late, total := 0, 0
+	for target, count := range fleet.sent {
+		total += count
+		if fleet.slow[target] > 0 {
+			late += count
+		}
+	}
+	t.Logf("%d of %d requests went to slow engines", late, total)
+	// A quarter of the engines is slow; without any evidence a quarter of the requests is late.
+	evenShare := total * slowEngines / engines
+	require.Less(t, late, evenShare/3)
+}
--- a/core/berylgate/target.go
+++ b/core/berylgate/target.go
@@ -98,6 +98,7 @@
 	lastAnswer  time.Time
 	suspect     bool
 	evidence    evidence
+	wait        observedWait
 	attempts    map[*attempt]bool
 	// lastSent is when this daemon last sent each shared segment there.
 	lastSent map[uint64]time.Time
@@ -230,12 +231,18 @@
 func (target *target) expectedMillis(now time.Time, addedMillis float64) float64 {
 	target.drain(now)
 	if target.engine != nil {
-		return target.latencyMillis + target.slowdown*(firstTokenMillis+target.backlogMillis+reportLagMillis*target.inflowRate+addedMillis)
+		return target.latencyMillis + target.slowdown*(firstTokenMillis+target.queueMillis(now)+reportLagMillis*target.inflowRate+addedMillis)
 	}
 	waiting := math.Max(0, float64(target.occupied()+1-target.slots))
 	return target.latencyMillis + target.meanMillis*(1+waiting/float64(max(target.slots, 1)))
 }
 
+// queueMillis returns the work that is estimated to be queued at the target, in
+// milliseconds of the model.
+func (target *target) queueMillis(now time.Time) float64 {
+	return max(target.backlogMillis, target.wait.now(now)/target.slowdown)
+}
+
 // reportLagMillis is the mean age of what this daemon knows of the others' dispatches:
 // half the time between two reports, plus their network latency.
 const reportLagMillis = 110.0
@@ -258,9 +265,10 @@
 
 // idle reports whether next to nothing is queued at the target and less than half of
 // its slots are used.
-func (target *target) idle() bool {
-	const negligibleMillis = 10.0
-	return target.backlogMillis < negligibleMillis && 2*target.occupied() < target.slots
+func (target *target) idle(now time.Time) bool {
+	// Observed waits include the error of the model.
+	const negligibleMillis, negligibleWaitMillis = 10.0, 50.0
+	return target.backlogMillis < negligibleMillis && target.wait.now(now) < negligibleWaitMillis && 2*target.occupied() < target.slots
 }
 
 // full reports whether another request would have to wait for a slot or would evict
--- /dev/null
+++ b/core/berylgate/wait.go
@@ -0,0 +1,82 @@
+package berylgate
+
+// This file defines how daemons of a large fleet share how long targets let requests wait.
+// Engines report their running and waiting requests, which shows neither the prompts that
+// are being prefilled nor that an engine is slow.
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// minSharedWait is the shortest wait that is passed on to other daemons.
+	minSharedWait = 150 * time.Millisecond
+	// maxWaits bounds the waits in one report.
+	maxWaits = 64
+	// maxWait bounds a wait that a peer reports.
+	maxWait = 10 * time.Second
+)
+
+// WaitReport is how much longer than at an idle target a request waits for its first byte,
+// and the age of the observation.
+type WaitReport struct {
+	Target    uint32
+	Wait, Age time.Duration
+}
+
+// observedWait is the newest observation of the wait at a target, by any daemon.
+type observedWait struct {
+	at     time.Time
+	millis float64
+}
+
+// now returns the wait that is left at the given time if no work was added since.
+func (wait *observedWait) now(now time.Time) float64 {
+	return max(0, wait.millis-millis(now.Sub(wait.at)))
+}
+
+// observeWait records how long a request waited at a target, or has waited so far.
+func (target *target) observeWait(now time.Time, attempt *attempt, answered bool) {
+	waitedMillis := millis(now.Sub(attempt.sentAt)) - attempt.unloadedMillis
+	if answered || waitedMillis > target.wait.now(now) {
+		target.wait = observedWait{now, max(0, waitedMillis)}
+	}
+}
+
+// observeWaits records the waits of the requests whose answers have not started.
+func (target *target) observeWaits(now time.Time) {
+	for attempt := range target.attempts {
+		if !attempt.answerStarted {
+			target.observeWait(now, attempt, false)
+		}
+	}
+}
+
+// waitReports returns the longest waits that are known.
+func (gate *Gate) waitReports(now time.Time) []WaitReport {
+	var reports []WaitReport
+	for _, target := range gate.sorted {
+		if target.engine != nil && duration(target.wait.now(now)) >= minSharedWait {
+			reports = append(reports, WaitReport{Target: target.hash, Wait: duration(target.wait.millis), Age: now.Sub(target.wait.at)})
+		}
+	}
+	slices.SortFunc(reports, func(one, other WaitReport) int {
+		return cmp.Or(cmp.Compare(other.Wait-other.Age, one.Wait-one.Age), cmp.Compare(one.Target, other.Target))
+	})
+	return reports[:min(len(reports), maxWaits)]
+}
+
+// receiveWaits applies the waits that a peer reports.
+func (gate *Gate) receiveWaits(now time.Time, reports []WaitReport) {
+	for _, item := range reports {
+		target := gate.byHash[item.Target]
+		if target == nil {
+			continue
+		}
+		if at := now.Add(-max(item.Age, 0)); at.After(target.wait.at.Add(evidenceResolution)) {
+			target.wait = observedWait{at, millis(min(max(item.Wait, 0), maxWait))}
+		}
+	}
+}
--- a/io/berylpeer/wirefeed.go
+++ b/io/berylpeer/wirefeed.go
@@ -88,6 +88,12 @@
 	SilentMillis, AnsweredMillis uint32
 }
 
+type wireWaitReport struct {
+	_                     struct{} `cbor:",toarray"`
+	Target                uint32
+	WaitMillis, AgeMillis uint32
+}
+
 type wireOrganisationReport struct {
 	_              struct{} `cbor:",toarray"`
 	Organisation   uint32
@@ -146,6 +152,7 @@
 	Organisations    []wireOrganisationReport
 	Complete         []uint64
 	Silences         []wireSilenceReport
+	Waits            []wireWaitReport
 }
 
 func daemonReportToWire(report berylgate.Report) *wireDaemonReport {
@@ -171,6 +178,9 @@
 			Target: item.Target, SilentMillis: millisToWire(item.Silent), AnsweredMillis: millisToWire(item.Answered),
 		})
 	}
+	for _, item := range report.Waits {
+		wire.Waits = append(wire.Waits, wireWaitReport{Target: item.Target, WaitMillis: millisToWire(item.Wait), AgeMillis: millisToWire(item.Age)})
+	}
 	wire.Organisations = organisationsToWire(report.Organisations)
 	return wire
 }
@@ -204,6 +214,11 @@
 			Target: item.Target, Silent: time.Duration(item.SilentMillis) * time.Millisecond, Answered: time.Duration(item.AnsweredMillis) * time.Millisecond,
 		})
 	}
+	for _, item := range wire.Waits {
+		report.Waits = append(report.Waits, berylgate.WaitReport{
+			Target: item.Target, Wait: time.Duration(item.WaitMillis) * time.Millisecond, Age: time.Duration(item.AgeMillis) * time.Millisecond,
+		})
+	}
 	report.Organisations = organisationsFromWire(wire.Organisations)
 	return report
 }
