Small messages between daemons are sealed datagrams without acknowledgements

A daemon at rest spent most of its processor time on the transport: each of some 25 reports a second woke a goroutine for the peer, QUIC's loop and its timers, an acknowledgement and the same again at the receiver.

Messages that fit a packet are now sealed with AES-GCM under a key for one run of the sender and one receiver, derived from the fleet key, and written from where they are sent; there is no connection, acknowledgement or timer. What QUIC gave is kept: a datagram names the receiver's run, learnt in one round trip, so none is accepted after a restart; a window of counters refuses replays; a peer that is not heard for 1.2 s is sent to from another port; a flow of one direction asks for an answer each 0.6 s. A message is encoded once for all its receivers. Larger messages go on QUIC's streams as before.

TestReplayedDatagramsAreIgnored fails without the window and without the check of the receiver's run. The wire format changed: daemons of earlier builds are not heard.

--- a/io/beryledge/actor.go
+++ b/io/beryledge/actor.go
@@ -193,9 +193,7 @@
 	core.daemon.pressure.observe(now.Sub(core.lastTick) - tickInterval)
 	core.lastTick = now
 	for _, due := range core.table.Tick(now) {
-		for _, to := range due.To {
-			core.daemon.transport.Send(to, due.Heartbeat)
-		}
+		core.daemon.transport.Broadcast(due.To, []berylspoke.Message{due.Heartbeat})
 	}
 	core.refreshAdmission(now)
 	core.daemon.logRejections(now)
@@ -240,10 +238,7 @@
 	if len(to) > berylgate.MaxFullMeshPeers {
 		to = core.table.Links()
 	}
-	for _, vm := range to {
-		core.daemon.transport.Send(vm, report)
-	}
-	core.shareCrashes(now, to)
+	core.daemon.transport.Broadcast(to, append([]berylspoke.Message{report}, core.crashNotices(now)...))
 }
 
 // newestContact returns the newest answer of the store to any daemon as of which the
--- a/io/beryledge/collect.go
+++ b/io/beryledge/collect.go
@@ -66,9 +66,7 @@
 	if usage == nil {
 		return
 	}
-	for _, vm := range to {
-		if vm != core.daemon.settings.VM {
-			core.daemon.transport.Send(vm, *usage)
-		}
-	}
+	self := core.daemon.settings.VM
+	others := slices.DeleteFunc(slices.Clone(to), func(vm berylspoke.VMID) bool { return vm == self })
+	core.daemon.transport.Broadcast(others, []berylspoke.Message{*usage})
 }
--- a/io/beryledge/crashes.go
+++ b/io/beryledge/crashes.go
@@ -89,15 +89,9 @@
 		zap.Bool("refused", refused))
 }
 
-// shareCrashes sends the evidence that peers may lack.
-func (core *core) shareCrashes(now time.Time, to []berylspoke.VMID) {
+// crashNotices returns the evidence that peers may lack.
+func (core *core) crashNotices(now time.Time) []berylspoke.Message {
 	core.quarantine.Expire(now)
 	core.daemon.quarantined.Store(int64(core.quarantine.Count(now)))
-	messages := core.quarantine.Unsent(now)
-	if len(messages) == 0 {
-		return
-	}
-	for _, vm := range to {
-		core.daemon.transport.SendAll(vm, messages)
-	}
+	return core.quarantine.Unsent(now)
 }
--- a/io/berylpeer/count.go
+++ b/io/berylpeer/count.go
@@ -5,6 +5,7 @@
 import (
 	"maps"
 	"net"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 
@@ -43,6 +44,11 @@
 // KindStats is the number of messages sent of one kind and their size without headers.
 type KindStats struct{ Messages, Bytes uint64 }
 
+func (traffic *Traffic) countSent(link Link, size int) {
+	traffic.Sent[link].Add(uint64(size + datagramHeaders))
+	traffic.Packets[link].Add(1)
+}
+
 // SentByKind returns the messages sent, by the metric label of their kind.
 func (traffic *Traffic) SentByKind() map[string]KindStats {
 	kinds := make(map[string]KindStats, len(kindNames))
@@ -60,14 +66,16 @@
 	Link(vm berylspoke.VMID) Link
 }
 
-// countingSocket counts the packets of a UDP socket. It hides the socket's batch
+// countingSocket counts the packets of QUIC on a UDP socket. It hides the socket's batch
 // methods, so that quic-go passes each packet through WriteTo or ReadFrom once.
 type countingSocket struct {
 	net.PacketConn
 	udp     *net.UDPConn
 	traffic *Traffic
-	mutex   sync.RWMutex
-	links   map[string]Link
+	// datagrams handles the datagrams, which QUIC must not see; it may be nil.
+	datagrams func(from netip.AddrPort, packet []byte)
+	mutex     sync.RWMutex
+	links     map[string]Link
 }
 
 func (socket *countingSocket) setLink(address net.Addr, link Link) {
@@ -90,19 +98,28 @@
 
 // WriteTo implements net.PacketConn.
 func (socket *countingSocket) WriteTo(packet []byte, address net.Addr) (int, error) {
-	link := socket.link(address)
-	socket.traffic.Sent[link].Add(uint64(len(packet) + datagramHeaders))
-	socket.traffic.Packets[link].Add(1)
+	socket.traffic.countSent(socket.link(address), len(packet))
 	return socket.PacketConn.WriteTo(packet, address)
 }
 
-// ReadFrom implements net.PacketConn.
+// ReadFrom implements net.PacketConn. It passes datagrams to their handler and returns
+// QUIC's packets.
 func (socket *countingSocket) ReadFrom(buffer []byte) (int, net.Addr, error) {
-	size, address, err := socket.PacketConn.ReadFrom(buffer)
-	if err == nil {
+	for {
+		size, from, err := socket.udp.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			return size, nil, err
+		}
+		if size > 0 && buffer[0] == datagramMark {
+			if socket.datagrams != nil {
+				socket.datagrams(from, buffer[:size])
+			}
+			continue
+		}
+		address := net.UDPAddrFromAddrPort(from)
 		socket.traffic.Received[socket.link(address)].Add(uint64(size + datagramHeaders))
+		return size, address, nil
 	}
-	return size, address, err
 }
 
 // SetReadBuffer sets the size of the socket's receive buffer; quic-go calls it.
--- a/io/berylpeer/transport.go
+++ b/io/berylpeer/transport.go
@@ -6,7 +6,9 @@
 	"context"
 	"crypto/tls"
 	"io"
+	"math/rand/v2"
 	"net"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -22,18 +24,19 @@
 	idleTimeout = 20 * time.Second
 	// handshakeTimeout bounds the wait for a peer that does not respond.
 	handshakeTimeout = time.Second
-	// silenceCheckInterval is the interval between checks for silent connections.
+	// silenceCheckInterval is the interval between checks whether a connection is silent.
 	silenceCheckInterval = 300 * time.Millisecond
-	// silenceTimeout is how long a connection may send packets without receiving any
-	// before it is closed.
+	// silenceTimeout is how long packets may be sent to a peer without receiving any
+	// before another connection or port is used.
 	silenceTimeout = 1200 * time.Millisecond
-	// maxDatagramBytes bounds a datagram so that it fits one packet on every path.
+	// maxDatagramBytes bounds the messages in a datagram so that it fits one packet on
+	// every path.
 	maxDatagramBytes = 1100
+	// maxPacketBytes bounds a received packet.
+	maxPacketBytes = 2048
 	// maxStreamBytes bounds a packet received on a stream.
 	maxStreamBytes = 8 << 20
-	// sendQueueLength bounds the small packets that wait for the connection to a peer,
-	// largeQueueLength those that are sent on streams.
-	sendQueueLength  = 256
+	// largeQueueLength bounds the packets that wait for a stream to a peer.
 	largeQueueLength = 32
 	// minRedialDelay is the delay after the first failed dial of a peer; it doubles with
 	// each further failure, up to maxRedialDelay. A dial costs several packets of 1,200
@@ -57,7 +60,8 @@
 	Log     *zap.Logger
 }
 
-// Transport implements berylspoke.Peers over QUIC.
+// Transport implements berylspoke.Peers. Messages that fit a packet are sent as datagrams,
+// larger ones on streams of QUIC.
 type Transport struct {
 	options Options
 	socket  *countingSocket
@@ -67,22 +71,19 @@
 	ctx     context.Context
 	stop    context.CancelFunc
 	traffic Traffic
+	epoch   epoch
 	mutex   sync.Mutex
 	peers   map[berylspoke.VMID]*peer
+	flows   map[berylspoke.VMID]*flow
 }
 
 var _ berylspoke.Peers = (*Transport)(nil)
 
-// peer is the send queues and the current connection of one VM. Packets that need a
-// stream have a queue of their own, as a stream over a slow link would delay the others.
+// peer is the queue of large packets and the current connection of one VM.
 type peer struct {
-	vm           berylspoke.VMID
-	small, large chan []byte
-	conn         *quic.Conn
-	// packetsSent and packetsReceived are the connection's packet counts at
-	// silentSince, the last check that found a packet received or none sent.
-	packetsSent, packetsReceived uint64
-	silentSince                  time.Time
+	vm    berylspoke.VMID
+	large chan []byte
+	conn  *quic.Conn
 	// wasSilent is set when a connection is closed as silent; from then on each dial
 	// uses a new local port.
 	wasSilent bool
@@ -110,10 +111,11 @@
 	transport := &Transport{
 		options: options, tls: tlsConfig,
 		peers: make(map[berylspoke.VMID]*peer),
+		flows: make(map[berylspoke.VMID]*flow),
+		epoch: epoch(rand.Uint64() | 1),
 		config: &quic.Config{
 			HandshakeIdleTimeout:    handshakeTimeout,
 			MaxIdleTimeout:          idleTimeout,
-			EnableDatagrams:         true,
 			DisablePathMTUDiscovery: true,
 			MaxIncomingStreams:      -1,
 			MaxIncomingUniStreams:   16,
@@ -121,6 +123,9 @@
 	}
 	transport.ctx, transport.stop = context.WithCancel(context.Background())
 	transport.socket = &countingSocket{PacketConn: udp, udp: udp, traffic: &transport.traffic, links: make(map[string]Link)}
+	transport.socket.datagrams = func(from netip.AddrPort, packet []byte) {
+		transport.receiveDatagram(time.Now(), nil, from, packet)
+	}
 	resetKey, err := deriveKey(options.Keys[0], "reset "+string(options.VM), 32)
 	if err != nil {
 		return nil, err
@@ -133,7 +138,6 @@
 		return nil, errors.Wrap(err, "peer listener cannot be opened")
 	}
 	go transport.acceptLoop(listener)
-	go transport.closeSilentLoop()
 	return transport, nil
 }
 
@@ -149,6 +153,9 @@
 			transport.socket.setLink(peer.conn.RemoteAddr(), transport.options.Locator.Link(vm))
 		}
 	}
+	for vm, flow := range transport.flows {
+		flow.link = transport.options.Locator.Link(vm)
+	}
 }
 
 // Close closes the socket and all connections.
@@ -156,6 +163,11 @@
 	transport.stop()
 	_ = transport.quic.Close()
 	_ = transport.socket.Close()
+	transport.mutex.Lock()
+	defer transport.mutex.Unlock()
+	for _, flow := range transport.flows {
+		transport.closeSocket(flow)
+	}
 }
 
 // Send implements berylspoke.Peers.
@@ -165,6 +177,26 @@
 
 // SendAll sends messages to one peer in as few packets as possible.
 func (transport *Transport) SendAll(to berylspoke.VMID, messages []berylspoke.Message) {
+	transport.Broadcast([]berylspoke.VMID{to}, messages)
+}
+
+// Broadcast sends the same messages to each of several peers, encoding them once.
+func (transport *Transport) Broadcast(to []berylspoke.VMID, messages []berylspoke.Message) {
+	now := time.Now()
+	for _, packet := range transport.packets(messages, len(to)) {
+		for _, vm := range to {
+			if len(packet) > maxDatagramBytes {
+				transport.enqueue(vm, packet)
+			} else {
+				transport.sendDatagram(now, vm, packet)
+			}
+		}
+	}
+}
+
+// packets encodes messages for a number of receivers.
+func (transport *Transport) packets(messages []berylspoke.Message, receivers int) [][]byte {
+	var packets [][]byte
 	var packet []byte
 	for _, message := range messages {
 		body, err := encode(message)
@@ -172,31 +204,28 @@
 			transport.options.Log.Error("message cannot be sent and is dropped", zap.Error(err))
 			continue
 		}
-		transport.traffic.messages[body[0]].Add(1)
-		transport.traffic.messageBytes[body[0]].Add(uint64(len(body)))
+		transport.traffic.messages[body[0]].Add(uint64(receivers))
+		transport.traffic.messageBytes[body[0]].Add(uint64(receivers * len(body)))
 		if len(packet) > 0 && len(packet)+len(body) > maxDatagramBytes {
-			transport.enqueue(to, packet)
+			packets = append(packets, packet)
 			packet = nil
 		}
 		packet = append(packet, body...)
 	}
 	if len(packet) > 0 {
-		transport.enqueue(to, packet)
+		packets = append(packets, packet)
 	}
+	return packets
 }
 
-// enqueue queues a packet for a peer. A full queue means that the peer is
+// enqueue queues a large packet for a peer. A full queue means that the peer is
 // unreachable; the packet is dropped, since delivery is not guaranteed.
 func (transport *Transport) enqueue(to berylspoke.VMID, packet []byte) {
 	transport.mutex.Lock()
 	found := transport.peer(to)
 	transport.mutex.Unlock()
-	queue := found.small
-	if len(packet) > maxDatagramBytes {
-		queue = found.large
-	}
 	select {
-	case queue <- packet:
+	case found.large <- packet:
 	default:
 	}
 }
@@ -205,37 +234,27 @@
 func (transport *Transport) peer(vm berylspoke.VMID) *peer {
 	found := transport.peers[vm]
 	if found == nil {
-		found = &peer{vm: vm, small: make(chan []byte, sendQueueLength), large: make(chan []byte, largeQueueLength)}
+		found = &peer{vm: vm, large: make(chan []byte, largeQueueLength)}
 		transport.peers[vm] = found
-		go transport.sendLoop(found, found.small, transport.writeSmall)
-		go transport.sendLoop(found, found.large, transport.writeLarge)
+		go transport.sendLoop(found)
 	}
 	return found
 }
 
-// sendLoop writes the packets of one queue of a peer.
-func (transport *Transport) sendLoop(peer *peer, queue <-chan []byte, write func(*quic.Conn, []byte)) {
+// sendLoop writes the large packets of a peer.
+func (transport *Transport) sendLoop(peer *peer) {
 	for {
 		select {
 		case <-transport.ctx.Done():
 			return
-		case packet := <-queue:
-			conn := transport.connection(peer)
-			if conn == nil {
-				continue // peer unreachable: the packet is dropped
+		case packet := <-peer.large:
+			if conn := transport.connection(peer); conn != nil {
+				transport.writeLarge(conn, packet)
 			}
-			write(conn, packet)
 		}
 	}
 }
 
-// writeSmall writes a packet as a datagram, or on a stream if the peer takes none.
-func (transport *Transport) writeSmall(conn *quic.Conn, packet []byte) {
-	if err := conn.SendDatagram(packet); err != nil {
-		transport.writeLarge(conn, packet)
-	}
-}
-
 // writeLarge writes a packet on a stream of its own.
 func (transport *Transport) writeLarge(conn *quic.Conn, packet []byte) {
 	ctx, cancel := context.WithTimeout(transport.ctx, openStreamTimeout)
@@ -331,10 +350,9 @@
 	transport.mutex.Lock()
 	found := transport.peer(vm)
 	found.conn = conn
-	found.packetsSent, found.packetsReceived, found.silentSince = 0, 0, time.Now()
 	transport.mutex.Unlock()
-	go transport.readDatagrams(vm, conn)
 	go transport.readStreams(vm, conn)
+	go transport.closeIfSilent(found, conn)
 }
 
 func (transport *Transport) acceptLoop(listener *quic.Listener) {
@@ -349,16 +367,6 @@
 	}
 }
 
-func (transport *Transport) readDatagrams(vm berylspoke.VMID, conn *quic.Conn) {
-	for {
-		packet, err := conn.ReceiveDatagram(transport.ctx)
-		if err != nil {
-			return
-		}
-		transport.deliver(vm, packet)
-	}
-}
-
 func (transport *Transport) readStreams(vm berylspoke.VMID, conn *quic.Conn) {
 	for {
 		stream, err := conn.AcceptUniStream(transport.ctx)
@@ -385,55 +393,57 @@
 	}
 }
 
-// closeSilentLoop closes connections whose flow a middlebox no longer forwards.
-// Sending on such a connection reports no error, while a new connection to the same
-// peer works. Since QUIC acknowledges received packets, a connection that sends packets
-// for silenceTimeout and receives none counts as broken; the next message dials again.
-func (transport *Transport) closeSilentLoop() {
+// closeIfSilent closes a connection whose flow a middlebox no longer forwards. Sending on
+// it reports no error, while a new connection to the same peer works. Since QUIC
+// acknowledges received packets, a connection that sends packets for silenceTimeout and
+// receives none counts as broken; the next message dials again.
+func (transport *Transport) closeIfSilent(peer *peer, conn *quic.Conn) {
 	ticker := time.NewTicker(silenceCheckInterval)
 	defer ticker.Stop()
+	last, silentSince := conn.ConnectionStats(), time.Now()
 	for {
 		select {
-		case <-transport.ctx.Done():
+		case <-conn.Context().Done():
 			return
 		case now := <-ticker.C:
-			for _, conn := range transport.detachSilent(now) {
+			stats := conn.ConnectionStats()
+			if stats.PacketsReceived != last.PacketsReceived || stats.PacketsSent == last.PacketsSent {
+				last, silentSince = stats, now
+				continue
+			}
+			if now.Sub(silentSince) > silenceTimeout {
+				transport.detach(peer, conn)
 				_ = conn.CloseWithError(0, "silent")
+				return
 			}
 		}
 	}
 }
 
-func (transport *Transport) detachSilent(now time.Time) []*quic.Conn {
+// detach makes the next packet to a peer dial from another port.
+func (transport *Transport) detach(peer *peer, conn *quic.Conn) {
 	transport.mutex.Lock()
 	defer transport.mutex.Unlock()
-	var silent []*quic.Conn
-	for _, peer := range transport.peers {
-		if peer.conn == nil || peer.conn.Context().Err() != nil {
-			continue
-		}
-		stats := peer.conn.ConnectionStats()
-		if stats.PacketsReceived != peer.packetsReceived || stats.PacketsSent == peer.packetsSent {
-			peer.packetsSent, peer.packetsReceived, peer.silentSince = stats.PacketsSent, stats.PacketsReceived, now
-			continue
-		}
-		if now.Sub(peer.silentSince) > silenceTimeout {
-			silent = append(silent, peer.conn)
-			peer.conn, peer.wasSilent = nil, true
-		}
+	if peer.conn == conn {
+		peer.conn, peer.wasSilent = nil, true
 	}
-	return silent
 }
 
-// Connections returns the number of open connections.
+// Connections returns the number of peers with which datagrams are exchanged or a
+// connection is open.
 func (transport *Transport) Connections() int {
 	transport.mutex.Lock()
 	defer transport.mutex.Unlock()
-	count := 0
-	for _, peer := range transport.peers {
+	connected := make(map[berylspoke.VMID]bool)
+	for vm, flow := range transport.flows {
+		if flow.run != 0 && time.Since(flow.heardAt) < idleTimeout {
+			connected[vm] = true
+		}
+	}
+	for vm, peer := range transport.peers {
 		if peer.conn != nil && peer.conn.Context().Err() == nil {
-			count++
+			connected[vm] = true
 		}
 	}
-	return count
+	return len(connected)
 }
--- a/soak/control_test.go
+++ b/soak/control_test.go
@@ -3,9 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"maps"
 	"math/rand/v2"
 	"net/http"
+	"os"
+	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
@@ -19,14 +22,23 @@
 // BenchmarkControl measures the bytes per second that a daemon sends to its peers, by
 // message, in fleets of several sizes while callers are served.
 func BenchmarkControl(b *testing.B) {
+	const requestsPerVM = 4
 	for _, vms := range []int{9, 15, 30, 60} {
-		b.Run(strconv.Itoa(vms), func(b *testing.B) { benchmarkControl(b, vms) })
+		b.Run(strconv.Itoa(vms), func(b *testing.B) { benchmarkControl(b, vms, requestsPerVM) })
+	}
+}
+
+// BenchmarkWakeUps measures the same, and the wake-ups and the processor time of a daemon,
+// in a fleet at rest and under load.
+func BenchmarkWakeUps(b *testing.B) {
+	const vms = 60
+	for _, requestsPerVM := range []float64{0, 12} {
+		b.Run(strconv.FormatFloat(requestsPerVM, 'f', -1, 64), func(b *testing.B) { benchmarkControl(b, vms, requestsPerVM) })
 	}
 }
 
-func benchmarkControl(b *testing.B, vms int) {
+func benchmarkControl(b *testing.B, vms int, requestsPerVM float64) {
 	const settleTime, measureTime = 5 * time.Second, 10 * time.Second
-	const requestsPerVM = 4
 	world, err := NewWorld(program, b.TempDir(), Size{VMs: vms, Engines: vms, Desks: 6, MemoryMB: 134, RequestsPerSecond: requestsPerVM * float64(vms)})
 	if world != nil {
 		defer world.Close()
@@ -35,20 +47,54 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	generator := &generator{world: world, random: rand.New(rand.NewPCG(1, 1))}
 	var sending sync.WaitGroup
-	sending.Go(func() { generator.run(ctx, 1) })
+	if requestsPerVM > 0 {
+		sending.Go(func() { generator.run(ctx, 1) })
+	}
 	time.Sleep(settleTime)
-	before := world.metrics(b)
+	before, usageBefore := world.metrics(b), world.usage(b)
 	started := time.Now()
 	time.Sleep(measureTime)
-	after := world.metrics(b)
+	after, usageAfter := world.metrics(b), world.usage(b)
 	seconds := time.Since(started).Seconds()
 	cancel()
 	sending.Wait()
 	for _, name := range slices.Sorted(maps.Keys(after)) {
 		if perDaemon := (after[name] - before[name]) / seconds / float64(vms); strings.HasPrefix(name, "berylspoke_peer_") && perDaemon > 0 {
-			b.Logf("%2d daemons  %-60s %6.0f B/s a daemon", vms, name, perDaemon)
+			b.Logf("%2d daemons  %-60s %6.0f a second and daemon", vms, name, perDaemon)
+		}
+	}
+	perDaemon := func(total float64) float64 { return total / seconds / float64(vms) }
+	b.ReportMetric(perDaemon(usageAfter.switches-usageBefore.switches), "wakeups/s")
+	b.ReportMetric(perDaemon(usageAfter.userMillis-usageBefore.userMillis), "user-ms/s")
+	b.ReportMetric(perDaemon(usageAfter.systemMillis-usageBefore.systemMillis), "system-ms/s")
+}
+
+// processUsage is the voluntary context switches and the processor time of processes.
+type processUsage struct{ switches, userMillis, systemMillis float64 }
+
+// usage returns the usage summed over all threads of all processes.
+func (world *World) usage(b *testing.B) processUsage {
+	b.Helper()
+	var sum processUsage
+	for _, process := range world.processes {
+		user, system := cpuMillis(b, process)
+		sum.userMillis += float64(user)
+		sum.systemMillis += float64(system)
+		threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/status", process.command.Process.Pid))
+		require.NoError(b, err)
+		for _, thread := range threads {
+			text, err := os.ReadFile(thread)
+			if err != nil {
+				continue // the thread has ended
+			}
+			_, rest, _ := strings.Cut(string(text), "\nvoluntary_ctxt_switches:")
+			line, _, _ := strings.Cut(rest, "\n")
+			count, err := strconv.ParseFloat(strings.TrimSpace(line), 64)
+			require.NoError(b, err)
+			sum.switches += count
 		}
 	}
+	return sum
 }
 
 // metrics returns the metrics summed over all processes.
