What follows from the membership is computed when it changes

On the large deployment each VM paid for the size of the fleet twenty times a second: it rebuilt the addresses for callers, the live peers, the members of its failure domain and their order, and walked all members for suspects. At the start each rumour sorted all members twice, hashing them in the comparison.

The table counts its changes; addresses, peers, links and collectors are derived once a version, and links are sorted when they are needed. Suspect and dead members are kept in a set.

TestLinksFollowManyRumoursAtOnce does not compile before.

--- a/core/berylgate/gate.go
+++ b/core/berylgate/gate.go
@@ -108,6 +108,8 @@
 	domains  map[berylspoke.VMID]berylspoke.FailureDomain
 	rng      *rand.Rand
 	lastTick time.Time
+	// lastExpiry is when expired segments were last dropped.
+	lastExpiry time.Time
 	// lastReport is when the last report was made; urgent is set if a dispatch since
 	// then should be reported at once.
 	lastReport time.Time
@@ -277,6 +279,9 @@
 	return max(1, own, int(maxShare*float64(bound))-target.others.running)
 }
 
+// expiryInterval is the time between two removals of expired segments.
+const expiryInterval = time.Second
+
 // Tick updates the estimates of all targets, marks silent targets suspect and drops
 // expired state.
 func (gate *Gate) Tick(now time.Time) {
@@ -288,7 +293,12 @@
 		if gate.largeFleet() && target.engine != nil {
 			target.observeWaits(now)
 		}
-		target.expireCached(now)
+	}
+	if now.Sub(gate.lastExpiry) >= expiryInterval {
+		gate.lastExpiry = now
+		for _, target := range gate.sorted {
+			target.expireCached(now)
+		}
 	}
 	gate.sumOthers(now)
 }
--- a/core/berylmember/detect.go
+++ b/core/berylmember/detect.go
@@ -17,7 +17,9 @@
 
 // Tick advances failure detection and returns the heartbeats due.
 func (table *Table) Tick(now time.Time) []Due {
+	table.relink()
 	table.detect(now)
+	table.relink()
 	periodic := now.Sub(table.lastHeartbeat) >= table.options.Interval
 	if !periodic && !table.urgent {
 		return nil
@@ -50,7 +52,7 @@
 // refutation is sent only a few times and may be lost; without this the refuting daemon
 // would stay dead in this table forever. A receiver with newer rumours replies with these.
 func (table *Table) recheck(now time.Time) []Due {
-	notAlive, linked := table.notAlive(), table.Links()
+	notAlive, linked := table.rumoursNotAlive(), table.Links()
 	if len(notAlive) == 0 || len(linked) == 0 {
 		return nil
 	}
@@ -72,24 +74,27 @@
 			last = since
 		}
 		if now.Sub(last) > table.options.SuspectAfter {
-			table.setStatus(now, member, Suspect)
+			table.declare(now, member, Suspect)
 		}
 	}
-	for id, member := range table.members {
+	for id := range table.notAlive {
+		member := table.members[id]
 		if member.Rumour.Status == Suspect && now.Sub(member.Changed) > table.options.DeadAfter {
-			table.setStatus(now, member, Dead)
+			table.declare(now, member, Dead)
 		}
 		if table.options.Open && member.Rumour.Status == Dead && now.Sub(member.Changed) > table.options.ForgetAfter {
-			delete(table.members, id)
-			delete(table.pending, id)
+			table.remove(id)
+			table.version++
 		}
 	}
 }
 
-func (table *Table) setStatus(now time.Time, member *Member, status Status) {
-	member.Rumour.Status, member.Changed = status, now
+// declare sets the status of a member and spreads it.
+func (table *Table) declare(now time.Time, member *Member, status Status) {
+	table.setStatus(member, status)
+	member.Changed = now
 	table.enqueue(member.VM.ID)
-	table.relink(now)
+	table.changed(now)
 }
 
 // Resume restarts the time-outs after a pause of this daemon, during which every member
@@ -98,8 +103,8 @@
 	for id := range table.monitoredSince {
 		table.monitoredSince[id] = now
 	}
-	for _, member := range table.members {
-		if member.Rumour.Status == Suspect {
+	for id := range table.notAlive {
+		if member := table.members[id]; member.Rumour.Status == Suspect {
 			member.Changed = now
 		}
 	}
@@ -110,6 +115,9 @@
 // they were alive are picked: a heartbeat to a VM that is gone costs several packets, and
 // otherwise the whole fleet would send them.
 func (table *Table) deadSuccessor(now time.Time) berylspoke.VMID {
+	if len(table.notAlive) == 0 {
+		return ""
+	}
 	var listed, dead []berylspoke.VMID
 	for id, member := range table.members {
 		if member.Listed {
--- a/core/berylmember/open_test.go
+++ b/core/berylmember/open_test.go
@@ -1,6 +1,7 @@
 package berylmember
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -80,3 +81,26 @@
 	}
 	require.Nil(t, table.Member("gone"))
 }
+
+// Guards against a start of a large fleet that costs each daemon a sort of all members for
+// every rumour, and against links that lag behind the members.
+func TestLinksFollowManyRumoursAtOnce(t *testing.T) {
+	const members = 300
+	now := time.Unix(0, 0)
+	table := openTable(now, "vm-0", 1)
+	heartbeat := Heartbeat{Self: Rumour{Process: berylspoke.Process{VM: "vm-1", Incarnation: 1}}}
+	for i := 2; i < members; i++ {
+		heartbeat.Rumours = append(heartbeat.Rumours, Rumour{Process: berylspoke.Process{VM: berylspoke.VMID(fmt.Sprint("vm-", i)), Incarnation: 1}})
+	}
+	version := table.Version()
+	table.HandleHeartbeat(now, heartbeat)
+	require.Greater(t, table.Version(), version)
+	require.True(t, table.unlinked, "the members are sorted once they are needed")
+	require.Len(t, table.Live(), members)
+	out, in := links("vm-0", table.Live())
+	require.Equal(t, out, table.out)
+	require.Equal(t, in, table.Monitored())
+	version = table.Version()
+	table.HandleHeartbeat(now, heartbeat)
+	require.Equal(t, version, table.Version(), "known rumours change nothing")
+}
--- a/core/berylmember/rendezvous.go
+++ b/core/berylmember/rendezvous.go
@@ -3,6 +3,8 @@
 // This file defines rendezvous hashing and the ring of heartbeat links.
 
 import (
+	"cmp"
+	"slices"
 	"sort"
 
 	"github.com/cespare/xxhash/v2"
@@ -49,10 +51,13 @@
 
 // ring sorts VMs by hash, so that neighbours are unlikely to share a failure domain.
 func ring(vms []berylspoke.VMID) []berylspoke.VMID {
-	ordered := append([]berylspoke.VMID(nil), vms...)
-	sort.Slice(ordered, func(i, j int) bool {
-		left, right := xxhash.Sum64String(string(ordered[i])), xxhash.Sum64String(string(ordered[j]))
-		return left < right || left == right && ordered[i] < ordered[j]
+	ordered := slices.Clone(vms)
+	hashes := make(map[berylspoke.VMID]uint64, len(vms))
+	for _, vm := range vms {
+		hashes[vm] = xxhash.Sum64String(string(vm))
+	}
+	slices.SortFunc(ordered, func(one, other berylspoke.VMID) int {
+		return cmp.Or(cmp.Compare(hashes[one], hashes[other]), cmp.Compare(one, other))
 	})
 	return ordered
 }
--- a/core/berylmember/spread.go
+++ b/core/berylmember/spread.go
@@ -2,6 +2,11 @@
 
 // This file defines which rumours a heartbeat carries.
 
+import (
+	"maps"
+	"slices"
+)
+
 // takePending returns the rumours for the next heartbeat and counts down their repetitions;
 // rumours beyond rumoursPerHeartbeat wait for a later one.
 func (table *Table) takePending() []Rumour {
@@ -31,15 +36,13 @@
 	return rumours
 }
 
-// notAlive returns the rumours about daemons that are suspect or dead.
-func (table *Table) notAlive() []Rumour {
-	var notAlive []Rumour
-	for _, member := range table.Members() {
-		if member.Rumour.Status != Alive {
-			notAlive = append(notAlive, member.Rumour)
-		}
+// rumoursNotAlive returns the rumours about daemons that are suspect or dead, sorted by id.
+func (table *Table) rumoursNotAlive() []Rumour {
+	var rumours []Rumour
+	for _, id := range slices.Sorted(maps.Keys(table.notAlive)) {
+		rumours = append(rumours, table.members[id].Rumour)
 	}
-	return notAlive
+	return rumours
 }
 
 func (table *Table) heartbeat(rumours []Rumour) Heartbeat {
--- a/core/berylmember/table.go
+++ b/core/berylmember/table.go
@@ -73,6 +73,13 @@
 	lastRecheck    time.Time
 	urgent         bool
 	live           []berylspoke.VMID
+	// version counts the changes of what the table says of the members. unlinked is set
+	// while live, out and in do not include the changes up to changedAt.
+	version   uint64
+	unlinked  bool
+	changedAt time.Time
+	// notAlive are the members that are suspect or dead.
+	notAlive map[berylspoke.VMID]bool
 	// earlier is the highest incarnation of this daemon that peers reported.
 	earlier berylspoke.Incarnation
 }
@@ -91,8 +98,9 @@
 		members:        map[berylspoke.VMID]*Member{vm.ID: self},
 		pending:        map[berylspoke.VMID]int{vm.ID: rumourRounds},
 		monitoredSince: make(map[berylspoke.VMID]time.Time),
+		notAlive:       make(map[berylspoke.VMID]bool),
 	}
-	table.relink(now)
+	table.changed(now)
 	return table
 }
 
@@ -104,7 +112,7 @@
 	table.self.Rumour.Leaving = true
 	table.self.Rumour.Counter++
 	table.enqueue(table.self.VM.ID)
-	table.relink(now)
+	table.changed(now)
 }
 
 // SetListed applies the platform's list of VMs; a VM that is not on it holds no role.
@@ -125,10 +133,9 @@
 		if listed[id] || member == table.self {
 			continue
 		}
-		delete(table.members, id)
-		delete(table.pending, id)
+		table.remove(id)
 	}
-	table.relink(now)
+	table.changed(now)
 }
 
 // Join adds VMs that may belong to the fleet; they receive heartbeats, and count as dead
@@ -139,7 +146,7 @@
 			member.Listed, member.LastSeen = true, now
 		}
 	}
-	table.relink(now)
+	table.changed(now)
 }
 
 func (table *Table) member(id berylspoke.VMID) *Member {
@@ -163,7 +170,14 @@
 }
 
 // Live returns the listed VMs that are neither leaving nor dead, sorted by id.
-func (table *Table) Live() []berylspoke.VMID { return table.live }
+func (table *Table) Live() []berylspoke.VMID {
+	table.relink()
+	return table.live
+}
+
+// Version returns a number that grows with each change of what the table says of the
+// members.
+func (table *Table) Version() uint64 { return table.version }
 
 // Announce spreads the address at which this daemon takes callers' requests, and its
 // processor time in hundredths of a core.
@@ -172,6 +186,7 @@
 	table.self.Rumour.Attributes.CallAddress = callAddress
 	table.self.VM.CallAddress = callAddress
 	table.self.Rumour.Counter++
+	table.version++
 	table.enqueue(table.self.VM.ID)
 }
 
@@ -201,6 +216,7 @@
 
 // Links returns the VMs this daemon exchanges heartbeats with.
 func (table *Table) Links() []berylspoke.VMID {
+	table.relink()
 	seen := make(map[berylspoke.VMID]bool)
 	var both []berylspoke.VMID
 	for _, id := range append(append([]berylspoke.VMID(nil), table.out...), table.in...) {
@@ -213,7 +229,10 @@
 }
 
 // Monitored returns the VMs whose heartbeats this daemon expects.
-func (table *Table) Monitored() []berylspoke.VMID { return table.in }
+func (table *Table) Monitored() []berylspoke.VMID {
+	table.relink()
+	return table.in
+}
 
 // Members returns every known member sorted by id.
 func (table *Table) Members() []*Member {
@@ -225,8 +244,36 @@
 	return all
 }
 
-// relink recomputes the live VMs and the links after a change.
-func (table *Table) relink(now time.Time) {
+// changed records a change of the members. The links follow when they are needed: a
+// message may bring many changes, and each sort of the members costs more than all of them.
+func (table *Table) changed(now time.Time) {
+	table.version++
+	table.unlinked, table.changedAt = true, now
+}
+
+// setStatus sets the status in a member's rumour.
+func (table *Table) setStatus(member *Member, status Status) {
+	member.Rumour.Status = status
+	if status == Alive {
+		delete(table.notAlive, member.VM.ID)
+	} else {
+		table.notAlive[member.VM.ID] = true
+	}
+}
+
+// remove forgets a VM.
+func (table *Table) remove(id berylspoke.VMID) {
+	delete(table.members, id)
+	delete(table.pending, id)
+	delete(table.notAlive, id)
+}
+
+// relink recomputes the live VMs and the links if the members changed.
+func (table *Table) relink() {
+	if !table.unlinked {
+		return
+	}
+	table.unlinked = false
 	var live, linked []berylspoke.VMID
 	for id, member := range table.members {
 		if !member.Listed || member.Rumour.Status == Dead {
@@ -244,7 +291,7 @@
 	for _, id := range table.in {
 		since, ok := table.monitoredSince[id]
 		if !ok {
-			since = now
+			since = table.changedAt
 		}
 		monitoredSince[id] = since
 	}
@@ -292,7 +339,7 @@
 		// this side considers dead, and they refute that. The heartbeats to dead
 		// neighbours alone reach only the few daemons that are ring neighbours across the
 		// partition.
-		reply := table.heartbeat(table.notAlive())
+		reply := table.heartbeat(table.rumoursNotAlive())
 		return &reply
 	}
 	if table.self.Rumour.Counter != oldCounter || len(corrections) > 0 {
@@ -335,6 +382,7 @@
 		return
 	}
 	member.Rumour, member.Changed = rumour, now
+	table.setStatus(member, rumour.Status)
 	if rumour.Attributes.FailureDomain != "" {
 		member.VM.FailureDomain, member.VM.CallAddress = rumour.Attributes.FailureDomain, rumour.Attributes.CallAddress
 	}
@@ -342,7 +390,7 @@
 		member.LastSeen = now
 	}
 	table.enqueue(id)
-	table.relink(now)
+	table.changed(now)
 }
 
 // EarlierIncarnation returns the highest incarnation that peers report of an earlier run
--- a/io/beryledge/actor.go
+++ b/io/beryledge/actor.go
@@ -97,7 +97,11 @@
 	daemon *Daemon
 	gate   *berylgate.Gate
 	table  *berylmember.Table
-	feeds  [berylfeed.Count]*berylfeed.Feed
+	// members is what was derived from the table, and appliedMembers the version of the
+	// table that refreshMembers applied.
+	members        *membership
+	appliedMembers uint64
+	feeds          [berylfeed.Count]*berylfeed.Feed
 	// contacts are the latest answers of the store to any daemon.
 	contacts berylfeed.Contacts
 	// currency tracks as of when the feeds are complete; oldReplica is set for each feed
@@ -234,10 +238,7 @@
 	report.Complete = core.claimRevisions()
 	contact := core.newestContact(now)
 	report.Contact, report.ContactID = contact.Age, contact.ID
-	to := core.livePeers()
-	if len(to) > berylgate.MaxFullMeshPeers {
-		to = core.table.Links()
-	}
+	to := core.membership().links
 	core.daemon.transport.Broadcast(to, append([]berylspoke.Message{report}, core.crashNotices(now)...))
 }
 
--- a/io/beryledge/collect.go
+++ b/io/beryledge/collect.go
@@ -18,27 +18,16 @@
 // that grow stale.
 const collectorsPerDomain = 2
 
-// collectorsOf returns the daemons that aggregate the usage of a failure domain: those
+// collectorsOf returns which of the daemons of a failure domain aggregate its usage: those
 // with the most processor time, as a collector sends a message to each daemon of its
 // domain.
-func collectorsOf(table *berylmember.Table, domain berylspoke.FailureDomain) []berylspoke.VMID {
-	members := membersOf(table, domain)
-	slices.SortFunc(members, func(one, other berylspoke.VMID) int {
+func collectorsOf(table *berylmember.Table, vms []berylspoke.VMID) []berylspoke.VMID {
+	ranked := slices.Clone(vms)
+	slices.SortFunc(ranked, func(one, other berylspoke.VMID) int {
 		left, right := table.Member(one).Rumour.Attributes.Capacity, table.Member(other).Rumour.Attributes.Capacity
 		return cmp.Or(cmp.Compare(right, left), cmp.Compare(one, other))
 	})
-	return members[:min(len(members), collectorsPerDomain)]
-}
-
-// membersOf returns the live daemons of a failure domain.
-func membersOf(table *berylmember.Table, domain berylspoke.FailureDomain) []berylspoke.VMID {
-	var members []berylspoke.VMID
-	for _, vm := range table.Live() {
-		if table.Member(vm).VM.FailureDomain == domain {
-			members = append(members, vm)
-		}
-	}
-	return members
+	return ranked[:min(len(ranked), collectorsPerDomain)]
 }
 
 // sendUsageReports sends the usage that is due: each daemon sends its own to the
@@ -48,16 +37,17 @@
 // daemon of its domain and two to each other domain.
 func (core *core) sendUsageReports(now time.Time) {
 	self, ownDomain := core.daemon.settings.VM, core.daemon.settings.FailureDomain
-	collectors := collectorsOf(core.table, ownDomain)
+	members := core.membership()
+	collectors := members.collectors[ownDomain]
 	reports := core.gate.UsageReports(now, slices.Contains(collectors, self))
 	core.sendUsage(collectors, reports.ToCollectors)
 	if reports.ToDomains == nil || collectors[0] != self {
 		return
 	}
-	core.sendUsage(membersOf(core.table, ownDomain), reports.ToMembers)
+	core.sendUsage(members.byDomain[ownDomain], reports.ToMembers)
 	for domain := range core.daemon.settings.RegionOf {
 		if domain != ownDomain {
-			core.sendUsage(collectorsOf(core.table, domain), reports.ToDomains)
+			core.sendUsage(members.collectors[domain], reports.ToDomains)
 		}
 	}
 }
--- a/io/beryledge/members.go
+++ b/io/beryledge/members.go
@@ -9,18 +9,19 @@
 	"go.uber.org/zap"
 
 	"berylspoke"
+	"berylspoke/core/berylgate"
 	"berylspoke/core/berylmember"
 )
 
 // syncMembers asks the seeds, or one peer in turn, for all members they know. Rumours
 // are sent only a few times, so this makes up for those that were lost.
 func (core *core) syncMembers(now time.Time) {
-	interval := syncInterval
-	peers := core.livePeers()
-	if len(peers) == 0 {
-		interval = joinInterval
+	sinceSync := now.Sub(core.lastSync)
+	if sinceSync < joinInterval {
+		return
 	}
-	if now.Sub(core.lastSync) < interval {
+	peers := core.membership().peers
+	if len(peers) > 0 && sinceSync < syncInterval {
 		return
 	}
 	core.lastSync = now
@@ -36,19 +37,54 @@
 	}
 }
 
-// livePeers returns the live peers whose incarnation is known.
-func (core *core) livePeers() []berylspoke.VMID {
-	var peers []berylspoke.VMID
-	for _, vm := range core.table.Live() {
-		if vm != core.daemon.settings.VM && core.table.Incarnation(vm) != 0 {
-			peers = append(peers, vm)
+// membership is what the daemon derives from one version of the membership table.
+type membership struct {
+	version uint64
+	// peers are the live peers whose incarnation is known, links those among them that
+	// reports go to.
+	peers, links []berylspoke.VMID
+	// byDomain are the live daemons by failure domain, and collectors those that sum up the
+	// usage of each.
+	byDomain, collectors map[berylspoke.FailureDomain][]berylspoke.VMID
+}
+
+func newMembership(table *berylmember.Table, self berylspoke.VMID) *membership {
+	members := &membership{
+		version:  table.Version(),
+		byDomain: make(map[berylspoke.FailureDomain][]berylspoke.VMID), collectors: make(map[berylspoke.FailureDomain][]berylspoke.VMID),
+	}
+	for _, vm := range table.Live() {
+		if vm != self && table.Incarnation(vm) != 0 {
+			members.peers = append(members.peers, vm)
 		}
+		domain := table.Member(vm).VM.FailureDomain
+		members.byDomain[domain] = append(members.byDomain[domain], vm)
+	}
+	for domain, vms := range members.byDomain {
+		members.collectors[domain] = collectorsOf(table, vms)
+	}
+	members.links = members.peers
+	if len(members.peers) > berylgate.MaxFullMeshPeers {
+		members.links = table.Links()
 	}
-	return peers
+	return members
+}
+
+// membership returns what follows from the membership table, computed again only if the
+// table changed.
+func (core *core) membership() *membership {
+	if core.members == nil || core.members.version != core.table.Version() {
+		core.members = newMembership(core.table, core.daemon.settings.VM)
+	}
+	return core.members
 }
 
 // refreshMembers applies the membership to everything that depends on it if it changed.
 func (core *core) refreshMembers(now time.Time) {
+	if core.appliedMembers == core.table.Version() {
+		return
+	}
+	core.appliedMembers = core.table.Version()
 	fresh := newEntries(core.table)
 	if old := core.daemon.entries.Load(); old.equal(fresh) {
 		return
