A daemon ticks ten times a second and reads the store when it is due

At rest a daemon woke twenty times a second for its tick, and twenty times for the two readers of the store, which asked each 0.1 s whether to read.

The tick is each 0.1 s; while there is news to send, or requests are rejected for lack of processor time, an urgent one follows within 0.05 s of the last as before, so that news waits no longer. The tick wakes the readers. The rate of inflow at a target has a time constant in place of a weight for each tick. Two tests of replicas keep their 50 ms by the name of the urgent interval.

--- a/core/berylgate/target.go
+++ b/core/berylgate/target.go
@@ -247,10 +247,13 @@
 // half the time between two reports, plus their network latency.
 const reportLagMillis = 110.0
 
+// inflowWindow is the time constant of the rate of inflow.
+const inflowWindow = 140 * time.Millisecond
+
 // updateInflow updates the rate of inflow with the work that was reported since the last
 // tick.
 func (target *target) updateInflow(elapsed time.Duration) {
-	const weight = 0.3
+	weight := 1 - math.Exp(-float64(elapsed)/float64(inflowWindow))
 	target.inflowRate += weight * (target.inflowMillis/max(millis(elapsed), 1) - target.inflowRate)
 	target.inflowMillis = 0
 }
--- a/core/berylmember/table.go
+++ b/core/berylmember/table.go
@@ -175,6 +175,9 @@
 	return table.live
 }
 
+// Urgent reports whether rumours wait to be sent.
+func (table *Table) Urgent() bool { return table.urgent }
+
 // Version returns a number that grows with each change of what the table says of the
 // members.
 func (table *Table) Version() uint64 { return table.version }
--- a/io/beryledge/actor.go
+++ b/io/beryledge/actor.go
@@ -18,8 +18,10 @@
 )
 
 const (
-	// tickInterval is the time between two ticks of the core.
-	tickInterval = 50 * time.Millisecond
+	// tickInterval is the time between two ticks of the core, and urgentTickInterval the
+	// same while something is to be sent at once.
+	tickInterval       = 100 * time.Millisecond
+	urgentTickInterval = 50 * time.Millisecond
 	// sweepInterval is the time between two sweeps of idle connections.
 	sweepInterval = 500 * time.Millisecond
 	// reportInterval is the time between two reports to peers. On average, what a daemon
@@ -49,7 +51,7 @@
 
 // The messages of the actor.
 type (
-	tick         struct{}
+	tick         struct{ urgent bool }
 	peerMessages struct {
 		from     berylspoke.VMID
 		messages []berylspoke.Message
@@ -119,6 +121,10 @@
 	// graceEnd is when the first grace period of a vanished target ends, zero for none.
 	graceEnd time.Time
 	lastTick time.Time
+	// lastTimerTick is the last tick that was not urgent, and urgentTickDue is set while an
+	// urgent one is scheduled.
+	lastTimerTick time.Time
+	urgentTickDue bool
 	// withdrawnUntil is the time until which this daemon's address is not given to
 	// callers.
 	withdrawnUntil time.Time
@@ -142,7 +148,7 @@
 		table:      berylmember.NewTable(now, vm, daemon.incarnation, options),
 		contacts:   berylfeed.NewContacts(uint32(xxhash.Sum64String(fmt.Sprint(settings.VM, daemon.incarnation)))),
 		quarantine: berylquarantine.New(),
-		lastTick:   now,
+		lastTick:   now, lastTimerTick: now,
 	}
 	core.table.Join(now, settings.Seeds)
 	for name := range core.feeds {
@@ -172,6 +178,7 @@
 	case connectTimed:
 		core.gate.ObserveConnectTime(message.target, message.duration)
 	case tick:
+		core.beginTick(now, message.urgent)
 		core.tick(now)
 	case peerMessages:
 		for _, item := range message.messages {
@@ -187,6 +194,29 @@
 		message.function(now, core)
 		close(message.done)
 	}
+	core.scheduleUrgentTick(now)
+}
+
+// scheduleUrgentTick schedules a tick before the next regular one if something is to be
+// sent at once, or while requests are rejected for lack of processor time.
+func (core *core) scheduleUrgentTick(now time.Time) {
+	urgent := core.lastReport.IsZero() || core.table.Urgent() || core.gate.Urgent() || core.gate.SilenceNews() ||
+		core.daemon.admission.overloaded(now)
+	if !urgent || core.urgentTickDue {
+		return
+	}
+	core.urgentTickDue = true
+	time.AfterFunc(core.lastTick.Add(urgentTickInterval).Sub(now), func() { core.daemon.send(tick{urgent: true}) })
+}
+
+// beginTick observes the CPU pressure by the delay of a regular tick.
+func (core *core) beginTick(now time.Time, urgent bool) {
+	if urgent {
+		core.urgentTickDue = false
+		return
+	}
+	core.daemon.pressure.observe(now.Sub(core.lastTimerTick) - tickInterval)
+	core.lastTimerTick = now
 }
 
 func (core *core) tick(now time.Time) {
@@ -194,7 +224,6 @@
 		core.table.Resume(now)
 		core.daemon.log.Warn("process was suspended", zap.Duration("for", now.Sub(core.lastTick)))
 	}
-	core.daemon.pressure.observe(now.Sub(core.lastTick) - tickInterval)
 	core.lastTick = now
 	for _, due := range core.table.Tick(now) {
 		core.daemon.transport.Broadcast(due.To, []berylspoke.Message{due.Heartbeat})
@@ -227,6 +256,7 @@
 	core.refreshMembers(now)
 	core.pullChanges(now)
 	core.logReplicaAges(now)
+	core.daemon.wakeReaders(now)
 }
 
 // report sends the peers what this daemon dispatched and the state of its feeds.
@@ -329,20 +359,22 @@
 	}
 }
 
+// runTimers sends the regular ticks and closes idle connections.
 func (daemon *Daemon) runTimers() {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	sweeper := time.NewTicker(sweepInterval)
-	defer sweeper.Stop()
+	lastSweep := daemon.started
 	for {
 		select {
 		case <-daemon.ctx.Done():
 			return
-		case <-ticker.C:
+		case now := <-ticker.C:
 			daemon.send(tick{})
-		case now := <-sweeper.C:
-			daemon.pool.CloseExpired(now)
-			daemon.sweepIdle(now)
+			if now.Sub(lastSweep) >= sweepInterval {
+				lastSweep = now
+				daemon.pool.CloseExpired(now)
+				daemon.sweepIdle(now)
+			}
 		}
 	}
 }
--- a/io/beryledge/daemon.go
+++ b/io/beryledge/daemon.go
@@ -70,6 +70,8 @@
 	lastRequest atomic.Int64
 	revisions   [berylfeed.Count]atomic.Uint64
 	known       [berylfeed.Count]atomic.Bool
+	// readDue wakes the reader of each feed.
+	readDue [berylfeed.Count]chan struct{}
 	// watcher is set if this daemon reads the store for the fleet.
 	watcher atomic.Bool
 	// replicaBytes is the size of each feed. regionRank is the rank of this daemon among
@@ -96,6 +98,7 @@
 		incarnation: berylspoke.Incarnation(now.UnixMicro()), started: now,
 		pool: berylconn.NewPool(), idle: newIdleConns(),
 	}
+	daemon.readDue = newReadDue()
 	daemon.meters = newMeters(daemon)
 	daemon.entries.Store(new(entries))
 	daemon.accepting.Store(new(map[berylspoke.TargetID]bool))
--- a/io/beryledge/replication_test.go
+++ b/io/beryledge/replication_test.go
@@ -85,9 +85,9 @@
 	start := time.Unix(1000, 0)
 	core := newSilentCore(t, start)
 	core.feeds[berylfeed.Targets].Replace(start, nil, 1)
-	for now := start; now.Sub(start) < patience; now = now.Add(tickInterval) {
+	for now := start; now.Sub(start) < patience; now = now.Add(urgentTickInterval) {
 		for peer := range 8 {
-			if now.Sub(start)%largeFleetReportInterval == time.Duration(peer)*tickInterval {
+			if now.Sub(start)%largeFleetReportInterval == time.Duration(peer)*urgentTickInterval {
 				core.deliver(now, berylspoke.VMID(fmt.Sprintf("127.0.0.9:%d", peer+1)), berylgate.Report{
 					Incarnation: 1, Feeds: []berylspoke.Revision{0, 5}, ContactID: 1, Contact: now.Sub(start),
 				})
@@ -146,7 +146,7 @@
 		}
 		return count
 	}
-	limit := maxContactAge + tickInterval
+	limit := maxContactAge + urgentTickInterval
 	require.Equal(t, gateways, readers(berylfeed.Configuration, limit))
 	require.Equal(t, 2*gateways, readers(berylfeed.Configuration, limit+time.Second))
 	require.Equal(t, perRegion, readers(berylfeed.Configuration, limit+10*time.Second))
@@ -178,7 +178,7 @@
 	settings := &Settings{Name: t.Name(), VM: berylspoke.VMID(host + ":7001"), FailureDomain: "a", Region: "r", RegionOf: domains}
 	daemon := &Daemon{
 		settings: settings, dialect: testDialect{testCatalog()}, started: now, incarnation: 1, log: zap.NewNop(),
-		pool: berylconn.NewPool(), idle: newIdleConns(),
+		pool: berylconn.NewPool(), idle: newIdleConns(), readDue: newReadDue(),
 	}
 	daemon.meters = newMeters(daemon)
 	daemon.entries.Store(new(entries))
--- a/io/beryledge/store.go
+++ b/io/beryledge/store.go
@@ -40,8 +40,6 @@
 	// once, and the items reach the fleet within about a second. Without the wait, each
 	// start of a fleet causes two lists per daemon at the same moment.
 	peerWait = 2500 * time.Millisecond
-	// watchCheckInterval is the time between two checks whether to read the store.
-	watchCheckInterval = 100 * time.Millisecond
 	// minRetryPause and maxRetryPause bound the pause after a failed call, so that a
 	// store that rejects calls because it gets too many does not get even more.
 	minRetryPause = 250 * time.Millisecond
@@ -54,7 +52,10 @@
 	var after berylspoke.Revision
 	for daemon.ctx.Err() == nil {
 		if !daemon.mustWatch(feed, time.Now()) {
-			daemon.sleep(watchCheckInterval)
+			select {
+			case <-daemon.ctx.Done():
+			case <-daemon.readDue[feed]:
+			}
 			continue
 		}
 		full := !daemon.known[feed].Load() && after == 0
@@ -88,6 +89,28 @@
 	return daemon.replicaAge(feed, now) > daemon.contactAgeLimit()+turn
 }
 
+// newReadDue returns the channels that wake the readers of the feeds.
+func newReadDue() [berylfeed.Count]chan struct{} {
+	var due [berylfeed.Count]chan struct{}
+	for name := range due {
+		due[name] = make(chan struct{}, 1)
+	}
+	return due
+}
+
+// wakeReaders wakes the readers of the feeds that the daemon has to read from the store.
+func (daemon *Daemon) wakeReaders(now time.Time) {
+	for name, due := range daemon.readDue {
+		if !daemon.mustWatch(berylfeed.Name(name), now) {
+			continue
+		}
+		select {
+		case due <- struct{}{}:
+		default:
+		}
+	}
+}
+
 // contactAgeLimit returns how old the last contact as of which a feed is complete may be
 // before a daemon that is not a watcher reads the store itself.
 func (daemon *Daemon) contactAgeLimit() time.Duration {
--- a/io/beryledge/store_test.go
+++ b/io/beryledge/store_test.go
@@ -62,7 +62,7 @@
 	other.daemon.known[berylfeed.Targets].Store(true)
 	other.observeContact(start, berylfeed.Contact{ID: 1}, watcher.claimRevisions())
 	reports := 0
-	for now := start; now.Sub(start) < time.Minute; now = now.Add(tickInterval) {
+	for now := start; now.Sub(start) < time.Minute; now = now.Add(urgentTickInterval) {
 		for _, feed := range watcher.feeds {
 			if now.Sub(feed.Contact()) >= watchTimeout {
 				feed.Answered(now)
--- /dev/null
+++ b/io/beryledge/tick_test.go
@@ -0,0 +1,55 @@
+package beryledge
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"berylspoke"
+	"berylspoke/core/berylfeed"
+)
+
+// Guards against news that waits for the next regular tick, and against one urgent tick for
+// each message of many.
+func TestNewsIsSentByAnUrgentTick(t *testing.T) {
+	start := time.Unix(1000, 0)
+	core := newSilentCore(t, start)
+	core.tick(start)
+	core.scheduleUrgentTick(start)
+	require.False(t, core.urgentTickDue, "nothing is to be sent")
+	core.applyStoreAnswer(start, storeAnswer{feed: berylfeed.Targets, asOf: 1, full: true, items: []berylspoke.Item{{Key: "t", Revision: 1}}})
+	core.scheduleUrgentTick(start)
+	require.True(t, core.urgentTickDue)
+	core.beginTick(start.Add(urgentTickInterval), true)
+	require.False(t, core.urgentTickDue)
+	core.tick(start.Add(urgentTickInterval))
+	core.scheduleUrgentTick(start.Add(urgentTickInterval))
+	require.False(t, core.urgentTickDue, "the news was sent")
+}
+
+// Guards against urgent ticks that count as late ones: the daemon would take itself for
+// short of processor time.
+func TestUrgentTicksDoNotRaiseCPUPressure(t *testing.T) {
+	start := time.Unix(1000, 0)
+	core := newSilentCore(t, start)
+	for now := start; now.Sub(start) < 5*time.Second; now = now.Add(urgentTickInterval) {
+		core.beginTick(now, now.Sub(start)%tickInterval != 0)
+		core.tick(now)
+	}
+	require.Zero(t, core.daemon.pressure.delay())
+}
+
+// Guards against a daemon that does not read the store though its replica is old, because
+// its reader sleeps.
+func TestReaderIsWokenWhenReplicaIsOld(t *testing.T) {
+	start := time.Unix(1000, 0)
+	core := newSilentCore(t, start)
+	core.applyStoreAnswer(start, storeAnswer{feed: berylfeed.Configuration, asOf: 1, full: true})
+	core.applyStoreAnswer(start, storeAnswer{feed: berylfeed.Targets, asOf: 1, full: true})
+	core.daemon.watcher.Store(false)
+	core.daemon.wakeReaders(start)
+	require.Empty(t, core.daemon.readDue[berylfeed.Targets])
+	core.daemon.wakeReaders(start.Add(maxContactAge + time.Second))
+	require.Len(t, core.daemon.readDue[berylfeed.Targets], 1)
+}
