Counters tell what wakes a daemon and what crosses each link

Nothing told which part of a daemon's work or of the bytes between regions is due to requests and which to control. The core counts its messages by kind, the transport the packets received, and exchanges with targets their bytes by link. The benchmark of wake-ups prints them.

--- a/io/berylconn/exchange.go
+++ b/io/berylconn/exchange.go
@@ -62,6 +62,8 @@
 	// target may send a response twice, and the duplicate arrives in place of the
 	// next response.
 	Matches func(*http.Response) bool
+	// Traffic counts the bytes of the exchange; it may be nil.
+	Traffic *Traffic
 }
 
 // ErrNoLongerWanted means that a request was no longer wanted when there was a connection.
@@ -86,6 +88,7 @@
 		pool.put(now, exchange.conn)
 		return nil, &SendError{Unsent: true, Cause: ErrNoLongerWanted}
 	}
+	exchange.conn.traffic = options.Traffic
 	exchange.stop = context.AfterFunc(ctx, func() { _ = exchange.conn.Close() })
 	exchange.write(options.Request)
 	if err := exchange.readHeader(options.Request, options.Matches); err != nil {
--- a/io/berylconn/pool.go
+++ b/io/berylconn/pool.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -60,6 +61,29 @@
 	// idle.
 	idleTimeout time.Duration
 	idleSince   time.Time
+	// traffic counts the bytes of the current exchange; it may be nil.
+	traffic *Traffic
+}
+
+// Traffic counts bytes exchanged with targets, without headers of packets.
+type Traffic struct{ Sent, Received atomic.Uint64 }
+
+// Write implements net.Conn.
+func (conn *conn) Write(data []byte) (int, error) {
+	count, err := conn.Conn.Write(data)
+	if conn.traffic != nil {
+		conn.traffic.Sent.Add(uint64(count))
+	}
+	return count, err
+}
+
+// Read implements net.Conn.
+func (conn *conn) Read(buffer []byte) (int, error) {
+	count, err := conn.Conn.Read(buffer)
+	if conn.traffic != nil {
+		conn.traffic.Received.Add(uint64(count))
+	}
+	return count, err
 }
 
 // NewPool returns an empty pool.
@@ -189,7 +213,9 @@
 		pool.release(address)
 		return nil, err
 	}
-	return &conn{Conn: opened, address: address, reader: bufio.NewReaderSize(opened, readBufferBytes), idleTimeout: defaultIdleTimeout}, nil
+	conn := &conn{Conn: opened, address: address, idleTimeout: defaultIdleTimeout}
+	conn.reader = bufio.NewReaderSize(conn, readBufferBytes)
+	return conn, nil
 }
 
 // clean reports whether an idle connection is open with nothing to read. Otherwise a
--- a/io/beryledge/actor.go
+++ b/io/beryledge/actor.go
@@ -94,6 +94,40 @@
 	}
 )
 
+// messageKind is the metric label of a message.
+type messageKind uint8
+
+const (
+	regularTickMessage messageKind = iota
+	urgentTickMessage
+	peerMessage
+	storeMessage
+	requestMessage
+	otherMessage
+	messageKinds
+)
+
+// messageNames are the metric labels.
+var messageNames = [messageKinds]string{"tick", "urgentTick", "peer", "store", "request", "other"}
+
+// kindOf returns the kind of a message.
+func kindOf(message any) messageKind {
+	switch message := message.(type) {
+	case tick:
+		if message.urgent {
+			return urgentTickMessage
+		}
+		return regularTickMessage
+	case peerMessages:
+		return peerMessage
+	case storeAnswer, storeFailed:
+		return storeMessage
+	case submit, reserve, answerStarted, attemptEnded, connectTimed, crashed:
+		return requestMessage
+	}
+	return otherMessage
+}
+
 // core is the actor of a daemon.
 type core struct {
 	daemon *Daemon
@@ -161,6 +195,7 @@
 // Receive implements actor.Actor.
 func (core *core) Receive(context actor.Context) {
 	now := time.Now()
+	core.daemon.meters.coreMessages[kindOf(context.Message())].Inc()
 	switch message := context.Message().(type) {
 	case submit:
 		message.decision <- core.submit(now, message.request)
--- a/io/beryledge/attempt.go
+++ b/io/beryledge/attempt.go
@@ -56,6 +56,7 @@
 	exchange, err := call.daemon.pool.Send(ctx, berylconn.SendOptions{
 		Address: target.Address, MaxConnections: decision.Connections, Request: request,
 		StillWanted: func() bool { return call.stillWanted(target) }, Matches: call.answersRequest,
+		Traffic: &call.daemon.meters.targetTraffic[call.daemon.linkTo(target.FailureDomain)],
 	})
 	if err != nil {
 		return call.sendFailed(decision, withTimeoutCause(ctx, err))
--- a/io/beryledge/daemon.go
+++ b/io/beryledge/daemon.go
@@ -213,8 +213,16 @@
 // Link implements berylpeer.Locator.
 func (daemon *Daemon) Link(vm berylspoke.VMID) berylpeer.Link {
 	domain, known := daemon.entries.Load().domains[vm]
+	if !known {
+		return berylpeer.WithinDomain
+	}
+	return daemon.linkTo(domain)
+}
+
+// linkTo returns the kind of link to a failure domain.
+func (daemon *Daemon) linkTo(domain berylspoke.FailureDomain) berylpeer.Link {
 	switch {
-	case !known || domain == daemon.settings.FailureDomain:
+	case domain == daemon.settings.FailureDomain:
 		return berylpeer.WithinDomain
 	case daemon.settings.RegionOf[domain] == daemon.settings.Region:
 		return berylpeer.AcrossDomains
--- a/io/beryledge/meters.go
+++ b/io/beryledge/meters.go
@@ -14,6 +14,7 @@
 	"berylspoke"
 	"berylspoke/core/berylfeed"
 	"berylspoke/core/berylgate"
+	"berylspoke/io/berylconn"
 	"berylspoke/io/berylpeer"
 )
 
@@ -30,6 +31,11 @@
 	pulls, pulledBytes [berylpeer.LinkCount]*metrics.Counter
 	outcomes           [berylgate.Outcomes]*metrics.Counter
 	latency            map[berylspoke.Kind]*metrics.Histogram
+	// coreMessages counts the messages of the core's actor, each of which may wake the
+	// process.
+	coreMessages [messageKinds]*metrics.Counter
+	// targetTraffic counts the bytes exchanged with targets, by link.
+	targetTraffic [berylpeer.LinkCount]berylconn.Traffic
 }
 
 func newMeters(daemon *Daemon) *meters {
@@ -43,6 +49,9 @@
 		rejections:          newRejections(set),
 		latency:             make(map[berylspoke.Kind]*metrics.Histogram),
 	}
+	for kind, name := range messageNames {
+		meters.coreMessages[kind] = set.NewCounter(fmt.Sprintf("berylspoke_core_messages_total{message=%q}", name))
+	}
 	for outcome := range meters.outcomes {
 		name := fmt.Sprintf("berylspoke_attempts_total{outcome=%q}", berylgate.Outcome(outcome))
 		meters.outcomes[outcome] = set.NewCounter(name)
@@ -55,6 +64,7 @@
 	set.NewGauge("berylspoke_quarantined_requests", func() float64 { return float64(daemon.quarantined.Load()) })
 	set.NewGauge("berylspoke_connections_opened_total", func() float64 { return float64(daemon.pool.DialCount()) })
 	meters.addPeerMetrics(daemon)
+	meters.addTargetMetrics()
 	meters.addFeedMetrics(daemon)
 	return meters
 }
@@ -73,13 +83,25 @@
 	for link := berylpeer.WithinDomain; link < berylpeer.LinkCount; link++ {
 		meters.set.NewGauge(fmt.Sprintf("berylspoke_peer_bytes_sent_total{link=%q}", link),
 			traffic(func(traffic *berylpeer.Traffic) uint64 { return traffic.Sent[link].Load() }))
+		meters.set.NewGauge(fmt.Sprintf("berylspoke_peer_packets_sent_total{link=%q}", link),
+			traffic(func(traffic *berylpeer.Traffic) uint64 { return traffic.Packets[link].Load() }))
 	}
+	meters.set.NewGauge("berylspoke_peer_packets_received_total", traffic(func(traffic *berylpeer.Traffic) uint64 { return traffic.PacketsReceived.Load() }))
 	for _, message := range []string{"heartbeat", "report", "usage", "pull", "delta"} {
 		meters.set.NewGauge(fmt.Sprintf("berylspoke_peer_message_bytes_total{message=%q}", message),
 			traffic(func(traffic *berylpeer.Traffic) uint64 { return traffic.SentByKind()[message].Bytes }))
 	}
 }
 
+// addTargetMetrics registers the bytes exchanged with targets.
+func (meters *meters) addTargetMetrics() {
+	for link := berylpeer.WithinDomain; link < berylpeer.LinkCount; link++ {
+		traffic := &meters.targetTraffic[link]
+		meters.set.NewGauge(fmt.Sprintf("berylspoke_target_bytes_sent_total{link=%q}", link), func() float64 { return float64(traffic.Sent.Load()) })
+		meters.set.NewGauge(fmt.Sprintf("berylspoke_target_bytes_received_total{link=%q}", link), func() float64 { return float64(traffic.Received.Load()) })
+	}
+}
+
 // addFeedMetrics registers the ages of the feeds and what they pulled from peers.
 func (meters *meters) addFeedMetrics(daemon *Daemon) {
 	for link := berylpeer.WithinDomain; link < berylpeer.LinkCount; link++ {
--- a/io/berylpeer/count.go
+++ b/io/berylpeer/count.go
@@ -34,10 +34,11 @@
 // datagramHeaders is the size in bytes of the IPv4 and UDP headers of a packet.
 const datagramHeaders = 28
 
-// Traffic counts bytes sent, bytes received and packets sent by link, and messages sent
-// by kind.
+// Traffic counts bytes sent, bytes received and packets sent by link, packets received,
+// and messages sent by kind.
 type Traffic struct {
 	Sent, Received, Packets [LinkCount]atomic.Uint64
+	PacketsReceived         atomic.Uint64
 	messages, messageBytes  [kindsEnd]atomic.Uint64
 }
 
@@ -110,6 +111,7 @@
 		if err != nil {
 			return size, nil, err
 		}
+		socket.traffic.PacketsReceived.Add(1)
 		if size > 0 && buffer[0] == datagramMark {
 			if socket.datagrams != nil {
 				socket.datagrams(from, buffer[:size])
--- a/io/berylpeer/flow.go
+++ b/io/berylpeer/flow.go
@@ -172,6 +172,7 @@
 		if err != nil {
 			return
 		}
+		transport.traffic.PacketsReceived.Add(1)
 		if size > 0 && buffer[0] == datagramMark {
 			transport.receiveDatagram(time.Now(), udp, from, buffer[:size])
 		}
--- a/soak/control_test.go
+++ b/soak/control_test.go
@@ -59,7 +59,8 @@
 	cancel()
 	sending.Wait()
 	for _, name := range slices.Sorted(maps.Keys(after)) {
-		if perDaemon := (after[name] - before[name]) / seconds / float64(vms); strings.HasPrefix(name, "berylspoke_peer_") && perDaemon > 0 {
+		reported := strings.HasPrefix(name, "berylspoke_peer_") || strings.HasPrefix(name, "berylspoke_core_")
+		if perDaemon := (after[name] - before[name]) / seconds / float64(vms); reported && perDaemon > 0 {
 			b.Logf("%2d daemons  %-60s %6.0f a second and daemon", vms, name, perDaemon)
 		}
 	}
