What a daemon knows of a target is passed on once

Cause: each target that lost an answer made its daemon send a whole report to ten peers within 0.1 s, again at each change, and every report carried all known waits and silences.

A daemon passes each observation on in one report, 16 waits and 16 silences at most, and sends one early report a second for a silent target. A request that still waits counts only if it exceeds the known wait by 0.1 s.

--- a/core/berylgate/gate.go
+++ b/core/berylgate/gate.go
@@ -116,6 +116,8 @@
 	urgent     bool
 	// silenceNews is set if a target was found silent since the last report.
 	silenceNews bool
+	// lastNews is when such a target was last reported.
+	lastNews time.Time
 }
 
 // New returns a gate without targets.
--- a/core/berylgate/report.go
+++ b/core/berylgate/report.go
@@ -108,6 +108,9 @@
 		report.Organisations = gate.newUsage(DaemonUsage, gate.ownUsage(now)).Organisations
 	}
 	report.Silences = gate.silenceReports(now)
+	if gate.silenceNews {
+		gate.lastNews = now
+	}
 	gate.lastReport, gate.urgent, gate.silenceNews = now, false, false
 	return report
 }
@@ -116,9 +119,6 @@
 // is urgent, as only the loads of the targets show what others sent.
 func (gate *Gate) Urgent() bool { return gate.urgent && !gate.largeFleet() }
 
-// SilenceNews reports whether a target was found silent since the last report.
-func (gate *Gate) SilenceNews() bool { return gate.silenceNews }
-
 // loadReports returns the loads that targets reported to this daemon after the given
 // time. Loads that peers reported are not forwarded: that would multiply the bytes by the
 // number of links, and the peers' own reports cover each target often enough.
--- a/core/berylgate/silence.go
+++ b/core/berylgate/silence.go
@@ -5,7 +5,6 @@
 // would lose several requests before it avoids the target.
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -21,7 +20,10 @@
 	// network latency of each hop.
 	evidenceResolution = 500 * time.Millisecond
 	// maxSilences bounds the silences in one report.
-	maxSilences = 64
+	maxSilences = 16
+	// silenceNewsInterval is the minimum time between two reports that are sent early for
+	// a silent target. Engines that lose single answers would cause one for each.
+	silenceNewsInterval = time.Second
 	// trialSenders is the number of daemons that send requests to a silent target, one at
 	// a time, to observe when it answers again.
 	trialSenders = 2
@@ -40,6 +42,9 @@
 	silentAt, answeredAt time.Time
 	// tries is set if this daemon sends to the target while it is silent.
 	tries bool
+	// reported is set once the silence was in a report of this daemon, and answerReported
+	// once the answer that ended it was.
+	reported, answerReported bool
 }
 
 // lastEvidence returns when the target last answered any daemon, as far as is known.
@@ -68,6 +73,9 @@
 // peers are told at once.
 func (gate *Gate) recordSilence(now time.Time, target *target, at time.Time) {
 	before := target.silent(now)
+	if at.After(target.evidence.silentAt.Add(evidenceResolution)) {
+		target.evidence.reported, target.evidence.answerReported = false, false
+	}
 	if at.After(target.evidence.silentAt) {
 		target.evidence.silentAt = at
 	}
@@ -84,21 +92,30 @@
 	}
 }
 
-// silenceReports returns the silences that may still make a daemon avoid a target, the
-// newest first.
+// silenceReports returns the silences that were not reported yet, or that ended since.
 func (gate *Gate) silenceReports(now time.Time) []SilenceReport {
 	var reports []SilenceReport
 	for _, target := range gate.sorted {
-		if silentAt := target.evidence.silentAt; !silentAt.IsZero() && now.Sub(silentAt) < silenceMaxAge {
-			reports = append(reports, SilenceReport{
-				Target: target.hash, Silent: now.Sub(silentAt), Answered: max(now.Sub(target.lastEvidence()), 0),
-			})
+		known := &target.evidence
+		if known.silentAt.IsZero() || now.Sub(known.silentAt) >= silenceMaxAge || len(reports) == maxSilences {
+			continue
 		}
+		silent := target.silent(now)
+		if silent && known.reported || !silent && known.answerReported {
+			continue
+		}
+		known.reported, known.answerReported = true, !silent
+		reports = append(reports, SilenceReport{
+			Target: target.hash, Silent: now.Sub(known.silentAt), Answered: max(now.Sub(target.lastEvidence()), 0),
+		})
 	}
-	slices.SortFunc(reports, func(one, other SilenceReport) int {
-		return cmp.Or(cmp.Compare(one.Silent, other.Silent), cmp.Compare(one.Target, other.Target))
-	})
-	return reports[:min(len(reports), maxSilences)]
+	return reports
+}
+
+// SilenceNews reports whether a report should be sent early because a target was found
+// silent since the last one.
+func (gate *Gate) SilenceNews(now time.Time) bool {
+	return gate.silenceNews && now.Sub(gate.lastNews) >= silenceNewsInterval
 }
 
 // receiveSilences applies the silences that a peer reports.
--- a/core/berylgate/silence_test.go
+++ b/core/berylgate/silence_test.go
@@ -117,7 +117,7 @@
 func (fleet *meshFleet) report(index int) {
 	gate := fleet.gates[index]
 	interval := meshReportInterval
-	if gate.SilenceNews() {
+	if gate.SilenceNews(fleet.now) {
 		interval = meshNewsInterval
 	}
 	if fleet.now.Sub(fleet.reported[index]) < interval {
--- a/core/berylgate/wait.go
+++ b/core/berylgate/wait.go
@@ -13,8 +13,11 @@
 const (
 	// minSharedWait is the shortest wait that is passed on to other daemons.
 	minSharedWait = 150 * time.Millisecond
-	// maxWaits bounds the waits in one report.
-	maxWaits = 64
+	// maxWaits bounds the waits in one report, which is sent to some ten peers.
+	maxWaits = 16
+	// waitStep is the difference by which a request that still waits must exceed the known
+	// wait.
+	waitStep = 100 * time.Millisecond
 	// maxWait bounds a wait that a peer reports.
 	maxWait = 10 * time.Second
 )
@@ -30,6 +33,8 @@
 type observedWait struct {
 	at     time.Time
 	millis float64
+	// reported is set once it was in a report of this daemon.
+	reported bool
 }
 
 // now returns the wait that is left at the given time if no work was added since.
@@ -40,8 +45,8 @@
 // observeWait records how long a request waited at a target, or has waited so far.
 func (target *target) observeWait(now time.Time, attempt *attempt, answered bool) {
 	waitedMillis := millis(now.Sub(attempt.sentAt)) - attempt.unloadedMillis
-	if answered || waitedMillis > target.wait.now(now) {
-		target.wait = observedWait{now, max(0, waitedMillis)}
+	if answered || waitedMillis > target.wait.now(now)+millis(waitStep) {
+		target.wait = observedWait{at: now, millis: max(0, waitedMillis)}
 	}
 }
 
@@ -54,18 +59,23 @@
 	}
 }
 
-// waitReports returns the longest waits that are known.
+// waitReports returns the longest waits that were not reported yet.
 func (gate *Gate) waitReports(now time.Time) []WaitReport {
-	var reports []WaitReport
+	var waiting []*target
 	for _, target := range gate.sorted {
-		if target.engine != nil && duration(target.wait.now(now)) >= minSharedWait {
-			reports = append(reports, WaitReport{Target: target.hash, Wait: duration(target.wait.millis), Age: now.Sub(target.wait.at)})
+		if target.engine != nil && !target.wait.reported && duration(target.wait.now(now)) >= minSharedWait {
+			waiting = append(waiting, target)
 		}
 	}
-	slices.SortFunc(reports, func(one, other WaitReport) int {
-		return cmp.Or(cmp.Compare(other.Wait-other.Age, one.Wait-one.Age), cmp.Compare(one.Target, other.Target))
+	slices.SortStableFunc(waiting, func(one, other *target) int {
+		return cmp.Compare(other.wait.now(now), one.wait.now(now))
 	})
-	return reports[:min(len(reports), maxWaits)]
+	var reports []WaitReport
+	for _, target := range waiting[:min(len(waiting), maxWaits)] {
+		target.wait.reported = true
+		reports = append(reports, WaitReport{Target: target.hash, Wait: duration(target.wait.millis), Age: now.Sub(target.wait.at)})
+	}
+	return reports
 }
 
 // receiveWaits applies the waits that a peer reports.
@@ -76,7 +86,7 @@
 			continue
 		}
 		if at := now.Add(-max(item.Age, 0)); at.After(target.wait.at.Add(evidenceResolution)) {
-			target.wait = observedWait{at, millis(min(max(item.Wait, 0), maxWait))}
+			target.wait = observedWait{at: at, millis: millis(min(max(item.Wait, 0), maxWait))}
 		}
 	}
 }
--- a/io/beryledge/actor.go
+++ b/io/beryledge/actor.go
@@ -235,7 +235,7 @@
 // scheduleUrgentTick schedules a tick before the next regular one if something is to be
 // sent at once, or while requests are rejected for lack of processor time.
 func (core *core) scheduleUrgentTick(now time.Time) {
-	urgent := core.lastReport.IsZero() || core.table.Urgent() || core.gate.Urgent() || core.gate.SilenceNews() ||
+	urgent := core.lastReport.IsZero() || core.table.Urgent() || core.gate.Urgent() || core.gate.SilenceNews(now) ||
 		core.daemon.admission.overloaded(now)
 	if !urgent || core.urgentTickDue {
 		return
@@ -275,7 +275,7 @@
 	switch {
 	case core.gate.Urgent():
 		interval = 0
-	case core.gate.SilenceNews():
+	case core.gate.SilenceNews(now):
 		interval = silenceReportInterval
 	}
 	if now.Sub(core.lastReport) >= interval {
