--- a/core/berylgate/silence.go
+++ b/core/berylgate/silence.go
@@ -47,8 +47,8 @@
 	reported, answerReported bool
 }
 
-// lastEvidence returns when the target last answered any daemon, as far as is known.
-func (target *target) lastEvidence() time.Time {
+// latestAnswer returns when the target last answered any daemon, as far as is known.
+func (target *target) latestAnswer() time.Time {
 	latest := target.lastAnswer
 	for _, at := range []time.Time{target.latestLoad.at, target.evidence.answeredAt} {
 		if at.After(latest) {
@@ -61,7 +61,7 @@
 // silent reports whether the newest evidence of the target is that it did not answer.
 func (target *target) silent(now time.Time) bool {
 	silentAt := target.evidence.silentAt
-	return silentAt.After(target.lastEvidence()) && now.Sub(silentAt) < silenceMaxAge
+	return silentAt.After(target.latestAnswer()) && now.Sub(silentAt) < silenceMaxAge
 }
 
 // avoided reports whether requests are not sent to the target for its silence.
@@ -106,7 +106,7 @@
 		}
 		known.reported, known.answerReported = true, !silent
 		reports = append(reports, SilenceReport{
-			Target: target.hash, Silent: now.Sub(known.silentAt), Answered: max(now.Sub(target.lastEvidence()), 0),
+			Target: target.hash, Silent: now.Sub(known.silentAt), Answered: max(now.Sub(target.latestAnswer()), 0),
 		})
 	}
 	return reports
--- a/core/berylgate/target.go
+++ b/core/berylgate/target.go
@@ -333,7 +333,7 @@
 	for attempt := range target.attempts {
 		maxSilence := max(minSilence, silenceFactor*duration(attempt.expectedMillis))
 		at := attempt.sentAt.Add(maxSilence / 2)
-		if attempt.answerStarted || now.Sub(attempt.sentAt) <= maxSilence || !target.lastEvidence().Before(at) {
+		if attempt.answerStarted || now.Sub(attempt.sentAt) <= maxSilence || !target.latestAnswer().Before(at) {
 			continue
 		}
 		target.suspect = true
--- a/io/berylpeer/datagram_test.go
+++ b/io/berylpeer/datagram_test.go
@@ -219,7 +219,7 @@
 		epoch:   1, flows: make(map[berylspoke.VMID]*flow), socket: &countingSocket{},
 	}
 	f.Fuzz(func(t *testing.T, packet []byte) {
-		transport.receiveDatagram(time.Unix(0, 0), nil, netip.AddrPort{}, packet)
+		transport.receiveDatagram(time.Unix(0, 0), path{}, packet)
 		require.Empty(t, transport.flows)
 	})
 }
--- a/io/berylpeer/flow.go
+++ b/io/berylpeer/flow.go
@@ -31,12 +31,11 @@
 // flow is the exchange of datagrams with one peer. The first datagrams only tell each side
 // the epoch of the other; packets are sent once it is known.
 type flow struct {
-	vm      berylspoke.VMID
-	link    Link
-	address netip.AddrPort
-	// socket is nil for the transport's own socket. A flow that was silent gets another
+	vm   berylspoke.VMID
+	link Link
+	// path is where datagrams are sent from and to. A flow that was silent gets another
 	// port, as a middlebox may drop all packets between the two ports for good.
-	socket *net.UDPConn
+	path path
 	// sendCipher and counter seal what is sent.
 	sendCipher cipher.AEAD
 	counter    uint64
@@ -62,12 +61,17 @@
 	usedAt time.Time
 }
 
-// outgoing is a sealed datagram to write.
-type outgoing struct {
+// path is a local socket, nil for the transport's own, and the address of a peer.
+type path struct {
 	socket  *net.UDPConn
 	address netip.AddrPort
-	link    Link
-	packet  []byte
+}
+
+// outgoing is a sealed datagram to write.
+type outgoing struct {
+	path   path
+	link   Link
+	packet []byte
 }
 
 // flow returns the flow of a VM, adding it if needed; the caller holds the mutex.
@@ -139,7 +143,7 @@
 	if flow.greetings > 0 {
 		transport.useNewPort(flow)
 	}
-	flow.address, flow.greetedAt = address, now
+	flow.path.address, flow.greetedAt = address, now
 	flow.greetings++
 	return true
 }
@@ -153,14 +157,14 @@
 		transport.options.Log.Debug("socket on a new port cannot be opened", zap.Error(err))
 		return
 	}
-	flow.socket = udp
+	flow.path.socket = udp
 	go transport.readLoop(udp)
 }
 
 func (transport *Transport) closeSocket(flow *flow) {
-	if flow.socket != nil {
-		_ = flow.socket.Close()
-		flow.socket = nil
+	if flow.path.socket != nil {
+		_ = flow.path.socket.Close()
+		flow.path.socket = nil
 	}
 }
 
@@ -174,7 +178,7 @@
 		}
 		transport.traffic.PacketsReceived.Add(1)
 		if size > 0 && buffer[0] == datagramMark {
-			transport.receiveDatagram(time.Now(), udp, from, buffer[:size])
+			transport.receiveDatagram(time.Now(), path{udp, from}, buffer[:size])
 		}
 	}
 }
@@ -186,7 +190,7 @@
 	if flow.unheardSince.IsZero() {
 		flow.unheardSince = now
 	}
-	return outgoing{flow.socket, flow.address, flow.link, seal(flow.sendCipher, header{
+	return outgoing{flow.path, flow.link, seal(flow.sendCipher, header{
 		answer: now.Sub(flow.heardAt) > askInterval, vm: transport.options.VM,
 		sender: transport.epoch, receiver: run, counter: flow.counter,
 	}, body)}
@@ -194,26 +198,25 @@
 
 func (transport *Transport) writeAll(datagrams []outgoing) {
 	for _, datagram := range datagrams {
-		socket := datagram.socket
+		socket := datagram.path.socket
 		if socket == nil {
 			socket = transport.socket.udp
 		}
 		transport.traffic.countSent(datagram.link, len(datagram.packet))
 		// A datagram that cannot be written is lost, like one that the network drops.
-		_, _ = socket.WriteToUDPAddrPort(datagram.packet, datagram.address)
+		_, _ = socket.WriteToUDPAddrPort(datagram.packet, datagram.path.address)
 	}
 }
 
-// receiveDatagram processes a datagram. The socket is nil if it came through the
-// transport's own.
-func (transport *Transport) receiveDatagram(now time.Time, socket *net.UDPConn, from netip.AddrPort, packet []byte) {
+// receiveDatagram processes a datagram that came on a path.
+func (transport *Transport) receiveDatagram(now time.Time, from path, packet []byte) {
 	header, size, err := parseHeader(packet)
 	if err != nil || header.sender == 0 || header.vm == transport.options.VM {
 		return
 	}
-	from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+	from.address = netip.AddrPortFrom(from.address.Addr().Unmap(), from.address.Port())
 	transport.mutex.Lock()
-	body, datagrams := transport.openDatagram(now, socket, from, header, packet[:size], packet[size:])
+	body, datagrams := transport.openDatagram(now, from, header, packet[:size], packet[size:])
 	transport.mutex.Unlock()
 	transport.writeAll(datagrams)
 	if len(body) > 0 {
@@ -222,7 +225,7 @@
 }
 
 // openDatagram returns the body of a valid datagram and the datagrams to send in return.
-func (transport *Transport) openDatagram(now time.Time, socket *net.UDPConn, from netip.AddrPort, header header, associated, sealed []byte) ([]byte, []outgoing) {
+func (transport *Transport) openDatagram(now time.Time, from path, header header, associated, sealed []byte) ([]byte, []outgoing) {
 	known := transport.flows[header.vm]
 	if known != nil && slices.Contains(known.endedRuns, header.sender) {
 		return nil, nil
@@ -239,21 +242,19 @@
 	if header.receiver != transport.epoch {
 		// The sender does not know this run, so the datagram may be an old one. Its sender
 		// sends again once it has received the answer.
-		return nil, transport.answer(now, flow, outgoing{socket: socket, address: from}, header.sender)
+		return nil, transport.answer(now, flow, from, header.sender)
 	}
 	var datagrams []outgoing
 	if flow.run != header.sender {
-		datagrams = transport.beginRun(now, flow, header.sender, aead, outgoing{socket: socket, address: from})
+		datagrams = transport.beginRun(now, flow, header.sender, aead, from)
 	}
 	if !flow.window.accept(header.counter) {
 		return nil, nil
 	}
-	if flow.socket != socket && socket == nil {
-		transport.closeSocket(flow)
-	}
-	flow.address, flow.heardAt, flow.unheardSince = from, now, time.Time{}
+	transport.usePath(flow, from)
+	flow.heardAt, flow.unheardSince = now, time.Time{}
 	if header.answer && len(datagrams) == 0 {
-		datagrams = transport.answer(now, flow, outgoing{flow.socket, from, flow.link, nil}, header.sender)
+		datagrams = transport.answer(now, flow, from, header.sender)
 	}
 	return body, datagrams
 }
@@ -279,9 +280,17 @@
 	return nil, nil
 }
 
+// usePath makes a flow send on the path that a datagram came on.
+func (transport *Transport) usePath(flow *flow, from path) {
+	if from.socket == nil {
+		transport.closeSocket(flow)
+	}
+	flow.path = from
+}
+
 // beginRun makes a run the current one of its peer, and returns the packets that waited for
 // it.
-func (transport *Transport) beginRun(now time.Time, flow *flow, run epoch, aead cipher.AEAD, path outgoing) []outgoing {
+func (transport *Transport) beginRun(now time.Time, flow *flow, run epoch, aead cipher.AEAD, from path) []outgoing {
 	if flow.lastRun != 0 && flow.lastRun != run {
 		flow.endedRuns = append(flow.endedRuns, flow.lastRun)
 		flow.endedRuns = flow.endedRuns[max(len(flow.endedRuns)-maxEndedRuns, 0):]
@@ -289,11 +298,8 @@
 	if flow.lastRun != run {
 		flow.window = replayWindow{}
 	}
-	flow.run, flow.lastRun, flow.receiveCipher = run, run, aead
-	flow.address, flow.greetings = path.address, 0
-	if path.socket == nil {
-		transport.closeSocket(flow)
-	}
+	flow.run, flow.lastRun, flow.receiveCipher, flow.greetings = run, run, aead, 0
+	transport.usePath(flow, from)
 	var datagrams []outgoing
 	for _, packet := range flow.waiting {
 		datagrams = append(datagrams, transport.sealFor(now, flow, run, packet))
@@ -302,14 +308,14 @@
 	return datagrams
 }
 
-// answer returns an empty datagram to where one came from, at most one in answerInterval.
-func (transport *Transport) answer(now time.Time, flow *flow, path outgoing, run epoch) []outgoing {
+// answer returns an empty datagram on the path that one came on, at most one in
+// answerInterval.
+func (transport *Transport) answer(now time.Time, flow *flow, to path, run epoch) []outgoing {
 	if now.Sub(flow.answeredAt) < answerInterval {
 		return nil
 	}
 	flow.answeredAt = now
 	flow.counter++
-	path.link = flow.link
-	path.packet = seal(flow.sendCipher, header{vm: transport.options.VM, sender: transport.epoch, receiver: run, counter: flow.counter}, nil)
-	return []outgoing{path}
+	packet := seal(flow.sendCipher, header{vm: transport.options.VM, sender: transport.epoch, receiver: run, counter: flow.counter}, nil)
+	return []outgoing{{to, flow.link, packet}}
 }
--- a/io/berylpeer/transport.go
+++ b/io/berylpeer/transport.go
@@ -124,7 +124,7 @@
 	transport.ctx, transport.stop = context.WithCancel(context.Background())
 	transport.socket = &countingSocket{PacketConn: udp, udp: udp, traffic: &transport.traffic, links: make(map[string]Link)}
 	transport.socket.datagrams = func(from netip.AddrPort, packet []byte) {
-		transport.receiveDatagram(time.Now(), nil, from, packet)
+		transport.receiveDatagram(time.Now(), path{address: from}, packet)
 	}
 	resetKey, err := deriveKey(options.Keys[0], "reset "+string(options.VM), 32)
 	if err != nil {
