--- a/core/berylgate/dump.go
+++ b/core/berylgate/dump.go
@@ -28,6 +28,10 @@
 	ErrorRate     float64              `json:"errorRate"`
 	Suspect       bool                 `json:"suspect"`
 	Paused        bool                 `json:"paused"`
+	// Silent says that the target answered no daemon recently, WaitMillis how long requests
+	// are known to wait there.
+	Silent     bool    `json:"silent"`
+	WaitMillis float64 `json:"waitMillis"`
 }
 
 // Dump returns the state of the gate.
@@ -42,6 +46,7 @@
 			ID: target.ID, Service: target.Service, Draining: target.Draining, BacklogMillis: target.backlogMillis,
 			Slowdown: target.slowdown, Running: target.running, OthersRunning: target.others.running,
 			ErrorRate: target.errorRate, Suspect: target.suspect, Paused: now.Before(target.pausedUntil),
+			Silent: target.silent(now), WaitMillis: target.wait.now(now),
 		})
 	}
 	return dump
