The core is told when the processor becomes overloaded

Cause: what such organisations may begin is set at a tick while the processor is overloaded; with regular ticks of 0.1 s the test's pause of two ticks was as long as the 0.2 s for which an overload counts, and a VM learned it up to 0.1 s after the onset, not 0.05 s.

The admission queue tells the core once when an overload begins, and an urgent tick follows within 0.05 s of the last. TestOverloadIsReportedAtOnce fails without it. The test that failed now waits until the queue has the allowance before each of its 20 requests instead of for a fixed time; that none of them is parsed is checked as before. Tests of single cores schedule no timers.

--- a/io/beryledge/actor.go
+++ b/io/beryledge/actor.go
@@ -83,7 +83,9 @@
 		asOf  berylspoke.Revision
 		full  bool
 	}
-	storeFailed struct {
+	// overloadBegan says that requests have to wait for the processor.
+	overloadBegan struct{}
+	storeFailed   struct {
 		feed berylfeed.Name
 		err  error
 	}
@@ -103,12 +105,13 @@
 	peerMessage
 	storeMessage
 	requestMessage
+	overloadMessage
 	otherMessage
 	messageKinds
 )
 
 // messageNames are the metric labels.
-var messageNames = [messageKinds]string{"tick", "urgentTick", "peer", "store", "request", "other"}
+var messageNames = [messageKinds]string{"tick", "urgentTick", "peer", "store", "request", "overload", "other"}
 
 // kindOf returns the kind of a message.
 func kindOf(message any) messageKind {
@@ -124,6 +127,8 @@
 		return storeMessage
 	case submit, reserve, answerStarted, attemptEnded, connectTimed, crashed:
 		return requestMessage
+	case overloadBegan:
+		return overloadMessage
 	}
 	return otherMessage
 }
@@ -159,6 +164,8 @@
 	// urgent one is scheduled.
 	lastTimerTick time.Time
 	urgentTickDue bool
+	// tickAfter sends the core an urgent tick after a delay.
+	tickAfter func(delay time.Duration)
 	// withdrawnUntil is the time until which this daemon's address is not given to
 	// callers.
 	withdrawnUntil time.Time
@@ -184,6 +191,9 @@
 		quarantine: berylquarantine.New(),
 		lastTick:   now, lastTimerTick: now,
 	}
+	core.tickAfter = func(delay time.Duration) {
+		time.AfterFunc(delay, func() { daemon.send(tick{urgent: true}) })
+	}
 	core.table.Join(now, settings.Seeds)
 	for name := range core.feeds {
 		core.feeds[name] = berylfeed.New()
@@ -241,7 +251,7 @@
 		return
 	}
 	core.urgentTickDue = true
-	time.AfterFunc(core.lastTick.Add(urgentTickInterval).Sub(now), func() { core.daemon.send(tick{urgent: true}) })
+	core.tickAfter(core.lastTick.Add(urgentTickInterval).Sub(now))
 }
 
 // beginTick observes the CPU pressure by the delay of a regular tick.
--- a/io/beryledge/admission.go
+++ b/io/beryledge/admission.go
@@ -51,6 +51,10 @@
 	// while a written byte is unread.
 	wakeup io.Writer
 	woken  bool
+	// reported is set while the core knows that the processor is overloaded; overloadBegan
+	// tells it, and may be nil.
+	reported      bool
+	overloadBegan func()
 }
 
 // demand holds the properties of a request that determine when it is admitted.
@@ -108,13 +112,19 @@
 // decided. It notifies them without the lock, as some of them write answers.
 func (admission *admission) change(apply func(now time.Time) beryladmission.Change) {
 	admission.mutex.Lock()
-	change := apply(time.Now())
+	now := time.Now()
+	change := apply(now)
+	began := !admission.reported && admission.overloadBegan != nil && admission.queue.Overloaded(now)
+	admission.reported = admission.reported || began
 	admitted, rejected := admission.remove(change.Admitted), admission.remove(change.Rejected)
 	if !admission.woken && admission.queue.Ready() {
 		admission.woken = true
 		_, _ = admission.wakeup.Write([]byte{0})
 	}
 	admission.mutex.Unlock()
+	if began {
+		admission.overloadBegan()
+	}
 	for _, waiter := range admitted {
 		waiter.decided(true)
 	}
@@ -173,6 +183,14 @@
 	admission.queue.SetAllowances(allowances)
 }
 
+// overloadEnded removes the allowances.
+func (admission *admission) overloadEnded() {
+	admission.mutex.Lock()
+	defer admission.mutex.Unlock()
+	admission.reported = false
+	admission.queue.SetAllowances(nil)
+}
+
 // newSlot returns the slot that the queue assigned to an admitted request.
 func (admission *admission) newSlot(demand demand) *slot {
 	admission.mutex.Lock()
@@ -341,7 +359,7 @@
 	core.gate.CountRejected(now, admission.collectRejected(beryladmission.Overload))
 	core.gate.CountRejectedOverCap(now, admission.collectRejected(beryladmission.OverCap))
 	if !admission.overloaded(now) {
-		admission.setAllowances(nil)
+		admission.overloadEnded()
 		return
 	}
 	admission.setAllowances(core.gate.Allowances(now))
--- a/io/beryledge/daemon.go
+++ b/io/beryledge/daemon.go
@@ -108,6 +108,7 @@
 		return nil, err
 	}
 	daemon.startCore(now)
+	daemon.admission.overloadBegan = func() { daemon.send(overloadBegan{}) }
 	if err := daemon.open(endpoints(daemon)); err != nil {
 		daemon.Kill()
 		return nil, err
--- a/io/beryledge/rejection_test.go
+++ b/io/beryledge/rejection_test.go
@@ -54,6 +54,16 @@
 	}
 }
 
+// overloadUntilOverCap keeps the processor overloaded until the core has told the queue
+// that an organisation is beyond its cap.
+func overloadUntilOverCap(t *testing.T, daemon *Daemon, organisation berylspoke.OrganisationID) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		makeOverloaded(daemon)
+		return daemon.admission.reject(demand{organisation: organisation, tokens: 1}) == beryladmission.OverCap
+	}, 5*time.Second, time.Millisecond)
+}
+
 // exceedCap makes an organisation receive many times its cap.
 func exceedCap(daemon *Daemon, organisation berylspoke.OrganisationID) {
 	daemon.inspectCore(func(now time.Time, core *core) {
@@ -75,15 +85,13 @@
 	dialect := countingDialect{testDialect{testCatalog()}, parsed}
 	daemon, _ := startServingWith(t, map[string]*testTarget{"engines": target}, dialect)
 	exceedCap(daemon, "union")
-	// Max-min levels are computed every other tick.
-	time.Sleep(3 * tickInterval)
-	makeOverloaded(daemon)
+	overloadUntilOverCap(t, daemon, "union")
 	// The listener may be blocked in an accept that bypasses the admission queue.
 	_, _ = sendRaw(daemon.settings.CallersAddress, "", "first")
-	time.Sleep(2 * tickInterval)
+	overloadUntilOverCap(t, daemon, "union")
 	parsed.Store(0)
 	for i := range 20 {
-		makeOverloaded(daemon)
+		overloadUntilOverCap(t, daemon, "union")
 		status, retryAfter := sendRawTo(daemon.settings.CallersAddress, "/draft/x", "u", fmt.Sprint("u-", i))
 		require.Equal(t, http.StatusServiceUnavailable, status)
 		require.NotEmpty(t, retryAfter)
@@ -95,6 +103,22 @@
 	require.Equal(t, http.StatusOK, status, "others are served")
 }
 
+// Guards against a VM that admits requests beyond a cap until the next regular tick because
+// nothing tells the core that its processor is overloaded.
+func TestOverloadIsReportedAtOnce(t *testing.T) {
+	daemon, _ := startServing(t, map[string]*testTarget{"desk": newTestTarget(t, "d1", sealed(http.StatusOK, "done"))})
+	reports := daemon.meters.coreMessages[overloadMessage].Get
+	require.Zero(t, reports())
+	makeOverloaded(daemon)
+	makeOverloaded(daemon)
+	require.Eventually(t, func() bool { return reports() == 1 }, time.Second, time.Millisecond, "once")
+	require.Eventually(t, func() bool {
+		daemon.admission.mutex.Lock()
+		defer daemon.admission.mutex.Unlock()
+		return !daemon.admission.reported
+	}, time.Second, time.Millisecond, "its end is noticed")
+}
+
 // Guards against rejections that use up the processor time they are meant to save: in a
 // flood many times as many requests are rejected as served.
 func TestRejectedRequestIsNotCopied(t *testing.T) {
--- a/io/beryledge/tick_test.go
+++ b/io/beryledge/tick_test.go
@@ -15,17 +15,20 @@
 func TestNewsIsSentByAnUrgentTick(t *testing.T) {
 	start := time.Unix(1000, 0)
 	core := newSilentCore(t, start)
+	var delays []time.Duration
+	core.tickAfter = func(delay time.Duration) { delays = append(delays, delay) }
 	core.tick(start)
 	core.scheduleUrgentTick(start)
 	require.False(t, core.urgentTickDue, "nothing is to be sent")
 	core.applyStoreAnswer(start, storeAnswer{feed: berylfeed.Targets, asOf: 1, full: true, items: []berylspoke.Item{{Key: "t", Revision: 1}}})
 	core.scheduleUrgentTick(start)
-	require.True(t, core.urgentTickDue)
+	core.scheduleUrgentTick(start)
+	require.Equal(t, []time.Duration{urgentTickInterval}, delays, "one for all messages")
 	core.beginTick(start.Add(urgentTickInterval), true)
 	require.False(t, core.urgentTickDue)
 	core.tick(start.Add(urgentTickInterval))
 	core.scheduleUrgentTick(start.Add(urgentTickInterval))
-	require.False(t, core.urgentTickDue, "the news was sent")
+	require.Len(t, delays, 1, "the news was sent")
 }
 
 // Guards against urgent ticks that count as late ones: the daemon would take itself for
