--- a/core/berylgate/doc.go
+++ b/core/berylgate/doc.go
@@ -12,6 +12,9 @@
 // refused at once, and the caller can rely on the statement that it did not run, as no
 // target has received it.
 //
+// In a large fleet a daemon sends one target few requests. Daemons therefore share how long
+// requests wait at each target and which targets do not answer.
+//
 // Organisations that were served less than their max-min level may use nearly the whole
 // objective, others less of it the further they are beyond their level. This keeps
 // queues short enough for organisations that are below their level, while capacity that
