--- a/core/berylgate/silence.go
+++ b/core/berylgate/silence.go
@@ -70,7 +70,7 @@
 }
 
 // recordSilence records evidence of silence. If the target was not known to be silent, the
-// peers are told at once.
+// next report to the peers may be early.
 func (gate *Gate) recordSilence(now time.Time, target *target, at time.Time) {
 	before := target.silent(now)
 	if at.After(target.evidence.silentAt.Add(evidenceResolution)) {
--- a/io/berylpeer/flow.go
+++ b/io/berylpeer/flow.go
@@ -240,8 +240,8 @@
 	}
 	transport.traffic.Received[flow.link].Add(uint64(len(associated) + len(sealed) + datagramHeaders))
 	if header.receiver != transport.epoch {
-		// The sender does not know this run, so the datagram may be an old one. Its sender
-		// sends again once it has received the answer.
+		// The sender does not know this run, so the datagram may be a replay. It is lost; the
+		// answer tells the sender this run for those that follow.
 		return nil, transport.answer(now, flow, from, header.sender)
 	}
 	var datagrams []outgoing
