A tick scheduled at the start no longer crashes the daemon

Cause: the actor system delivers Started before Spawn has returned. The core scheduled its first urgent tick then, and on a busy machine the timer fired while the daemon's address of the actor was still nil: a nil dereference in protoactor-go ended the process.

Evidence: 60 daemons started on a machine with 16 runnable processes; at the second of two starts vm-26 and vm-59 had ended with that stack, the other 58 waited, and the set-up failed after 60 s. Ruled out: ports in use (the logs show no failed listen), memory.

TestNoTickIsScheduledBeforeTheActorIsKnown failed before.

--- a/io/beryledge/actor.go
+++ b/io/beryledge/actor.go
@@ -207,6 +207,9 @@
 	now := time.Now()
 	core.daemon.meters.coreMessages[kindOf(context.Message())].Inc()
 	switch message := context.Message().(type) {
+	case *actor.Started, *actor.Stopping, *actor.Stopped:
+		// The daemon's address of the actor is not set when Started arrives.
+		return
 	case submit:
 		message.decision <- core.submit(now, message.request)
 	case reserve:
--- a/io/beryledge/tick_test.go
+++ b/io/beryledge/tick_test.go
@@ -1,9 +1,12 @@
 package beryledge
 
 import (
+	"log/slog"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/asynkron/protoactor-go/actor"
 	"github.com/stretchr/testify/require"
 
 	"berylspoke"
@@ -56,3 +59,17 @@
 	core.daemon.wakeReaders(start.Add(maxContactAge + time.Second))
 	require.Len(t, core.daemon.readDue[berylfeed.Targets], 1)
 }
+
+// Guards against a daemon that crashes at its start on a busy machine: the first message
+// of the actor system scheduled a tick, which came before the actor's address was known.
+func TestNoTickIsScheduledBeforeTheActorIsKnown(t *testing.T) {
+	core := newSilentCore(t, time.Now())
+	var scheduled atomic.Int32
+	core.tickAfter = func(time.Duration) { scheduled.Add(1) }
+	system := actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger {
+		return slog.New(slog.DiscardHandler)
+	}))
+	started := system.Root.Spawn(actor.PropsFromProducer(func() actor.Actor { return core }))
+	require.NoError(t, system.Root.StopFuture(started).Wait())
+	require.Zero(t, scheduled.Load())
+}
