Users of a feed take its changes one by one

Cause: every change of one published item made its users walk, sort and decode all items, the size of a feed was summed up again for each revision, and each pull walked all records. Change: a feed notes which items changed and which are in their grace period, keeps the sum of their sizes, and lists records by revision. TestTakenChangesAddUpToTheItems compares what was taken, the sizes and the deltas with walks over all records, over lists, watches, deltas and outages in random order.

--- a/core/berylfeed/feed.go
+++ b/core/berylfeed/feed.go
@@ -3,6 +3,7 @@
 // This file defines the feed and how it advances.
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -27,12 +28,18 @@
 	// lastValue is the value before the removal, served during the grace period.
 	lastValue  []byte
 	graceUntil time.Time
+	// superseded is set once the key has a newer record.
+	superseded bool
 }
 
 // Feed is the replica of the items below one prefix.
 type Feed struct {
 	records map[string]*record
-	asOf    berylspoke.Revision
+	order   order
+	changes changes
+	// bytes is the size of the present items without keys and revisions.
+	bytes int
+	asOf  berylspoke.Revision
 	// lastChange is the revision of the newest change that was applied. The store's
 	// revisions also count changes below other prefixes, so only this one tells
 	// whether a peer has updates.
@@ -54,7 +61,7 @@
 }
 
 // New returns an empty feed.
-func New() *Feed { return &Feed{records: make(map[string]*record)} }
+func New() *Feed { return &Feed{records: make(map[string]*record), changes: newChanges()} }
 
 // SetOutageThreshold sets how long the store answers no daemon before that counts as an
 // outage.
@@ -72,15 +79,7 @@
 func (feed *Feed) ClaimRevision() berylspoke.Revision { return max(feed.lastChange, feed.removalsFrom) }
 
 // Bytes returns the size of the present items without keys and revisions.
-func (feed *Feed) Bytes() int {
-	size := 0
-	for _, record := range feed.records {
-		if !record.item.Deleted {
-			size += len(record.item.Value)
-		}
-	}
-	return size
-}
+func (feed *Feed) Bytes() int { return feed.bytes }
 
 // Known reports whether the feed has ever held the store's state.
 func (feed *Feed) Known() bool { return feed.known }
@@ -182,15 +181,31 @@
 		}
 		feed.removedCount++
 	}
-	if old != nil && old.item.Deleted {
-		feed.removedCount--
+	feed.drop(old)
+	if !item.Deleted {
+		feed.bytes += len(item.Value)
 	}
 	feed.records[item.Key] = next
+	feed.order.add(next)
+	feed.changes.untaken[item.Key] = true
 	feed.lastChange = max(feed.lastChange, item.Revision)
 	feed.pruneRemoved()
 	return true
 }
 
+// drop takes a superseded or pruned record out of the sums and the order.
+func (feed *Feed) drop(old *record) {
+	if old == nil {
+		return
+	}
+	if old.item.Deleted {
+		feed.removedCount--
+	} else {
+		feed.bytes -= len(old.item.Value)
+	}
+	feed.order.drop(old)
+}
+
 // currentGrace returns the grace period of an item that is removed now.
 func (feed *Feed) currentGrace(now time.Time) time.Duration {
 	if feed.outage(now) || !feed.recoveredAt.IsZero() && now.Sub(feed.recoveredAt) < lapseWindow {
@@ -202,15 +217,11 @@
 // pruneRemoved drops the oldest removed keys beyond maxRemoved.
 func (feed *Feed) pruneRemoved() {
 	for feed.removedCount > maxRemoved {
-		oldest := ""
-		for key, record := range feed.records {
-			if record.item.Deleted && (oldest == "" || record.item.Revision < feed.records[oldest].item.Revision) {
-				oldest = key
-			}
-		}
-		feed.removalsFrom = max(feed.removalsFrom, feed.records[oldest].item.Revision)
-		delete(feed.records, oldest)
-		feed.removedCount--
+		at := slices.IndexFunc(feed.order.records, func(record *record) bool { return !record.superseded && record.item.Deleted })
+		oldest := feed.order.records[at]
+		feed.removalsFrom = max(feed.removalsFrom, oldest.item.Revision)
+		delete(feed.records, oldest.item.Key)
+		feed.drop(oldest)
 	}
 }
 
@@ -220,15 +231,11 @@
 	var items []berylspoke.Item
 	var next time.Time
 	for _, record := range feed.records {
-		if !record.item.Deleted {
-			items = append(items, record.item)
-			continue
-		}
-		if record.lastValue == nil || !record.graceUntil.After(now) {
+		if !record.visible(now) {
 			continue
 		}
-		items = append(items, berylspoke.Item{Key: record.item.Key, Value: record.lastValue, Revision: record.item.Revision})
-		if next.IsZero() || record.graceUntil.Before(next) {
+		items = append(items, record.shown())
+		if record.item.Deleted && (next.IsZero() || record.graceUntil.Before(next)) {
 			next = record.graceUntil
 		}
 	}
--- a/core/berylfeed/messages.go
+++ b/core/berylfeed/messages.go
@@ -74,8 +74,12 @@
 	// The keys removed before the last list are not known here. A peer that is further
 	// behind would keep them forever, so it gets a full delta.
 	delta := Delta{Feed: name, Full: after < feed.removalsFrom, After: after, AsOf: feed.asOf}
-	for _, record := range feed.records {
-		if delta.Full || record.item.Revision > after {
+	records := feed.order.records
+	if !delta.Full {
+		records = feed.order.after(after)
+	}
+	for _, record := range records {
+		if !record.superseded {
 			delta.Changes = append(delta.Changes, Change{Item: record.item, Grace: max(record.graceUntil.Sub(now), 0)})
 		}
 	}
