What a daemon does no longer grows with the number of engines

Cause: a decision evaluated every engine and hashed it against the segment for the homes, a change of one engine decoded, sorted and indexed all, a tick and a report walked all, and a change of the members chose the senders of every target anew.

Change: targets are changed one by one. An index holds those that accept requests by distance and in rings (multi-probe consistent hashing), so homes are found by binary search. Candidates are the homes, the targets that this daemon sent the same segments to, and up to 32 of each distance; while none of them may be sent to, twice as many more. A daemon begins to draw at an offset of its own and so keeps to the same targets. Ticks and reports follow lists of what changed.

--- a/core/berylgate/choose.go
+++ b/core/berylgate/choose.go
@@ -104,7 +104,7 @@
 		return refused(berylspoke.ReasonOverload, defaultRetryAfter)
 	}
 	request.retryReserved = false
-	if source := gate.cacheSource(now, pool, best.target, prompt); source != nil {
+	if source := gate.cacheSource(now, best.target, prompt); source != nil {
 		decision.CacheSource = &source.Target
 	}
 	gate.startAttempt(now, request, best, prompt)
@@ -125,7 +125,7 @@
 		return false
 	}
 	another := slices.ContainsFunc(pool.targets, func(target *target) bool {
-		return target.usable(now) && target.withinColdBudget(now) && !request.tried[target.ID] && gate.allows(request.Regions, target)
+		return target.usable(now) && gate.withinColdBudget(now, target) && !request.tried[target.ID] && gate.allows(request.Regions, target)
 	})
 	if !another {
 		return false
@@ -139,7 +139,7 @@
 func (gate *Gate) newDecision(now time.Time, best candidate, prompt prompt, allowance allowance) Decision {
 	target := best.target
 	decision := Decision{
-		Target: target.Target, Connections: gate.connections(target),
+		Target: target.Target, Connections: gate.connections(now, target),
 		Expected: duration(best.expectedMillis), QueueMillis: target.queueMillis(now), Slowdown: target.slowdown,
 		Shared: prompt.total, Cached: best.cached,
 		Running: target.occupied(), Tokens: target.kvTokens + target.others.kvTokens,
@@ -165,34 +165,63 @@
 // is a margin for requests that are counted at another daemon.
 const retryEarnShare = 0.8
 
+// choice is the outcome of a search for a target: the cheapest candidates among those that
+// are expected to answer within the limit, the other usable ones, and the unusable ones.
+type choice struct {
+	inTime, late, unusable candidate
+}
+
 // best returns the target with the lowest cost among those that are expected to answer
 // within the limit. If there is none, it returns the cheapest of the other usable
-// targets or, failing that, of the unusable ones.
+// targets or, failing that, of the unusable ones. The candidates are the homes of the
+// prompt, the targets that were sent its shared segments, and some of all distances.
 func (gate *Gate) best(now time.Time, pool *pool, request *Request, prompt prompt, allowance allowance) (candidate, bool) {
-	var best, late, unusable candidate
-	for _, target := range pool.targets {
-		if target.Draining || request.tried[target.ID] || !gate.allows(request.Regions, target) || !target.withinColdBudget(now) {
-			continue
+	var found choice
+	consider := func(target *target) { gate.consider(now, &found, target, request, prompt, allowance) }
+	holders := gate.markCached(now, prompt.shared)
+	for _, home := range prompt.homes {
+		if home != nil {
+			consider(home)
 		}
-		option := gate.evaluate(now, target, request, prompt)
-		switch {
-		case !target.usable(now):
-			unusable = cheaper(unusable, option)
-		case !allowance.admits(option):
-			late = cheaper(late, option)
-		default:
-			best = cheaper(best, option)
+	}
+	for _, send := range holders {
+		if gate.cached(send.target) == prompt.total {
+			consider(send.target)
 		}
 	}
-	if best.target == nil {
-		best = late
+	for draw := 0; draw == 0 || draw < maxDraws && found.inTime.target == nil; draw++ {
+		for scope := range scopeCount {
+			pool.index.draw(scope, gate.offset, draw, consider)
+		}
 	}
-	if best.target == nil {
-		// All targets failed recently. Refusing everything until one is tried again
+	for _, option := range []candidate{found.inTime, found.late, found.unusable} {
+		// If all targets failed recently, one of them is tried: refusing everything
 		// would turn an intermittent fault of the targets into an outage.
-		best = unusable
+		if option.target != nil {
+			return option, true
+		}
+	}
+	return candidate{}, false
+}
+
+// consider evaluates a target for a request unless it was considered for the same decision.
+func (gate *Gate) consider(now time.Time, found *choice, target *target, request *Request, prompt prompt, allowance allowance) {
+	if target.considered == gate.decisions {
+		return
+	}
+	target.considered = gate.decisions
+	if target.removed || target.Draining || request.tried[target.ID] || !gate.allows(request.Regions, target) || !gate.withinColdBudget(now, target) {
+		return
+	}
+	option := gate.evaluate(now, target, request, prompt)
+	switch {
+	case !target.usable(now):
+		found.unusable = cheaper(found.unusable, option)
+	case !allowance.admits(option):
+		found.late = cheaper(found.late, option)
+	default:
+		found.inTime = cheaper(found.inTime, option)
 	}
-	return best, best.target != nil
 }
 
 // cheaper returns the candidate with the lower cost.
@@ -208,8 +237,9 @@
 func (gate *Gate) evaluate(now time.Time, target *target, request *Request, prompt prompt) candidate {
 	cached := prompt.total
 	if target != prompt.home {
-		cached = target.cached(now, prompt.shared)
+		cached = gate.cached(target)
 	}
+	gate.refreshOthers(now, target)
 	option := candidate{target: target, cached: cached, uncached: prompt.total - cached}
 	if target.engine != nil {
 		option.addedMillis = prefillMillis(request.Input, cached)
@@ -220,7 +250,7 @@
 	if target.full(request.Input + request.Output) {
 		option.expectedMillis += fullPenaltyMillis
 	}
-	option.costMillis = option.expectedMillis + errorPenaltyMillis*target.errorRate
+	option.costMillis = option.expectedMillis + errorPenaltyMillis*target.errorRate + target.wait.lingering(now)
 	option.costMillis += recomputeWeight * float64(option.uncached) / prefillTokensPerMillis
 	switch target.scope {
 	case fleetScope:
--- a/core/berylgate/cold.go
+++ b/core/berylgate/cold.go
@@ -23,12 +23,14 @@
 // all daemons of a large fleet, would be less than one request each.
 func (gate *Gate) SetVMs(now time.Time, domains map[berylspoke.VMID]berylspoke.FailureDomain) {
 	gate.domains = domains
-	for _, target := range gate.sorted {
-		target.cold.budget = gate.coldBudget(now, target)
+	gate.domainsVersion++
+	clear(gate.nearby)
+	gate.silences.update(func(target *target) bool {
 		if target.silent(now) {
 			gate.chooseTrial(target)
 		}
-	}
+		return true
+	})
 }
 
 // coldState is what a daemon knows of a cold target.
@@ -36,6 +38,8 @@
 	until time.Time
 	// budget bounds what this daemon sends until then, nil if it sends nothing.
 	budget *berylroute.Budget
+	// domainsVersion is that of the gate when the budget was made.
+	domainsVersion uint64
 }
 
 // updateCold applies a change of the cold time that a target reports.
@@ -59,13 +63,18 @@
 // markCold marks a target cold until the given time.
 func (gate *Gate) markCold(now time.Time, target *target, until time.Time) {
 	if !now.Before(target.cold.until) {
-		target.cold.budget = gate.coldBudget(now, target)
+		gate.renewColdBudget(now, target)
 	}
 	target.cold.until = until
 }
 
-// coldBudget returns the budget of this daemon for a target while it is cold. It starts
-// empty, so that a change of the members does not allow another burst.
+// renewColdBudget makes a new budget for a target. It starts empty, so that a change of the
+// members does not allow another burst.
+func (gate *Gate) renewColdBudget(now time.Time, target *target) {
+	target.cold.budget, target.cold.domainsVersion = gate.coldBudget(now, target), gate.domainsVersion
+}
+
+// coldBudget returns the budget of this daemon for a target while it is cold.
 func (gate *Gate) coldBudget(now time.Time, target *target) *berylroute.Budget {
 	pool := gate.pools[target.Service]
 	if pool == nil || pool.service.ColdRequestsPerSecond <= 0 {
@@ -87,31 +96,40 @@
 // nearestVMs returns the live daemons in a target's failure domain, in its region if
 // there are none, or else all.
 func (gate *Gate) nearestVMs(target *target) []berylspoke.VMID {
+	if known, found := gate.nearby[target.FailureDomain]; found {
+		return known
+	}
 	var found [scopeCount][]berylspoke.VMID
 	for vm, domain := range gate.domains {
 		for scope := gate.scopeBetween(domain, target.FailureDomain); scope < scopeCount; scope++ {
 			found[scope] = append(found[scope], vm)
 		}
 	}
+	nearest := []berylspoke.VMID{gate.options.VM}
 	for _, vms := range found {
 		if len(vms) > 0 {
-			return vms
+			nearest = vms
+			break
 		}
 	}
-	return []berylspoke.VMID{gate.options.VM}
+	gate.nearby[target.FailureDomain] = nearest
+	return nearest
 }
 
 // withinColdBudget reports whether this daemon may send another request to a target that
 // may be cold.
-func (target *target) withinColdBudget(now time.Time) bool {
+func (gate *Gate) withinColdBudget(now time.Time, target *target) bool {
 	if !now.Before(target.cold.until) {
 		return true
 	}
+	if target.cold.domainsVersion != gate.domainsVersion {
+		gate.renewColdBudget(now, target)
+	}
 	return target.cold.budget != nil && target.cold.budget.Remaining(now) >= 1
 }
 
 // chargeCold charges a sent request to the budget of a cold target.
-func (target *target) chargeCold(now time.Time) {
+func (gate *Gate) chargeCold(now time.Time, target *target) {
 	if now.Before(target.cold.until) && target.cold.budget != nil {
 		target.cold.budget.Charge(now, 1)
 	}
--- a/core/berylgate/gate.go
+++ b/core/berylgate/gate.go
@@ -3,12 +3,13 @@
 // This file defines the gate and the events that change its state.
 
 import (
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"berylspoke"
 	"berylspoke/core/berylquarantine"
 	"berylspoke/core/berylroute"
@@ -79,7 +80,9 @@
 // pool holds the targets and the retry budget of one service.
 type pool struct {
 	service berylspoke.Service
+	// targets lists all targets by id, index those that accept requests.
 	targets []*target
+	index   targetIndex
 	budget  *berylroute.Budget
 	// meanSlowdown is the mean slowdown of the service's targets.
 	meanSlowdown float64
@@ -93,20 +96,34 @@
 	capacity berylspoke.Tokens
 	pools    map[berylspoke.ServiceID]*pool
 	targets  map[berylspoke.TargetID]*target
-	// sorted lists the targets by id. Sums and reports follow its order, so that equal
-	// inputs give equal decisions.
+	// sorted lists the targets by id.
 	sorted []*target
 	byHash map[uint32]*target
-	shares *shares
-	peers  []*peer
+	// The targets that have something to update at the next tick or to tell in the next
+	// report. The lists follow the order of events, so that equal inputs give equal
+	// decisions.
+	active, loadNews, silences, waitNews targetList
+	// recentSends records, by shared segment, where this daemon sent it.
+	recentSends map[uint64][]recentSend
+	// decisions counts the searches for a target; marks on targets refer to one of them.
+	decisions uint64
+	shares    *shares
+	peers     []*peer
 	// collected is the usage of organisations that peers reported in a large fleet.
 	collected collectedUsage
 	// live is the number of daemons known to be alive, maxDaemons the highest number ever
 	// known.
 	live, maxDaemons int
 	// domains maps the live daemons to their failure domains.
-	domains  map[berylspoke.VMID]berylspoke.FailureDomain
-	rng      *rand.Rand
+	domains map[berylspoke.VMID]berylspoke.FailureDomain
+	// domainsVersion counts the changes of domains, and nearby caches the daemons nearest
+	// to each failure domain.
+	domainsVersion uint64
+	nearby         map[berylspoke.FailureDomain][]berylspoke.VMID
+	rng            *rand.Rand
+	// offset is where this daemon begins to draw candidates: it keeps to the same targets,
+	// so that it has connections to them and knows them, while daemons differ.
+	offset   uint64
 	lastTick time.Time
 	// lastExpiry is when expired segments were last dropped.
 	lastExpiry time.Time
@@ -123,14 +140,17 @@
 // New returns a gate without targets.
 func New(options Options) *Gate {
 	return &Gate{
-		options:    options,
-		pools:      make(map[berylspoke.ServiceID]*pool),
-		targets:    make(map[berylspoke.TargetID]*target),
-		byHash:     make(map[uint32]*target),
-		shares:     newShares(),
-		collected:  newCollected(),
-		maxDaemons: minDaemons,
-		rng:        rand.New(rand.NewPCG(uint64(options.Incarnation), 0)),
+		options:     options,
+		pools:       make(map[berylspoke.ServiceID]*pool),
+		targets:     make(map[berylspoke.TargetID]*target),
+		byHash:      make(map[uint32]*target),
+		recentSends: make(map[uint64][]recentSend),
+		nearby:      make(map[berylspoke.FailureDomain][]berylspoke.VMID),
+		shares:      newShares(),
+		collected:   newCollected(),
+		maxDaemons:  minDaemons,
+		offset:      xxhash.Sum64String(string(options.VM)) >> 1,
+		rng:         rand.New(rand.NewPCG(uint64(options.Incarnation), 0)),
 	}
 }
 
@@ -177,33 +197,95 @@
 		pools[id] = known
 	}
 	gate.pools = pools
-	gate.indexTargets()
+	for _, pool := range pools {
+		pool.targets, pool.index = nil, targetIndex{}
+	}
+	for _, target := range gate.sorted {
+		gate.addToPool(target)
+	}
 }
 
-// SetTargets sets the targets that are published now. The state of a known target is kept
-// unless the target was restarted or changed its address or service.
+// SetTargets sets the targets that are published now.
 func (gate *Gate) SetTargets(now time.Time, declared []berylspoke.Target) {
-	targets := make(map[berylspoke.TargetID]*target, len(declared))
+	listed := make(map[berylspoke.TargetID]bool, len(declared))
 	for _, item := range declared {
-		known := gate.targets[item.ID]
-		if known == nil || known.Started != item.Started || known.Address != item.Address || known.Service != item.Service {
-			known = newTarget(now, item)
-			known.ColdFor = 0
+		listed[item.ID] = true
+		gate.SetTarget(now, item)
+	}
+	for id := range gate.targets {
+		if !listed[id] {
+			gate.RemoveTarget(id)
 		}
-		coldBefore := known.ColdFor
-		known.Target = item
-		gate.updateCold(now, known, coldBefore)
-		known.scope = gate.scopeBetween(gate.options.FailureDomain, item.FailureDomain)
-		if known.latencyMillis == 0 {
-			known.latencyMillis = sameRegionLatencyMillis
-			if known.scope == fleetScope {
-				known.latencyMillis = crossRegionLatencyMillis
-			}
+	}
+}
+
+// SetTarget adds a target or applies a change to it. The state of a known target is kept
+// unless the target was restarted or changed its address or service.
+func (gate *Gate) SetTarget(now time.Time, declared berylspoke.Target) {
+	known := gate.targets[declared.ID]
+	if known == nil || known.Started != declared.Started || known.Address != declared.Address || known.Service != declared.Service {
+		gate.RemoveTarget(declared.ID)
+		known = newTarget(now, declared)
+		known.ColdFor = 0
+		gate.targets[known.ID], gate.byHash[known.hash] = known, known
+		gate.sorted = insertTarget(gate.sorted, known)
+	} else {
+		gate.removeFromPool(known)
+	}
+	coldBefore := known.ColdFor
+	known.Target = declared
+	gate.updateCold(now, known, coldBefore)
+	known.scope = gate.scopeBetween(gate.options.FailureDomain, known.FailureDomain)
+	if known.latencyMillis == 0 {
+		known.latencyMillis = sameRegionLatencyMillis
+		if known.scope == fleetScope {
+			known.latencyMillis = crossRegionLatencyMillis
 		}
-		targets[item.ID] = known
 	}
-	gate.targets = targets
-	gate.indexTargets()
+	gate.addToPool(known)
+}
+
+// RemoveTarget removes a target that is no longer published.
+func (gate *Gate) RemoveTarget(id berylspoke.TargetID) {
+	known := gate.targets[id]
+	if known == nil {
+		return
+	}
+	known.removed = true
+	gate.removeFromPool(known)
+	delete(gate.targets, id)
+	if gate.byHash[known.hash] == known {
+		delete(gate.byHash, known.hash)
+	}
+	gate.sorted = deleteTarget(gate.sorted, known)
+}
+
+// addToPool adds a target to the pool of its service.
+func (gate *Gate) addToPool(target *target) {
+	pool := gate.pools[target.Service]
+	if pool == nil {
+		return
+	}
+	target.engine, target.slots, target.meanSlowdown = pool.service.Engine, target.Slots, &pool.meanSlowdown
+	if target.engine != nil && target.slots == 0 {
+		target.slots = target.engine.Slots
+	}
+	pool.targets = insertTarget(pool.targets, target)
+	if !target.Draining {
+		pool.index.add(target, gate.options.RegionOf[target.FailureDomain])
+	}
+}
+
+// removeFromPool reverses addToPool.
+func (gate *Gate) removeFromPool(target *target) {
+	pool := gate.pools[target.Service]
+	if pool == nil {
+		return
+	}
+	pool.targets = deleteTarget(pool.targets, target)
+	if !target.Draining {
+		pool.index.remove(target, gate.options.RegionOf[target.FailureDomain])
+	}
 }
 
 // scopeBetween returns the smallest scope that contains both failure domains.
@@ -223,29 +305,6 @@
 	return regions.Allows(gate.options.RegionOf[target.FailureDomain])
 }
 
-// indexTargets derives the targets of each service and the lookup tables.
-func (gate *Gate) indexTargets() {
-	gate.byHash = make(map[uint32]*target, len(gate.targets))
-	for _, pool := range gate.pools {
-		pool.targets = nil
-	}
-	gate.sorted = slices.SortedFunc(maps.Values(gate.targets), func(one, other *target) int {
-		return strings.Compare(string(one.ID), string(other.ID))
-	})
-	for _, target := range gate.sorted {
-		gate.byHash[target.hash] = target
-		pool := gate.pools[target.Service]
-		if pool == nil {
-			continue
-		}
-		target.engine, target.slots, target.meanSlowdown = pool.service.Engine, target.Slots, &pool.meanSlowdown
-		if target.engine != nil && target.slots == 0 {
-			target.slots = target.engine.Slots
-		}
-		pool.targets = append(pool.targets, target)
-	}
-}
-
 // CountRejected counts the tokens, by organisation, of requests that this daemon rejected
 // because the processor of its VM is overloaded.
 func (gate *Gate) CountRejected(now time.Time, rejected map[berylspoke.OrganisationID]berylspoke.Tokens) {
@@ -266,11 +325,30 @@
 // LargeFleet reports whether the fleet is so large that reports need not be frequent.
 func (gate *Gate) LargeFleet() bool { return gate.largeFleet() }
 
+// insertTarget inserts a target into a list that is sorted by id.
+func insertTarget(sorted []*target, added *target) []*target {
+	at, _ := slices.BinarySearchFunc(sorted, added.ID, compareID)
+	return slices.Insert(sorted, at, added)
+}
+
+// deleteTarget deletes a target from a list that is sorted by id.
+func deleteTarget(sorted []*target, deleted *target) []*target {
+	at, found := slices.BinarySearchFunc(sorted, deleted.ID, compareID)
+	if !found || sorted[at] != deleted {
+		return sorted
+	}
+	return slices.Delete(sorted, at, at+1)
+}
+
+func compareID(target *target, id berylspoke.TargetID) int {
+	return strings.Compare(string(target.ID), string(id))
+}
+
 // connections returns how many connections this daemon may hold to a target: at least
 // an equal part of the declared bound, and more while the other daemons use less, since
 // all callers of a busy organisation may connect to one daemon. The target's slots
 // bound what is admitted in any case.
-func (gate *Gate) connections(target *target) int {
+func (gate *Gate) connections(now time.Time, target *target) int {
 	const maxShare = 0.6
 	pool := gate.pools[target.Service]
 	if pool == nil {
@@ -278,6 +356,7 @@
 	}
 	bound := pool.service.MaxConnections
 	own := bound / max(gate.maxDaemons, 1)
+	gate.refreshOthers(now, target)
 	return max(1, own, int(maxShare*float64(bound))-target.others.running)
 }
 
@@ -289,18 +368,17 @@
 func (gate *Gate) Tick(now time.Time) {
 	elapsed := now.Sub(gate.lastTick)
 	gate.lastTick = now
-	for _, target := range gate.sorted {
+	gate.active.update(func(target *target) bool {
 		target.updateInflow(elapsed)
 		gate.checkSilence(now, target)
 		if gate.largeFleet() && target.engine != nil {
-			target.observeWaits(now)
+			gate.observeWaits(now, target)
 		}
-	}
+		return len(target.attempts) > 0 || target.inflowRate > 0
+	})
 	if now.Sub(gate.lastExpiry) >= expiryInterval {
 		gate.lastExpiry = now
-		for _, target := range gate.sorted {
-			target.expireCached(now)
-		}
+		gate.expireCached(now)
 	}
 	gate.sumOthers(now)
 }
@@ -324,8 +402,9 @@
 		kvTokens:       request.Input + request.Output,
 	}
 	target.attempts[attempt] = true
+	gate.active.add(target)
 	target.running++
-	target.chargeCold(now)
+	gate.chargeCold(now, target)
 	request.current = attempt
 	request.sends++
 	if request.tried == nil {
@@ -344,7 +423,7 @@
 	gate.urgent = gate.urgent || attempt.addedMillis > urgentMillis
 	const meanWeight = 0.05
 	target.meanRequestMillis += meanWeight * (attempt.addedMillis - target.meanRequestMillis)
-	target.recordCached(now, prompt.shared)
+	gate.recordCached(now, target, prompt.shared)
 }
 
 // AnswerStarted records the first byte of an answer and the load that the target reported
@@ -362,13 +441,14 @@
 	}
 	observedMillis := millis(now.Sub(attempt.sentAt))
 	if gate.largeFleet() {
-		target.observeWait(now, attempt, true)
+		gate.observeWait(now, attempt, true)
 	}
 	gate.correctEstimate(now, attempt, observedMillis)
 	switch {
 	case reported == nil:
 	case gate.largeFleet():
 		target.directLoad = load{now, reported.Running, reported.Waiting}
+		gate.loadNews.add(target)
 		target.adoptLoad(now, target.directLoad)
 		target.slots = reported.Slots
 	default:
--- a/core/berylgate/parts.go
+++ b/core/berylgate/parts.go
@@ -4,10 +4,10 @@
 // and chooses from which of them another target fetches them.
 
 import (
+	"math"
+	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"berylspoke"
 )
 
@@ -63,16 +63,19 @@
 // a segment is computed only once, without any messages between daemons.
 func (gate *Gate) homes(pool *pool, regions berylspoke.Regions, segment uint64) [scopeCount]*target {
 	var found [scopeCount]*target
-	var top [scopeCount]uint64
-	for _, target := range pool.targets {
-		if target.Draining || !gate.allows(regions, target) {
+	probes := newProbes(segment)
+	nearest := uint64(math.MaxUint64)
+	for region, ring := range pool.index.regions {
+		if !regions.Allows(region) {
 			continue
 		}
-		score := rendezvousScore(segment, uint64(target.hash))
-		for scope := target.scope; scope < scopeCount; scope++ {
-			if found[scope] == nil || score > top[scope] {
-				found[scope], top[scope] = target, score
-			}
+		owner, distance := ring.owner(&probes)
+		if owner != nil && (found[fleetScope] == nil || distance < nearest) {
+			found[fleetScope], nearest = owner, distance
+		}
+		if region == gate.options.RegionOf[gate.options.FailureDomain] {
+			found[regionScope] = owner
+			found[domainScope], _ = pool.index.domain.owner(&probes)
 		}
 	}
 	return found
@@ -85,11 +88,13 @@
 // daemon sent the same segments is preferred to the homes, to which other daemons may
 // have sent them. A home fetches from the home of the wider scope, so that a new home
 // does not recompute all prefixes that it takes over.
-func (gate *Gate) cacheSource(now time.Time, pool *pool, to *target, prompt prompt) *target {
-	uncached := prompt.total - to.cached(now, prompt.shared)
+func (gate *Gate) cacheSource(now time.Time, to *target, prompt prompt) *target {
+	holders := gate.markCached(now, prompt.shared)
+	uncached := prompt.total - gate.cached(to)
 	var nearest *target
-	for _, target := range pool.targets {
-		if !gate.allows(prompt.regions, target) || target.cached(now, prompt.shared) < prompt.total || !gate.worthFetching(now, to, target, uncached) {
+	for _, send := range holders {
+		target := send.target
+		if !gate.allows(prompt.regions, target) || gate.cached(target) < prompt.total || !gate.worthFetching(now, to, target, uncached) {
 			continue
 		}
 		if nearest == nil || gate.targetScope(to, target) < gate.targetScope(to, nearest) {
@@ -134,45 +139,81 @@
 	}
 }
 
-// rendezvousScore hashes a segment and a target for rendezvous hashing.
-func rendezvousScore(segment, target uint64) uint64 {
-	var key [16]byte
-	for i := range 8 {
-		key[i], key[8+i] = byte(segment>>(8*i)), byte(target>>(8*i))
-	}
-	return xxhash.Sum64(key[:])
-}
-
 // cacheLifetime is how long a segment is assumed to stay in an engine's KV cache after
 // this daemon last used it there. Engines evict the least recently used segments, and at
 // full load the prefills of about eight seconds fill the whole cache.
 const cacheLifetime = 8 * time.Second
 
-// cached returns how many leading tokens of a prompt are assumed to be in the target's KV
-// cache.
-func (target *target) cached(now time.Time, segments []berylspoke.PromptSegment) berylspoke.Tokens {
-	var cached berylspoke.Tokens
-	for _, segment := range segments {
-		if sentAt, known := target.lastSent[segment.ID]; !known || now.Sub(sentAt) > cacheLifetime {
-			break
+// recentSend says when this daemon last sent a shared segment to a target.
+type recentSend struct {
+	target *target
+	at     time.Time
+}
+
+// cachedPrefix is the leading part of a prompt that a target is assumed to have cached.
+type cachedPrefix struct {
+	// decision is the decision that the prefix belongs to.
+	decision uint64
+	segments int
+	tokens   berylspoke.Tokens
+}
+
+// markCached begins a decision: it marks each target with the leading segments that it is
+// assumed to have cached, and returns those to which the last segment was sent.
+func (gate *Gate) markCached(now time.Time, segments []berylspoke.PromptSegment) []recentSend {
+	gate.decisions++
+	var sends []recentSend
+	for i, segment := range segments {
+		sends = gate.recentSends[segment.ID]
+		for _, send := range sends {
+			if now.Sub(send.at) > cacheLifetime || send.target.removed {
+				continue
+			}
+			prefix := &send.target.prefix
+			switch {
+			case i == 0:
+				*prefix = cachedPrefix{gate.decisions, 1, segment.Tokens}
+			case prefix.decision == gate.decisions && prefix.segments == i:
+				prefix.segments++
+				prefix.tokens += segment.Tokens
+			}
 		}
-		cached += segment.Tokens
 	}
-	return cached
+	return sends
+}
+
+// cached returns how many leading tokens of the prompt that was marked last are assumed to
+// be in the target's KV cache.
+func (gate *Gate) cached(target *target) berylspoke.Tokens {
+	if target.prefix.decision != gate.decisions {
+		return 0
+	}
+	return target.prefix.tokens
 }
 
 // recordCached records the shared segments of a prompt that was sent to the target.
-func (target *target) recordCached(now time.Time, segments []berylspoke.PromptSegment) {
+func (gate *Gate) recordCached(now time.Time, target *target, segments []berylspoke.PromptSegment) {
 	for _, segment := range segments {
-		target.lastSent[segment.ID] = now
+		sends := gate.recentSends[segment.ID]
+		at := slices.IndexFunc(sends, func(send recentSend) bool { return send.target == target })
+		if at < 0 {
+			gate.recentSends[segment.ID] = append(sends, recentSend{target, now})
+			continue
+		}
+		sends[at].at = now
 	}
 }
 
-// expireCached drops the segments that the target is assumed to have evicted.
-func (target *target) expireCached(now time.Time) {
-	for segment, sentAt := range target.lastSent {
-		if now.Sub(sentAt) > cacheLifetime {
-			delete(target.lastSent, segment)
+// expireCached drops the segments that targets are assumed to have evicted.
+func (gate *Gate) expireCached(now time.Time) {
+	for segment, sends := range gate.recentSends {
+		kept := slices.DeleteFunc(sends, func(send recentSend) bool {
+			return send.target.removed || now.Sub(send.at) > cacheLifetime
+		})
+		if len(kept) == 0 {
+			delete(gate.recentSends, segment)
+			continue
 		}
+		gate.recentSends[segment] = kept
 	}
 }
--- a/core/berylgate/parts_test.go
+++ b/core/berylgate/parts_test.go
@@ -62,20 +62,20 @@
 	prompt := gate.prompt(pool, &Request{Segments: []berylspoke.PromptSegment{{ID: 7, Tokens: 5000}, {ID: 8, Tokens: 3000}}})
 	prompt.homes = [scopeCount]*target{fleetScope: gate.targets["t-4"]}
 	to := gate.targets["t-2"]
-	require.EqualValues(t, "t-4", gate.cacheSource(now, pool, to, prompt).ID, "the home, if no target is known to have them")
-	gate.targets["t-5"].recordCached(now, prompt.shared)
-	require.EqualValues(t, "t-5", gate.cacheSource(now, pool, to, prompt).ID, "a target that was sent them")
-	gate.targets["t-0"].recordCached(now, prompt.shared)
-	gate.targets["t-3"].recordCached(now, prompt.shared)
-	require.EqualValues(t, "t-3", gate.cacheSource(now, pool, to, prompt).ID, "the nearest target that was sent them")
+	require.EqualValues(t, "t-4", gate.cacheSource(now, to, prompt).ID, "the home, if no target is known to have them")
+	gate.recordCached(now, gate.targets["t-5"], prompt.shared)
+	require.EqualValues(t, "t-5", gate.cacheSource(now, to, prompt).ID, "a target that was sent them")
+	gate.recordCached(now, gate.targets["t-0"], prompt.shared)
+	gate.recordCached(now, gate.targets["t-3"], prompt.shared)
+	require.EqualValues(t, "t-3", gate.cacheSource(now, to, prompt).ID, "the nearest target that was sent them")
 	gate.targets["t-3"].Draining = true
-	require.EqualValues(t, "t-3", gate.cacheSource(now, pool, to, prompt).ID)
+	require.EqualValues(t, "t-3", gate.cacheSource(now, to, prompt).ID)
 	gate.targets["t-3"].recordFailure(now)
-	require.EqualValues(t, "t-0", gate.cacheSource(now, pool, to, prompt).ID)
+	require.EqualValues(t, "t-0", gate.cacheSource(now, to, prompt).ID)
 	gate.targets["t-0"].suspect = true
-	require.EqualValues(t, "t-5", gate.cacheSource(now, pool, to, prompt).ID)
-	to.recordCached(now, prompt.shared)
-	require.Nil(t, gate.cacheSource(now, pool, to, prompt))
+	require.EqualValues(t, "t-5", gate.cacheSource(now, to, prompt).ID)
+	gate.recordCached(now, to, prompt.shared)
+	require.Nil(t, gate.cacheSource(now, to, prompt))
 }
 
 // Setting up a transfer takes as long as the prefill of a few tokens, and one from
@@ -88,7 +88,7 @@
 	from := func(source string, to berylspoke.TargetID, tokens berylspoke.Tokens) *target {
 		prompt := gate.prompt(pool, &Request{Segments: []berylspoke.PromptSegment{{ID: 7, Tokens: tokens}, {ID: 8, Tokens: 3000}}})
 		prompt.homes = [scopeCount]*target{fleetScope: gate.targets[berylspoke.TargetID(source)]}
-		return gate.cacheSource(now, pool, gate.targets[to], prompt)
+		return gate.cacheSource(now, gate.targets[to], prompt)
 	}
 	require.Nil(t, from("t-3", "t-2", minFetchTokens-1))
 	require.NotNil(t, from("t-3", "t-2", minFetchTokens))
@@ -107,7 +107,7 @@
 	for prefix := range uint64(40) {
 		prompt := gate.prompt(pool, &Request{Segments: []berylspoke.PromptSegment{{ID: prefix, Tokens: 200}, {ID: 1 << 40, Tokens: 600}}})
 		require.Equal(t, prompt.homes[domainScope], prompt.home)
-		source := gate.cacheSource(now, pool, prompt.home, prompt)
+		source := gate.cacheSource(now, prompt.home, prompt)
 		if wider := prompt.homes[regionScope]; wider != prompt.home {
 			differ++
 			require.Equal(t, wider, source)
--- a/core/berylgate/report.go
+++ b/core/berylgate/report.go
@@ -124,13 +124,14 @@
 // number of links, and the peers' own reports cover each target often enough.
 func (gate *Gate) loadReports(now, since time.Time) []LoadReport {
 	var loads []LoadReport
-	for _, target := range gate.sorted {
+	gate.loadNews.update(func(target *target) bool {
 		if own := target.directLoad; own.at.After(since) {
 			loads = append(loads, LoadReport{
 				Target: target.hash, Running: own.running, Waiting: own.waiting, Age: now.Sub(own.at),
 			})
 		}
-	}
+		return false
+	})
 	return loads
 }
 
@@ -165,6 +166,7 @@
 			target.drain(now)
 			target.backlogMillis += sentMillis
 			target.inflowMillis += sentMillis
+			gate.active.add(target)
 		}
 	}
 	for _, item := range report.Loads {
@@ -203,15 +205,16 @@
 // of them; in larger fleets it sends them to its links.
 const MaxFullMeshPeers = 12
 
-// sumOthers sums up the requests of the other daemons at each target.
+// sumOthers sums up the requests of the other daemons at each target. In a large fleet they
+// follow from the target's load when the target is evaluated.
 func (gate *Gate) sumOthers(now time.Time) {
+	gate.peers = slices.DeleteFunc(gate.peers, func(peer *peer) bool { return now.Sub(peer.receivedAt) > reportMaxAge })
+	if gate.largeFleet() {
+		return
+	}
 	for _, target := range gate.sorted {
 		target.others = occupancy{}
-		if gate.largeFleet() {
-			target.others = target.othersFromLoad(now)
-		}
 	}
-	gate.peers = slices.DeleteFunc(gate.peers, func(peer *peer) bool { return now.Sub(peer.receivedAt) > reportMaxAge })
 	for _, peer := range gate.peers {
 		for _, item := range peer.report.Targets {
 			if target := gate.byHash[item.Target]; target != nil {
@@ -223,6 +226,13 @@
 	}
 }
 
+// refreshOthers estimates the requests of the other daemons at a target of a large fleet.
+func (gate *Gate) refreshOthers(now time.Time, target *target) {
+	if gate.largeFleet() {
+		target.others = target.othersFromLoad(now)
+	}
+}
+
 // total is the usage of one organisation summed over daemons, and whether it is limited
 // by the CPU of a VM.
 type total struct {
--- a/core/berylgate/silence.go
+++ b/core/berylgate/silence.go
@@ -79,6 +79,7 @@
 	if at.After(target.evidence.silentAt) {
 		target.evidence.silentAt = at
 	}
+	gate.silences.add(target)
 	if !before && target.silent(now) {
 		gate.silenceNews = true
 		gate.chooseTrial(target)
@@ -95,20 +96,21 @@
 // silenceReports returns the silences that were not reported yet, or that ended since.
 func (gate *Gate) silenceReports(now time.Time) []SilenceReport {
 	var reports []SilenceReport
-	for _, target := range gate.sorted {
+	gate.silences.update(func(target *target) bool {
 		known := &target.evidence
-		if known.silentAt.IsZero() || now.Sub(known.silentAt) >= silenceMaxAge || len(reports) == maxSilences {
-			continue
+		if now.Sub(known.silentAt) >= silenceMaxAge {
+			return false
 		}
 		silent := target.silent(now)
-		if silent && known.reported || !silent && known.answerReported {
-			continue
+		if silent && known.reported || !silent && known.answerReported || len(reports) == maxSilences {
+			return true
 		}
 		known.reported, known.answerReported = true, !silent
 		reports = append(reports, SilenceReport{
 			Target: target.hash, Silent: now.Sub(known.silentAt), Answered: max(now.Sub(target.latestAnswer()), 0),
 		})
-	}
+		return true
+	})
 	return reports
 }
 
--- a/core/berylgate/target.go
+++ b/core/berylgate/target.go
@@ -4,6 +4,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -100,9 +101,13 @@
 	evidence    evidence
 	wait        observedWait
 	attempts    map[*attempt]bool
-	// lastSent is when this daemon last sent each shared segment there.
-	lastSent map[uint64]time.Time
-	cold     coldState
+	cold        coldState
+	// removed is set once the target is no longer published.
+	removed bool
+	// considered is the decision for which the target was last evaluated; prefix is what
+	// it is assumed to have cached of that decision's prompt.
+	considered uint64
+	prefix     cachedPrefix
 }
 
 // scope says how far apart two failure domains are: it is the smallest area that contains
@@ -124,10 +129,39 @@
 	pendingMillis float64
 }
 
+// targetList lists targets without duplicates, in the order in which they were added.
+type targetList struct {
+	targets []*target
+	listed  map[*target]bool
+}
+
+func (list *targetList) add(added *target) {
+	if list.listed[added] {
+		return
+	}
+	if list.listed == nil {
+		list.listed = make(map[*target]bool)
+	}
+	list.listed[added] = true
+	list.targets = append(list.targets, added)
+}
+
+// update drops the targets that are no longer published and those for which keep returns
+// false.
+func (list *targetList) update(keep func(*target) bool) {
+	list.targets = slices.DeleteFunc(list.targets, func(target *target) bool {
+		if !target.removed && keep(target) {
+			return false
+		}
+		delete(list.listed, target)
+		return true
+	})
+}
+
 func newTarget(now time.Time, declared berylspoke.Target) *target {
 	return &target{
 		Target: declared, hash: hashOf(string(declared.ID)), asOf: now, slowdown: 1, meanMillis: initialMeanMillis, lastAnswer: now,
-		attempts: make(map[*attempt]bool), lastSent: make(map[uint64]time.Time),
+		attempts: make(map[*attempt]bool),
 	}
 }
 
@@ -250,11 +284,17 @@
 // inflowWindow is the time constant of the rate of inflow.
 const inflowWindow = 140 * time.Millisecond
 
+// negligibleInflow is the rate of inflow that is rounded down to zero.
+const negligibleInflow = 1e-4
+
 // updateInflow updates the rate of inflow with the work that was reported since the last
 // tick.
 func (target *target) updateInflow(elapsed time.Duration) {
 	weight := 1 - math.Exp(-float64(elapsed)/float64(inflowWindow))
 	target.inflowRate += weight * (target.inflowMillis/max(millis(elapsed), 1) - target.inflowRate)
+	if target.inflowMillis == 0 && target.inflowRate < negligibleInflow {
+		target.inflowRate = 0
+	}
 	target.inflowMillis = 0
 }
 
--- a/core/berylgate/wait.go
+++ b/core/berylgate/wait.go
@@ -6,6 +6,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -42,31 +43,41 @@
 	return max(0, wait.millis-millis(now.Sub(wait.at)))
 }
 
-// observeWait records how long a request waited at a target, or has waited so far.
-func (target *target) observeWait(now time.Time, attempt *attempt, answered bool) {
+// lingering returns the extra cost of a target at which a request waited recently. The wait
+// itself drains within seconds, after which a slow target looks idle again.
+func (wait *observedWait) lingering(now time.Time) float64 {
+	const share = 0.1
+	if wait.millis == 0 {
+		return 0
+	}
+	return share * wait.millis * math.Exp(-float64(now.Sub(wait.at))/float64(slowdownDecay))
+}
+
+// observeWait records how long a request waited at its target, or has waited so far.
+func (gate *Gate) observeWait(now time.Time, attempt *attempt, answered bool) {
+	target := attempt.target
 	waitedMillis := millis(now.Sub(attempt.sentAt)) - attempt.unloadedMillis
 	if answered || waitedMillis > target.wait.now(now)+millis(waitStep) {
 		target.wait = observedWait{at: now, millis: max(0, waitedMillis)}
+		gate.waitNews.add(target)
 	}
 }
 
 // observeWaits records the waits of the requests whose answers have not started.
-func (target *target) observeWaits(now time.Time) {
+func (gate *Gate) observeWaits(now time.Time, target *target) {
 	for attempt := range target.attempts {
 		if !attempt.answerStarted {
-			target.observeWait(now, attempt, false)
+			gate.observeWait(now, attempt, false)
 		}
 	}
 }
 
 // waitReports returns the longest waits that were not reported yet.
 func (gate *Gate) waitReports(now time.Time) []WaitReport {
-	var waiting []*target
-	for _, target := range gate.sorted {
-		if target.engine != nil && !target.wait.reported && duration(target.wait.now(now)) >= minSharedWait {
-			waiting = append(waiting, target)
-		}
-	}
+	gate.waitNews.update(func(target *target) bool {
+		return target.engine != nil && !target.wait.reported && duration(target.wait.now(now)) >= minSharedWait
+	})
+	waiting := slices.Clone(gate.waitNews.targets)
 	slices.SortStableFunc(waiting, func(one, other *target) int {
 		return cmp.Compare(other.wait.now(now), one.wait.now(now))
 	})
@@ -87,6 +98,7 @@
 		}
 		if at := now.Add(-max(item.Age, 0)); at.After(target.wait.at.Add(evidenceResolution)) {
 			target.wait = observedWait{at: at, millis: millis(min(max(item.Wait, 0), maxWait))}
+			gate.waitNews.add(target)
 		}
 	}
 }
--- a/io/beryledge/actor.go
+++ b/io/beryledge/actor.go
@@ -153,6 +153,8 @@
 	quarantine *berylquarantine.Quarantine
 	// evacuated are the failure domains whose targets get no more requests.
 	evacuated map[berylspoke.FailureDomain]bool
+	// published are the published targets by their key in the store.
+	published map[string]berylspoke.Target
 	// pullers decide which changes to pull from peers.
 	pullers [berylfeed.Count]berylfeed.Puller
 	// pulledAt is when the changes of a feed were last pulled.
@@ -189,6 +191,7 @@
 		table:      berylmember.NewTable(now, vm, daemon.incarnation, options),
 		contacts:   berylfeed.NewContacts(uint32(xxhash.Sum64String(fmt.Sprint(settings.VM, daemon.incarnation)))),
 		quarantine: berylquarantine.New(),
+		published:  make(map[string]berylspoke.Target),
 		lastTick:   now, lastTimerTick: now,
 	}
 	core.tickAfter = func(delay time.Duration) {
--- a/io/beryledge/attempt.go
+++ b/io/beryledge/attempt.go
@@ -103,7 +103,8 @@
 // request that is sent after the other daemons have stopped sending would be run by a
 // target that is about to exit.
 func (call *call) stillWanted(target berylspoke.Target) bool {
-	return (*call.daemon.accepting.Load())[target.ID] && !callerDisconnected(call.incoming.Context())
+	_, accepting := call.daemon.accepting.Load(target.ID)
+	return accepting && !callerDisconnected(call.incoming.Context())
 }
 
 // sendFailed handles an attempt that got no answer.
--- a/io/beryledge/daemon.go
+++ b/io/beryledge/daemon.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -61,8 +62,8 @@
 	admission   *admission
 	index       atomic.Pointer[berylcatalog.Index]
 	entries     atomic.Pointer[entries]
-	// accepting are the targets that accept new requests.
-	accepting   atomic.Pointer[map[berylspoke.TargetID]bool]
+	// accepting holds the ids of the targets that accept new requests.
+	accepting   sync.Map
 	ready       atomic.Bool
 	stopping    atomic.Bool
 	stopStarted atomic.Int64
@@ -101,7 +102,6 @@
 	daemon.readDue = newReadDue()
 	daemon.meters = newMeters(daemon)
 	daemon.entries.Store(new(entries))
-	daemon.accepting.Store(new(map[berylspoke.TargetID]bool))
 	daemon.ctx, daemon.cancel = context.WithCancel(context.Background())
 	var err error
 	if daemon.admission, err = newAdmission(daemon.ctx); err != nil {
--- a/io/beryledge/daemon_test.go
+++ b/io/beryledge/daemon_test.go
@@ -360,7 +360,12 @@
 	decision := call.decide()
 	require.Nil(t, decision.Refusal)
 	store.put("t/d1", "")
-	require.Eventually(t, func() bool { return len(*daemon.accepting.Load()) == 0 }, 10*time.Second, 10*time.Millisecond)
+	none := func() bool {
+		count := 0
+		daemon.accepting.Range(func(any, any) bool { count++; return true })
+		return count == 0
+	}
+	require.Eventually(t, none, 10*time.Second, 10*time.Millisecond)
 	require.False(t, call.attempt(decision), "the request may not be retried")
 	require.False(t, call.mayHaveRun)
 	require.Zero(t, leaving.seen.Load())
--- a/io/beryledge/feeds.go
+++ b/io/beryledge/feeds.go
@@ -164,7 +164,9 @@
 	}
 	core.evacuated = evacuated
 	core.daemon.log.Info("evacuated failure domains changed", zap.Any("emptied", slices.Sorted(maps.Keys(evacuated))))
-	core.refreshTargets(now)
+	for _, target := range core.published {
+		core.setTarget(now, target)
+	}
 }
 
 // refreshCatalog applies the newest configuration. One that cannot be decoded, or that is
@@ -186,26 +188,53 @@
 		zap.Int("routes", len(catalog.Routes)), zap.Int("organisations", len(catalog.Organisations)))
 }
 
+// refreshTargets applies the changes of the published targets.
 func (core *core) refreshTargets(now time.Time) {
-	items, next := core.feeds[berylfeed.Targets].Items(now)
+	items, next := core.feeds[berylfeed.Targets].TakeChanges(now)
 	core.graceEnd = next
-	targets := make([]berylspoke.Target, 0, len(items))
-	accepting := make(map[berylspoke.TargetID]bool, len(items))
 	for _, item := range items {
-		target, err := core.daemon.dialect.Target(item)
-		if err != nil {
-			core.daemon.log.Debug("ignoring a published item that names no target", cause(err))
-			continue
-		}
-		target.Draining = target.Draining || core.evacuated[target.FailureDomain]
-		if !target.Draining {
-			accepting[target.ID] = true
-		}
-		targets = append(targets, target)
+		core.applyTarget(now, item)
+	}
+	if len(items) > 0 {
+		core.logTargets(len(items))
+	}
+}
+
+// applyTarget applies a change of one published item.
+func (core *core) applyTarget(now time.Time, item berylspoke.Item) {
+	old, known := core.published[item.Key]
+	target, err := berylspoke.Target{}, error(nil)
+	if !item.Deleted {
+		target, err = core.daemon.dialect.Target(item)
+	}
+	if err != nil {
+		core.daemon.log.Debug("ignoring a published item that names no target", cause(err))
 	}
-	core.daemon.accepting.Store(&accepting)
-	core.gate.SetTargets(now, targets)
-	core.daemon.log.Info("targets changed", zap.Int("targets", len(targets)), zap.Int("leaving", len(targets)-len(accepting)),
+	gone := item.Deleted || err != nil
+	if known && (gone || old.ID != target.ID) {
+		core.daemon.accepting.Delete(old.ID)
+		core.gate.RemoveTarget(old.ID)
+		delete(core.published, item.Key)
+	}
+	if !gone {
+		core.published[item.Key] = target
+		core.setTarget(now, target)
+	}
+}
+
+// setTarget passes a published target on to those that use it.
+func (core *core) setTarget(now time.Time, target berylspoke.Target) {
+	target.Draining = target.Draining || core.evacuated[target.FailureDomain]
+	if target.Draining {
+		core.daemon.accepting.Delete(target.ID)
+	} else {
+		core.daemon.accepting.Store(target.ID, true)
+	}
+	core.gate.SetTarget(now, target)
+}
+
+func (core *core) logTargets(changed int) {
+	core.daemon.log.Info("targets changed", zap.Int("changed", changed), zap.Int("targets", len(core.published)),
 		zap.Uint64("asOf", uint64(core.feeds[berylfeed.Targets].AsOf())))
 }
 
--- a/io/beryledge/replication_test.go
+++ b/io/beryledge/replication_test.go
@@ -182,7 +182,6 @@
 	}
 	daemon.meters = newMeters(daemon)
 	daemon.entries.Store(new(entries))
-	daemon.accepting.Store(new(map[berylspoke.TargetID]bool))
 	var err error
 	daemon.admission, err = newAdmission(t.Context())
 	require.NoError(t, err)
