Changes of the store are gathered while they come quickly

Cause: a watch answers at each change.

Change: after an answer with changes a watcher pauses 200 ms, and its next watch waits as much less, so that contacts are as frequent as before. A change after a calm second is read at once.

--- a/io/beryledge/store.go
+++ b/io/beryledge/store.go
@@ -18,6 +18,10 @@
 	// history may forget a waiting watch, which then reports nothing until it ends; a
 	// change must still be in force within three seconds.
 	watchTimeout = time.Second
+	// gatherDelay is the pause after an answer that held changes. Targets that start or
+	// stop together write one after another, and each change would take a call of every
+	// watcher. A change after a calm second is still read at once.
+	gatherDelay = 200 * time.Millisecond
 	// watcherCount is the number of daemons that watch the store. Each call is billed and
 	// the store's rate limit is shared, so the others get the changes from these. There
 	// are three, so that a fault at one or two of them delays nothing.
@@ -48,7 +52,7 @@
 
 // followStore reads the items below one prefix until the daemon ends.
 func (daemon *Daemon) followStore(feed berylfeed.Name, prefix string) {
-	pause := minRetryPause
+	pause, wait := minRetryPause, watchTimeout
 	var after berylspoke.Revision
 	for daemon.ctx.Err() == nil {
 		if !daemon.mustWatch(feed, time.Now()) {
@@ -59,9 +63,9 @@
 			continue
 		}
 		full := !daemon.known[feed].Load() && after == 0
-		message, err := daemon.read(feed, prefix, full, after)
+		message, err := daemon.read(feed, prefix, full, after, wait)
 		if errors.Is(err, berylspoke.ErrHistoryGone) {
-			message, err = daemon.read(feed, prefix, true, 0)
+			message, err = daemon.read(feed, prefix, true, 0, wait)
 		}
 		if err != nil {
 			daemon.send(storeFailed{feed, err})
@@ -69,8 +73,13 @@
 			pause = min(2*pause, maxRetryPause)
 			continue
 		}
-		pause, after = minRetryPause, message.asOf
+		pause, after, wait = minRetryPause, message.asOf, watchTimeout
 		daemon.send(message)
+		if len(message.items) > 0 {
+			// The next answer is not later than without the pause.
+			wait -= gatherDelay
+			daemon.sleep(gatherDelay)
+		}
 	}
 }
 
@@ -122,7 +131,7 @@
 
 // read makes one watch call, or the calls of one list. A watch continues after the last
 // answer, or after newer changes that peers sent.
-func (daemon *Daemon) read(feed berylfeed.Name, prefix string, full bool, after berylspoke.Revision) (storeAnswer, error) {
+func (daemon *Daemon) read(feed berylfeed.Name, prefix string, full bool, after berylspoke.Revision, wait time.Duration) (storeAnswer, error) {
 	daemon.meters.storeCalls.Inc()
 	message := storeAnswer{feed: feed, full: full}
 	var err error
@@ -131,7 +140,7 @@
 		return message, err
 	}
 	after = max(after, berylspoke.Revision(daemon.revisions[feed].Load()))
-	message.items, message.asOf, err = daemon.store.Watch(daemon.ctx, prefix, after, watchTimeout)
+	message.items, message.asOf, err = daemon.store.Watch(daemon.ctx, prefix, after, wait)
 	return message, err
 }
 
