The wait at an engine without a free slot follows from how long requests hold one

Cause: an engine whose slots were in use counted as 400 ms behind, a constant from engines of 64 slots with long streams. Engines of 16 slots with streams of under a second often have none free and free one each 50 ms; requests left the homes of their shared segments, which were then read again, or were refused.

Change: each daemon learns the mean time for which requests hold a slot; with all slots in use the wait is that time divided by the slots. An engine that would have to evict the KV cache of running requests keeps the 400 ms.

--- a/core/berylgate/choose.go
+++ b/core/berylgate/choose.go
@@ -24,9 +24,9 @@
 	// crossDomainPenaltyMillis is the same for a target in another failure domain of the
 	// region: traffic between them is charged too, at a third of the price.
 	crossDomainPenaltyMillis = 4.0
-	// fullPenaltyMillis is added to the expected time at a target without room for the
-	// request.
-	fullPenaltyMillis = 400.0
+	// evictionPenaltyMillis is added to the expected time at an engine that would have to
+	// evict the KV cache of running requests, and at a plain target with a long queue.
+	evictionPenaltyMillis = 400.0
 )
 
 // candidate is one target as evaluated for a request.
@@ -247,8 +247,9 @@
 	option.expectedMillis = target.expectedMillis(now, option.addedMillis)
 	option.unloadedMillis = target.unloadedMillis(option.addedMillis)
 	option.idle = target.idle(now)
-	if target.full(request.Input + request.Output) {
-		option.expectedMillis += fullPenaltyMillis
+	option.expectedMillis += max(0, gate.slotWaitMillis(target)-target.slowdown*target.queueMillis(now))
+	if target.evicts(request.Input + request.Output) {
+		option.expectedMillis += evictionPenaltyMillis
 	}
 	option.costMillis = option.expectedMillis + errorPenaltyMillis*target.errorRate + target.wait.lingering(now)
 	option.costMillis += recomputeWeight * float64(option.uncached) / prefillTokensPerMillis
--- a/core/berylgate/gate.go
+++ b/core/berylgate/gate.go
@@ -67,10 +67,12 @@
 	expectedMillis float64
 	// queueMillis is the work queued at the target when the request was sent, addedMillis
 	// the work that the request added.
-	queueMillis   float64
-	addedMillis   float64
-	kvTokens      berylspoke.Tokens
-	answerStarted bool
+	queueMillis float64
+	addedMillis float64
+	// slotWaitMillis is the expected wait for a slot.
+	slotWaitMillis float64
+	kvTokens       berylspoke.Tokens
+	answerStarted  bool
 	// unloadedMillis is the expected time to first byte at an idle target.
 	unloadedMillis float64
 	// served is set if this attempt was counted in the organisation's service.
@@ -84,8 +86,9 @@
 	targets []*target
 	index   targetIndex
 	budget  *berylroute.Budget
-	// meanSlowdown is the mean slowdown of the service's targets.
-	meanSlowdown float64
+	// meanSlowdown is the mean slowdown of the service's targets, meanHoldMillis the mean
+	// time for which a request holds a slot of an engine.
+	meanSlowdown, meanHoldMillis float64
 }
 
 // Gate holds the state by which one daemon decides where requests are sent.
@@ -191,7 +194,7 @@
 	for id, declared := range catalog.Services {
 		known := gate.pools[id]
 		if known == nil {
-			known = &pool{budget: gate.newBudget(now, 0), meanSlowdown: 1}
+			known = &pool{budget: gate.newBudget(now, 0), meanSlowdown: 1, meanHoldMillis: initialHoldMillis}
 		}
 		known.service = declared
 		pools[id] = known
@@ -398,8 +401,8 @@
 	attempt := &attempt{
 		request: request, target: target, sentAt: now,
 		expectedMillis: candidate.expectedMillis, queueMillis: target.queueMillis(now), addedMillis: candidate.addedMillis,
-		unloadedMillis: candidate.unloadedMillis,
-		kvTokens:       request.Input + request.Output,
+		unloadedMillis: candidate.unloadedMillis, slotWaitMillis: gate.slotWaitMillis(target),
+		kvTokens: request.Input + request.Output,
 	}
 	target.attempts[attempt] = true
 	gate.active.add(target)
--- a/core/berylgate/outcome.go
+++ b/core/berylgate/outcome.go
@@ -65,6 +65,8 @@
 			const weight = 0.1
 			target.meanMillis += weight * (millis(now.Sub(attempt.sentAt)) - target.latencyMillis - target.meanMillis)
 			target.meanMillis = max(target.meanMillis, 1)
+		} else {
+			gate.observeHold(now, attempt)
 		}
 	case Unreachable:
 		target.recordFailure(now)
--- a/core/berylgate/target.go
+++ b/core/berylgate/target.go
@@ -314,16 +314,12 @@
 	return target.backlogMillis < negligibleMillis && target.wait.now(now) < negligibleWaitMillis && 2*target.occupied() < target.slots
 }
 
-// full reports whether another request would have to wait for a slot or would evict
-// others from the engine's KV cache. A plain service is full at three requests per
-// slot.
-func (target *target) full(needed berylspoke.Tokens) bool {
+// evicts reports whether a request that needs the given tokens would evict others from the
+// engine's KV cache. A plain service is as full at three requests per slot.
+func (target *target) evicts(needed berylspoke.Tokens) bool {
 	if target.engine == nil {
 		return target.occupied() >= 3*target.slots
 	}
-	if target.occupied() >= target.slots {
-		return true
-	}
 	const usableShare = 0.9
 	usable := berylspoke.Tokens(usableShare * float64(target.engine.CacheCapacity))
 	return usable > 0 && target.kvTokens+target.others.kvTokens+needed > usable
