Engines of which nothing recent is known count as busy as the others

Cause: in a large fleet a daemon hears of few engines, and took an engine without recent news for idle.

Change: each daemon keeps the mean occupancy and the mean wait over the engines of a service, from its own answers and the reports of others. What is known of one engine gives way to the means with its age. Both are bounded and forgotten.

--- a/core/berylgate/choose.go
+++ b/core/berylgate/choose.go
@@ -247,7 +247,7 @@
 	option.expectedMillis = target.expectedMillis(now, option.addedMillis)
 	option.unloadedMillis = target.unloadedMillis(option.addedMillis)
 	option.idle = target.idle(now)
-	option.expectedMillis += max(0, gate.slotWaitMillis(target)-target.slowdown*target.queueMillis(now))
+	option.expectedMillis += max(0, gate.unknownWaitMillis(now, target)-target.slowdown*target.queueMillis(now))
 	if target.evicts(request.Input + request.Output) {
 		option.expectedMillis += evictionPenaltyMillis
 	}
--- a/core/berylgate/gate.go
+++ b/core/berylgate/gate.go
@@ -89,6 +89,7 @@
 	// meanSlowdown is the mean slowdown of the service's targets, meanHoldMillis the mean
 	// time for which a request holds a slot of an engine.
 	meanSlowdown, meanHoldMillis float64
+	mean                         meanLoad
 }
 
 // Gate holds the state by which one daemon decides where requests are sent.
@@ -452,7 +453,7 @@
 	case gate.largeFleet():
 		target.directLoad = load{now, reported.Running, reported.Waiting}
 		gate.loadNews.add(target)
-		target.adoptLoad(now, target.directLoad)
+		gate.adoptLoad(now, target, target.directLoad)
 		target.slots = reported.Slots
 	default:
 		target.observeLoad(now, *reported)
--- a/core/berylgate/report.go
+++ b/core/berylgate/report.go
@@ -171,7 +171,7 @@
 	}
 	for _, item := range report.Loads {
 		if target := gate.byHash[item.Target]; target != nil {
-			target.adoptLoad(now, load{now.Add(-item.Age), item.Running, item.Waiting})
+			gate.adoptLoad(now, target, load{now.Add(-item.Age), item.Running, item.Waiting})
 		}
 	}
 	gate.receiveSilences(now, report.Silences)
@@ -229,7 +229,7 @@
 // refreshOthers estimates the requests of the other daemons at a target of a large fleet.
 func (gate *Gate) refreshOthers(now time.Time, target *target) {
 	if gate.largeFleet() {
-		target.others = target.othersFromLoad(now)
+		target.others = target.othersFromLoad(now, gate.meanLoadOf(target))
 	}
 }
 
--- a/core/berylgate/target.go
+++ b/core/berylgate/target.go
@@ -238,18 +238,23 @@
 const loadMaxAge = 1500 * time.Millisecond
 
 // othersFromLoad returns the occupancy by other daemons that follows from the target's
-// load.
-func (target *target) othersFromLoad(now time.Time) occupancy {
-	if now.Sub(target.latestLoad.at) > loadMaxAge {
+// load, and the older that is, from the mean over the engines of its service.
+func (target *target) othersFromLoad(now time.Time, mean *meanLoad) occupancy {
+	if target.engine == nil && now.Sub(target.latestLoad.at) > loadMaxAge {
 		return occupancy{}
 	}
-	running := target.latestLoad.running + target.latestLoad.waiting
+	running := float64(target.latestLoad.running + target.latestLoad.waiting)
 	for attempt := range target.attempts {
 		if attempt.sentAt.Before(target.latestLoad.at) {
 			running--
 		}
 	}
-	others := occupancy{running: max(running, 0)}
+	if target.engine != nil {
+		mean.decay(now)
+		usual := mean.occupancy*float64(target.slots) - float64(target.running)
+		running += unknownShare(now.Sub(target.latestLoad.at)) * (usual - running)
+	}
+	others := occupancy{running: max(int(running+0.5), 0)}
 	if target.running > 0 {
 		others.kvTokens = target.kvTokens / berylspoke.Tokens(target.running) * berylspoke.Tokens(others.running)
 	}
--- a/core/berylgate/wait.go
+++ b/core/berylgate/wait.go
@@ -60,6 +60,7 @@
 	if answered || waitedMillis > target.wait.now(now)+millis(waitStep) {
 		target.wait = observedWait{at: now, millis: max(0, waitedMillis)}
 		gate.waitNews.add(target)
+		gate.meanLoadOf(target).observeWait(now, waitedMillis)
 	}
 }
 
