A daemon that has just started sends as answers return

Cause: after a restart of the whole fleet callers return together, and the loads that engines report are known only once requests wait there.

Change: for 4 s after its start a daemon of a large fleet keeps a window of unanswered requests. It begins with a quarter of the daemon's part of all slots, opens by one for each answer that waited little and closes by a tenth for each that waited while the mean wait over all engines is long.

As a steady rule the window refuses who could be served in time.

--- a/core/berylgate/choose.go
+++ b/core/berylgate/choose.go
@@ -96,7 +96,7 @@
 	}
 	decision := gate.newDecision(now, best, prompt, allowance)
 	decision.Share = gate.share(now, request)
-	if !allowance.admits(best) {
+	if !allowance.admits(best) || !retry && gate.windowFull(now, pool, allowance.overLevel) {
 		decision.Refusal = gate.refuseOverload(request, best, allowance)
 		return decision
 	}
--- a/core/berylgate/gate.go
+++ b/core/berylgate/gate.go
@@ -63,6 +63,7 @@
 type attempt struct {
 	request        *Request
 	target         *target
+	pool           *pool
 	sentAt         time.Time
 	expectedMillis float64
 	// queueMillis is the work queued at the target when the request was sent, addedMillis
@@ -77,6 +78,8 @@
 	unloadedMillis float64
 	// served is set if this attempt was counted in the organisation's service.
 	served bool
+	// windowObserved is set once the attempt closed the window.
+	windowObserved bool
 }
 
 // pool holds the targets and the retry budget of one service.
@@ -90,6 +93,7 @@
 	// time for which a request holds a slot of an engine.
 	meanSlowdown, meanHoldMillis float64
 	mean                         meanLoad
+	window                       window
 }
 
 // Gate holds the state by which one daemon decides where requests are sent.
@@ -127,7 +131,9 @@
 	rng            *rand.Rand
 	// offset is where this daemon begins to draw candidates: it keeps to the same targets,
 	// so that it has connections to them and knows them, while daemons differ.
-	offset   uint64
+	offset uint64
+	// started is when the first configuration was set.
+	started  time.Time
 	lastTick time.Time
 	// lastExpiry is when expired segments were last dropped.
 	lastExpiry time.Time
@@ -190,6 +196,9 @@
 
 // SetCatalog sets the declared services and the throughput to share.
 func (gate *Gate) SetCatalog(now time.Time, catalog *berylspoke.Catalog) {
+	if gate.started.IsZero() {
+		gate.started = now
+	}
 	gate.capacity = catalog.Limits.TokensPerSecond
 	pools := make(map[berylspoke.ServiceID]*pool, len(catalog.Services))
 	for id, declared := range catalog.Services {
@@ -385,6 +394,7 @@
 		gate.expireCached(now)
 	}
 	gate.sumOthers(now)
+	gate.countStuck(now)
 }
 
 // ObserveConnectTime updates the network latency of a target with the time that a
@@ -400,7 +410,7 @@
 func (gate *Gate) startAttempt(now time.Time, request *Request, candidate candidate, prompt prompt) {
 	target := candidate.target
 	attempt := &attempt{
-		request: request, target: target, sentAt: now,
+		request: request, target: target, pool: gate.pools[target.Service], sentAt: now,
 		expectedMillis: candidate.expectedMillis, queueMillis: target.queueMillis(now), addedMillis: candidate.addedMillis,
 		unloadedMillis: candidate.unloadedMillis, slotWaitMillis: gate.slotWaitMillis(target),
 		kvTokens: request.Input + request.Output,
@@ -418,6 +428,7 @@
 	if target.engine == nil {
 		return
 	}
+	attempt.pool.window.unanswered++
 	target.kvTokens += attempt.kvTokens
 	target.drain(now)
 	target.backlogMillis += attempt.addedMillis
@@ -438,7 +449,7 @@
 		return
 	}
 	target := attempt.target
-	target.markAnswerStarted(attempt)
+	gate.markAnswerStarted(attempt)
 	target.recordSuccess(now)
 	if target.engine == nil {
 		return
--- a/core/berylgate/outcome.go
+++ b/core/berylgate/outcome.go
@@ -44,7 +44,7 @@
 	request.current = nil
 	target := attempt.target
 	delete(target.attempts, attempt)
-	target.markAnswerStarted(attempt)
+	gate.markAnswerStarted(attempt)
 	target.running--
 	if target.engine != nil {
 		target.kvTokens -= attempt.kvTokens
--- a/core/berylgate/target.go
+++ b/core/berylgate/target.go
@@ -353,13 +353,14 @@
 }
 
 // markAnswerStarted records that an attempt no longer waits for its first byte.
-func (target *target) markAnswerStarted(attempt *attempt) {
+func (gate *Gate) markAnswerStarted(attempt *attempt) {
 	if attempt.answerStarted {
 		return
 	}
 	attempt.answerStarted = true
-	if target.engine != nil {
+	if target := attempt.target; target.engine != nil {
 		target.pendingMillis = math.Max(0, target.pendingMillis-attempt.addedMillis)
+		attempt.pool.window.unanswered--
 	}
 }
 
--- a/core/berylgate/wait.go
+++ b/core/berylgate/wait.go
@@ -57,6 +57,7 @@
 func (gate *Gate) observeWait(now time.Time, attempt *attempt, answered bool) {
 	target := attempt.target
 	waitedMillis := millis(now.Sub(attempt.sentAt)) - attempt.unloadedMillis
+	gate.observeWindow(attempt.pool, attempt, waitedMillis)
 	if answered || waitedMillis > target.wait.now(now)+millis(waitStep) {
 		target.wait = observedWait{at: now, millis: max(0, waitedMillis)}
 		gate.waitNews.add(target)
