A rare target is found among many

Cause: by reading; three draws of 32 targets from each distance end a search, so a request that only few of many targets may serve (others tried, cold, or in regions that are not allowed) was refused for want of a target. Change: draws go on while they found none. TestRareTargetIsFoundAmongMany.

--- a/core/berylgate/choose.go
+++ b/core/berylgate/choose.go
@@ -171,6 +171,14 @@
 	inTime, late, unusable candidate
 }
 
+// wantsMore reports whether more targets are drawn after the given number of draws.
+func (found *choice) wantsMore(draws int) bool {
+	if found.late.target == nil && found.unusable.target == nil && found.inTime.target == nil {
+		return true
+	}
+	return draws == 0 || draws < maxDraws && found.inTime.target == nil
+}
+
 // best returns the target with the lowest cost among those that are expected to answer
 // within the limit. If there is none, it returns the cheapest of the other usable
 // targets or, failing that, of the unusable ones. The candidates are the homes of the
@@ -189,7 +197,7 @@
 			consider(send.target)
 		}
 	}
-	for draw := 0; draw == 0 || draw < maxDraws && found.inTime.target == nil; draw++ {
+	for draw := 0; draw < pool.index.draws() && found.wantsMore(draw); draw++ {
 		for scope := range scopeCount {
 			pool.index.draw(scope, gate.offset, draw, consider)
 		}
--- a/core/berylgate/gate.go
+++ b/core/berylgate/gate.go
@@ -4,8 +4,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -218,89 +216,6 @@
 	}
 }
 
-// SetTargets sets the targets that are published now.
-func (gate *Gate) SetTargets(now time.Time, declared []berylspoke.Target) {
-	listed := make(map[berylspoke.TargetID]bool, len(declared))
-	for _, item := range declared {
-		listed[item.ID] = true
-		gate.SetTarget(now, item)
-	}
-	for id := range gate.targets {
-		if !listed[id] {
-			gate.RemoveTarget(id)
-		}
-	}
-}
-
-// SetTarget adds a target or applies a change to it. The state of a known target is kept
-// unless the target was restarted or changed its address or service.
-func (gate *Gate) SetTarget(now time.Time, declared berylspoke.Target) {
-	known := gate.targets[declared.ID]
-	if known == nil || known.Started != declared.Started || known.Address != declared.Address || known.Service != declared.Service {
-		gate.RemoveTarget(declared.ID)
-		known = newTarget(now, declared)
-		known.ColdFor = 0
-		gate.targets[known.ID], gate.byHash[known.hash] = known, known
-		gate.sorted = insertTarget(gate.sorted, known)
-	} else {
-		gate.removeFromPool(known)
-	}
-	coldBefore := known.ColdFor
-	known.Target = declared
-	gate.updateCold(now, known, coldBefore)
-	known.scope = gate.scopeBetween(gate.options.FailureDomain, known.FailureDomain)
-	if known.latencyMillis == 0 {
-		known.latencyMillis = sameRegionLatencyMillis
-		if known.scope == fleetScope {
-			known.latencyMillis = crossRegionLatencyMillis
-		}
-	}
-	gate.addToPool(known)
-}
-
-// RemoveTarget removes a target that is no longer published.
-func (gate *Gate) RemoveTarget(id berylspoke.TargetID) {
-	known := gate.targets[id]
-	if known == nil {
-		return
-	}
-	known.removed = true
-	gate.removeFromPool(known)
-	delete(gate.targets, id)
-	if gate.byHash[known.hash] == known {
-		delete(gate.byHash, known.hash)
-	}
-	gate.sorted = deleteTarget(gate.sorted, known)
-}
-
-// addToPool adds a target to the pool of its service.
-func (gate *Gate) addToPool(target *target) {
-	pool := gate.pools[target.Service]
-	if pool == nil {
-		return
-	}
-	target.engine, target.slots, target.meanSlowdown = pool.service.Engine, target.Slots, &pool.meanSlowdown
-	if target.engine != nil && target.slots == 0 {
-		target.slots = target.engine.Slots
-	}
-	pool.targets = insertTarget(pool.targets, target)
-	if !target.Draining {
-		pool.index.add(target, gate.options.RegionOf[target.FailureDomain])
-	}
-}
-
-// removeFromPool reverses addToPool.
-func (gate *Gate) removeFromPool(target *target) {
-	pool := gate.pools[target.Service]
-	if pool == nil {
-		return
-	}
-	pool.targets = deleteTarget(pool.targets, target)
-	if !target.Draining {
-		pool.index.remove(target, gate.options.RegionOf[target.FailureDomain])
-	}
-}
-
 // scopeBetween returns the smallest scope that contains both failure domains.
 func (gate *Gate) scopeBetween(one, other berylspoke.FailureDomain) scope {
 	switch {
@@ -338,25 +253,6 @@
 // LargeFleet reports whether the fleet is so large that reports need not be frequent.
 func (gate *Gate) LargeFleet() bool { return gate.largeFleet() }
 
-// insertTarget inserts a target into a list that is sorted by id.
-func insertTarget(sorted []*target, added *target) []*target {
-	at, _ := slices.BinarySearchFunc(sorted, added.ID, compareID)
-	return slices.Insert(sorted, at, added)
-}
-
-// deleteTarget deletes a target from a list that is sorted by id.
-func deleteTarget(sorted []*target, deleted *target) []*target {
-	at, found := slices.BinarySearchFunc(sorted, deleted.ID, compareID)
-	if !found || sorted[at] != deleted {
-		return sorted
-	}
-	return slices.Delete(sorted, at, at+1)
-}
-
-func compareID(target *target, id berylspoke.TargetID) int {
-	return strings.Compare(string(target.ID), string(id))
-}
-
 // connections returns how many connections this daemon may hold to a target: at least
 // an equal part of the declared bound, and more while the other daemons use less, since
 // all callers of a busy organisation may connect to one daemon. The target's slots
--- a/core/berylgate/index.go
+++ b/core/berylgate/index.go
@@ -127,10 +127,19 @@
 	// drawnTargets is the number of targets that are drawn from each scope at a time.
 	drawnTargets = 32
 	// maxDraws is how often targets are drawn for one request while none of those drawn
-	// before may be sent to.
+	// before is expected to answer in time. While there is none at all, draws go on.
 	maxDraws = 3
 )
 
+// draws returns the number of draws that cover all targets.
+func (index *targetIndex) draws() int {
+	longest := 0
+	for _, near := range index.near {
+		longest = max(longest, len(near))
+	}
+	return (longest + drawnTargets - 1) / drawnTargets
+}
+
 // draw calls visit with the targets of one draw from a scope. The draws that begin at the
 // same offset follow each other. The first draw has all targets of a scope if they are few.
 func (index *targetIndex) draw(scope scope, offset uint64, draw int, visit func(*target)) {
--- a/core/berylgate/scale_test.go
+++ b/core/berylgate/scale_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	"berylspoke"
 )
 
@@ -117,3 +119,21 @@
 		}
 	})
 }
+
+// Guards against requests that are refused for want of a target while one exists: only a
+// few of many targets may serve them, none of which is among those drawn first.
+func TestRareTargetIsFoundAmongMany(t *testing.T) {
+	now := time.Unix(1000, 0)
+	const engines = 1_003
+	for _, rare := range []int{0, 500, engines - 1} {
+		gate, targets := newScaleGate(now, engines)
+		request := newRequest(now, "o")
+		request.tried = make(map[berylspoke.TargetID]bool)
+		for i, target := range targets {
+			request.tried[target.ID] = i != rare
+		}
+		decision := gate.Submit(now, request)
+		require.Nil(t, decision.Refusal)
+		require.Equal(t, targets[rare].ID, decision.Target.ID)
+	}
+}
--- a/core/berylgate/target.go
+++ b/core/berylgate/target.go
@@ -4,7 +4,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -129,35 +128,6 @@
 	pendingMillis float64
 }
 
-// targetList lists targets without duplicates, in the order in which they were added.
-type targetList struct {
-	targets []*target
-	listed  map[*target]bool
-}
-
-func (list *targetList) add(added *target) {
-	if list.listed[added] {
-		return
-	}
-	if list.listed == nil {
-		list.listed = make(map[*target]bool)
-	}
-	list.listed[added] = true
-	list.targets = append(list.targets, added)
-}
-
-// update drops the targets that are no longer published and those for which keep returns
-// false.
-func (list *targetList) update(keep func(*target) bool) {
-	list.targets = slices.DeleteFunc(list.targets, func(target *target) bool {
-		if !target.removed && keep(target) {
-			return false
-		}
-		delete(list.listed, target)
-		return true
-	})
-}
-
 func newTarget(now time.Time, declared berylspoke.Target) *target {
 	return &target{
 		Target: declared, hash: hashOf(string(declared.ID)), asOf: now, slowdown: 1, meanMillis: initialMeanMillis, lastAnswer: now,
