Daemons ask different peers for the whole membership

Cause: a daemon asks one peer each 5 s for all members it knows, and took its turn from the clock alone, so all daemons asked the same one. While members change, each answer holds all of them. Change: a daemon's turn is shifted by the hash of its address. TestDaemonsSyncWithDifferentPeers: 201 of 298 asked one peer before, under 12 now.

--- a/io/beryledge/members.go
+++ b/io/beryledge/members.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"berylspoke"
@@ -27,8 +28,7 @@
 	core.lastSync = now
 	receivers := core.daemon.settings.Seeds
 	if len(peers) > 0 {
-		turn := int(now.UnixNano()/int64(syncInterval)) % len(peers)
-		receivers = peers[turn : turn+1]
+		receivers = []berylspoke.VMID{syncPeer(now, core.daemon.settings.VM, peers)}
 	}
 	for _, receiver := range receivers {
 		if receiver != core.daemon.settings.VM {
@@ -37,6 +37,13 @@
 	}
 }
 
+// syncPeer returns the peer that a daemon asks in its turn for all members. The turns of
+// daemons differ: while members change, the answer holds all of them.
+func syncPeer(now time.Time, self berylspoke.VMID, peers []berylspoke.VMID) berylspoke.VMID {
+	turn := uint64(now.UnixNano()/int64(syncInterval)) + xxhash.Sum64String(string(self))
+	return peers[turn%uint64(len(peers))]
+}
+
 // membership is what the daemon derives from one version of the membership table.
 type membership struct {
 	version uint64
