--- a/core/berylgate/doc.go
+++ b/core/berylgate/doc.go
@@ -13,7 +13,12 @@
 // target has received it.
 //
 // In a large fleet a daemon sends one target few requests. Daemons therefore share how long
-// requests wait at each target and which targets do not answer.
+// requests wait at each target and which targets do not answer. Targets of which nothing
+// recent is known are taken to be as busy as the others, and a daemon that has just started
+// sends more only as answers return.
+//
+// What a decision costs does not grow with the number of targets: an index yields the homes
+// of a prompt and a bounded number of candidates near and far.
 //
 // Organisations that were served less than their max-min level may use nearly the whole
 // objective, others less of it the further they are beyond their level. This keeps
