--- a/core/berylgate/gate.go
+++ b/core/berylgate/gate.go
@@ -59,8 +59,9 @@
 
 // attempt is one dispatch of a request to a target.
 type attempt struct {
-	request        *Request
-	target         *target
+	request *Request
+	target  *target
+	// pool is that of the target's service when the attempt began.
 	pool           *pool
 	sentAt         time.Time
 	expectedMillis float64
--- a/core/berylgate/index.go
+++ b/core/berylgate/index.go
@@ -86,8 +86,8 @@
 	return slices.Delete(ring, at, at+1)
 }
 
-// probeCount is the number of probes of a segment. With 21 of them, the largest part of
-// a target exceeds the mean by about a twentieth.
+// probeCount is the number of probes of a segment. More probes make the parts of the targets
+// more even.
 const probeCount = 21
 
 // probes are the hashes at which a segment looks for its home.
--- a/core/berylgate/meanload.go
+++ b/core/berylgate/meanload.go
@@ -25,9 +25,7 @@
 )
 
 // meanLoad is the mean load of the engines of a service, from the answers to this daemon and
-// the reports of others. Engines of which nothing recent is known are taken to be as busy as
-// the others: when all daemons restart at once and their callers return together, each
-// knows nothing of most engines, and took them for idle.
+// the reports of others. It stands in for engines of which nothing recent is known.
 type meanLoad struct {
 	updated time.Time
 	// occupancy is the mean ratio of the running and waiting requests of an engine to its
--- a/core/berylgate/meanload_test.go
+++ b/core/berylgate/meanload_test.go
@@ -10,11 +10,8 @@
 	"berylspoke"
 )
 
-// Guards against the flood of requests after a restart of the whole fleet, when the callers
-// of all daemons return at once. A daemon has heard of few engines by then and took the
-// others for idle: 2,700 requests were sent in half a second, three times the usual, and
-// first tokens took 0.7 s in place of 0.09. Engines of which nothing is known must count as
-// busy as those that answered, and as idle again once the answers show it.
+// Guards against sending to engines of which nothing is known as if they were idle, after a
+// restart of the whole fleet whose callers return at once.
 func TestUnknownEnginesAreAsBusyAsTheOthers(t *testing.T) {
 	const engines, known, slots = 89, 12, 16
 	now := time.Unix(1000, 0)
--- a/core/berylgate/scale_test.go
+++ b/core/berylgate/scale_test.go
@@ -121,7 +121,7 @@
 }
 
 // Guards against requests that are refused for want of a target while one exists: only a
-// few of many targets may serve them, none of which is among those drawn first.
+// few of many targets may serve them, and those need not be among the first drawn.
 func TestRareTargetIsFoundAmongMany(t *testing.T) {
 	now := time.Unix(1000, 0)
 	const engines = 1_003
--- a/core/berylgate/slots_test.go
+++ b/core/berylgate/slots_test.go
@@ -10,9 +10,8 @@
 	"berylspoke"
 )
 
-// Guards against treating an engine without a free slot as if a long queue stood before it.
-// Engines of few slots with short answers often have none, and free one within moments. The
-// wait must follow from how long requests hold a slot, on engines of any size and speed.
+// Guards against avoiding an engine without a free slot although one is free within moments,
+// on engines of any size and speed.
 func TestWaitForASlotFollowsFromHowLongRequestsHoldOne(t *testing.T) {
 	for _, slots := range []int{6, 16, 128} {
 		for _, hold := range []time.Duration{200 * time.Millisecond, time.Second, 4 * time.Second} {
--- a/core/berylgate/window.go
+++ b/core/berylgate/window.go
@@ -66,8 +66,8 @@
 	return float64(window.unanswered-window.stuck) >= size
 }
 
-// observeWindow adapts the window to the wait of a request, once when it exceeds
-// closeWaitMillis or when its answer starts.
+// observeWindow adapts the window to the wait of a request: when its answer starts, or
+// before if it waits for long.
 func (gate *Gate) observeWindow(pool *pool, attempt *attempt, waitedMillis float64) {
 	window := &pool.window
 	switch {
--- a/core/berylgate/window_test.go
+++ b/core/berylgate/window_test.go
@@ -7,11 +7,8 @@
 	"github.com/stretchr/testify/require"
 )
 
-// Guards against the first second after a restart of the whole fleet: the callers of all
-// daemons return together, and each daemon sends to engines that it believes to be idle
-// until their late answers show that they are not. A daemon that has just started must wait
-// for answers before it sends many requests, send more with each answer in time, and less
-// while engines let requests wait.
+// Guards against flooding engines after a restart of the whole fleet, before the loads that
+// they report are known.
 func TestStartedDaemonSendsAsAnswersReturn(t *testing.T) {
 	const engines, daemons = 90, 66
 	start := time.Unix(1000, 0)
