Logs and metrics tell what targets ask for in their answers

The dialect now parses both, 'attempt ended' has the status of the answer with what it asked, and a counter sums them up, with the values that are ignored. Nothing acts on them yet.

An answer of another target at the address says nothing about the one that the request named.

--- a/dialect.go
+++ b/dialect.go
@@ -74,6 +74,13 @@
 	NotRun bool
 	// Load is nil if the target reports none.
 	Load *EngineLoad
+	// Leaving answers state that the target is about to exit and accepts no new requests.
+	Leaving bool
+	// Rest is for how long after a rejection the target asks this daemon to send it
+	// nothing, zero if it does not ask.
+	Rest time.Duration
+	// Unusable counts the values of these two that were ignored.
+	Unusable int
 }
 
 // Dialect translates a platform's headers and published items.
--- a/io/beryledge/attempt.go
+++ b/io/beryledge/attempt.go
@@ -49,7 +49,7 @@
 		call.stream.firstByteTimer = timer
 	}
 	target := decision.Target
-	call.firstByte = 0
+	call.firstByte, call.status, call.advice = 0, 0, berylspoke.ResponseInfo{}
 	call.sent = time.Now()
 	request := call.outgoing(decision)
 	call.slot.release()
@@ -65,6 +65,8 @@
 		call.daemon.send(connectTimed{target.ID, exchange.DialTime})
 	}
 	info := call.daemon.dialect.ParseResponse(exchange.Response.StatusCode, exchange.Response.Header)
+	call.status = exchange.Response.StatusCode
+	call.recordAdvice(info)
 	if info.NotRun {
 		call.drain(exchange)
 		call.endAttempt(decision, berylgate.Rejected, nil)
@@ -171,6 +173,10 @@
 	if call.firstByte > 0 {
 		fields = append(fields, zap.Duration("firstByte", call.firstByte))
 	}
+	if call.status > 0 {
+		fields = append(fields, zap.Int("status", call.status))
+	}
+	fields = append(fields, call.adviceFields()...)
 	if err != nil {
 		fields = append(fields, zap.String("error", err.Error()))
 	}
--- a/io/beryledge/callers.go
+++ b/io/beryledge/callers.go
@@ -46,6 +46,9 @@
 	// its answer.
 	sent      time.Time
 	firstByte time.Duration
+	// status and advice are what the last attempt's answer says, zero if there was none.
+	status int
+	advice berylspoke.ResponseInfo
 	// mayHaveRun is set once a target may have executed the request.
 	mayHaveRun bool
 	// next is the decision on the next attempt if it has been made already.
--- a/io/beryledge/meters.go
+++ b/io/beryledge/meters.go
@@ -30,7 +30,10 @@
 	// brought, by link.
 	pulls, pulledBytes [berylpeer.LinkCount]*metrics.Counter
 	outcomes           [berylgate.Outcomes]*metrics.Counter
-	latency            map[berylspoke.Kind]*metrics.Histogram
+	// advice counts the answers in which a target says that it leaves or asks for rest, and
+	// the values of these that were ignored.
+	advice  [adviceKinds]*metrics.Counter
+	latency map[berylspoke.Kind]*metrics.Histogram
 	// coreMessages counts the messages of the core's actor, each of which may wake the
 	// process.
 	coreMessages [messageKinds]*metrics.Counter
@@ -52,6 +55,9 @@
 	for kind, name := range messageNames {
 		meters.coreMessages[kind] = set.NewCounter(fmt.Sprintf("berylspoke_core_messages_total{message=%q}", name))
 	}
+	for kind, name := range adviceNames {
+		meters.advice[kind] = set.NewCounter(fmt.Sprintf("berylspoke_target_advice_total{advice=%q}", name))
+	}
 	for outcome := range meters.outcomes {
 		name := fmt.Sprintf("berylspoke_attempts_total{outcome=%q}", berylgate.Outcome(outcome))
 		meters.outcomes[outcome] = set.NewCounter(name)
