--- /dev/null
+++ b/io/beryledge/advice_test.go
@@ -0,0 +1,113 @@
+package beryledge
+
+import (
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// leaving returns a handler that answers as a target that is about to exit.
+func leaving(status int, body string) http.HandlerFunc {
+	return func(writer http.ResponseWriter, request *http.Request) {
+		writer.Header().Set("X-Leaving", "1")
+		sealed(status, body)(writer, request)
+	}
+}
+
+// resting returns a handler that rejects requests and asks for rest.
+func resting(millis string) http.HandlerFunc {
+	return func(writer http.ResponseWriter, request *http.Request) {
+		_, _ = io.Copy(io.Discard, request.Body)
+		header := writer.Header()
+		header.Set("X-Id", request.Header.Get("X-Id"))
+		header.Set("X-Not-Run", "1")
+		header.Set("X-Rest", millis)
+		writer.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func pointerTo(serve http.HandlerFunc) *http.HandlerFunc { return &serve }
+
+// addTarget publishes another target of the plain service and waits until it is known.
+func addTarget(t *testing.T, daemon *Daemon, store *testStore, added *testTarget) {
+	store.put("t/"+added.id, "desk "+added.address())
+	require.Eventually(t, func() bool {
+		known := false
+		daemon.inspectCore(func(_ time.Time, core *core) { _, known = core.published["t/"+added.id] })
+		return known
+	}, 10*time.Second, 5*time.Millisecond)
+}
+
+// sendMany sends requests one after the other, each of which must succeed.
+func sendMany(t *testing.T, daemon *Daemon, count int, path string) {
+	for range count {
+		response, _, err := send(t, daemon, http.MethodGet, path, "r", "")
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, response.StatusCode)
+	}
+}
+
+// Guards against requests that reach a target after its answers have said that it leaves,
+// while the store still says that it is ready.
+func TestTargetThatSaysItLeavesGetsNoMoreRequests(t *testing.T) {
+	leaver := newTestTarget(t, "leaver", leaving(http.StatusOK, "old"))
+	stayer := newTestTarget(t, "stayer", sealed(http.StatusOK, "new"))
+	daemon, store := startServing(t, map[string]*testTarget{"desk": leaver})
+	sendMany(t, daemon, 1, "/read/x")
+	addTarget(t, daemon, store, stayer)
+	sendMany(t, daemon, 20, "/read/x")
+	require.EqualValues(t, 1, leaver.seen.Load())
+}
+
+// Guards against a target that gets requests while it has asked for rest.
+func TestTargetThatAsksForRestGetsNoRequestsUntilItsEnd(t *testing.T) {
+	const rest, millis = 1500 * time.Millisecond, "1500"
+	weary := newTestTarget(t, "weary", resting(millis))
+	other := newTestTarget(t, "other", sealed(http.StatusOK, "other"))
+	daemon, store := startServing(t, map[string]*testTarget{"desk": weary})
+	response, _, err := send(t, daemon, http.MethodGet, "/read/x", "r", "")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	asked := time.Now()
+	addTarget(t, daemon, store, other)
+	weary.serve.Store(pointerTo(sealed(http.StatusOK, "awake")))
+	seen := weary.seen.Load()
+	for time.Since(asked) < rest-100*time.Millisecond {
+		sendMany(t, daemon, 1, "/read/x")
+		time.Sleep(5 * time.Millisecond)
+	}
+	require.Equal(t, seen, weary.seen.Load())
+	other.serve.Store(pointerTo(leaving(http.StatusOK, "other")))
+	require.Eventually(t, func() bool {
+		sendMany(t, daemon, 1, "/read/x")
+		return weary.seen.Load() > seen
+	}, 10*time.Second, 50*time.Millisecond, "it is used again after its rest")
+}
+
+// Guards against requests that are sent to the last target of a service, or held, although
+// it has asked for rest.
+func TestServiceWhoseTargetsAllRestIsRejectedAtOnce(t *testing.T) {
+	weary := newTestTarget(t, "weary", resting("3000"))
+	daemon, _ := startServing(t, map[string]*testTarget{"desk": weary})
+	var done sync.WaitGroup
+	for range 20 {
+		done.Go(func() {
+			response, _, err := send(t, daemon, http.MethodPost, "/file/x", "r", "b")
+			require.NoError(t, err)
+			require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+			require.NotEmpty(t, response.Header.Get("Retry-After"))
+		})
+	}
+	done.Wait()
+	asked := weary.seen.Load()
+	started := time.Now()
+	response, _, err := send(t, daemon, http.MethodPost, "/file/x", "r", "b")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	require.Less(t, time.Since(started), time.Second, "what can't be served is rejected at once")
+	require.Equal(t, asked, weary.seen.Load())
+}
--- a/io/beryledge/fakes_test.go
+++ b/io/beryledge/fakes_test.go
@@ -61,9 +61,11 @@
 }
 
 func (testDialect) ParseResponse(_ int, header http.Header) berylspoke.ResponseInfo {
+	restMillis, _ := strconv.Atoi(header.Get("X-Rest"))
 	return berylspoke.ResponseInfo{
 		ID:     berylspoke.RequestID(header.Get("X-Id")),
 		Sealed: header.Get("X-Seal") != "", NotRun: header.Get("X-Not-Run") != "",
+		Leaving: header.Get("X-Leaving") != "", Rest: time.Duration(restMillis) * time.Millisecond,
 	}
 }
 
