Targets whose answers say that they leave get no more requests

Cause: leaving was known from the store's entries alone. Ruled out: requests that waited (the reported ones reached it 2 and 110 ms after they arrived), and an older entry that took the knowledge back (the daemons had none: no line read the header).

Change: what an answer says of the run of the target that the request named counts at once, also for requests that wait for a connection; the store cannot take it back, as what it says of that run may be older. Only a new run is used again. An answer without the request's id, or of another target (421), says nothing about the target.

--- a/catalog.go
+++ b/catalog.go
@@ -152,6 +152,15 @@
 	Started int64
 }
 
+// TargetRun identifies one run of a target: a target that restarts may keep its id.
+type TargetRun struct {
+	ID      TargetID
+	Started int64
+}
+
+// Run returns the run of the target.
+func (target Target) Run() TargetRun { return TargetRun{target.ID, target.Started} }
+
 // Revision is a position in the store's history of changes.
 type Revision uint64
 
--- a/core/berylgate/gate.go
+++ b/core/berylgate/gate.go
@@ -110,6 +110,10 @@
 	// report. The lists follow the order of events, so that equal inputs give equal
 	// decisions.
 	active, loadNews, silences, waitNews targetList
+	// advice is what runs of targets asked for in their answers; leavingNews lists the
+	// targets of which the next reports tell that they leave.
+	advice      map[berylspoke.TargetRun]*advice
+	leavingNews targetList
 	// recentSends records, by shared segment, where this daemon sent it.
 	recentSends map[uint64][]recentSend
 	// decisions counts the searches for a target; marks on targets refer to one of them.
@@ -153,6 +157,7 @@
 		pools:       make(map[berylspoke.ServiceID]*pool),
 		targets:     make(map[berylspoke.TargetID]*target),
 		byHash:      make(map[uint32]*target),
+		advice:      make(map[berylspoke.TargetRun]*advice),
 		recentSends: make(map[uint64][]recentSend),
 		nearby:      make(map[berylspoke.FailureDomain][]berylspoke.VMID),
 		shares:      newShares(),
@@ -289,6 +294,7 @@
 	if now.Sub(gate.lastExpiry) >= expiryInterval {
 		gate.lastExpiry = now
 		gate.expireCached(now)
+		gate.expireAdvice(now)
 	}
 	gate.sumOthers(now)
 	gate.countStuck(now)
--- a/core/berylgate/report.go
+++ b/core/berylgate/report.go
@@ -43,6 +43,8 @@
 	Loads   []LoadReport
 	// Silences are the targets that did not answer some daemon recently.
 	Silences []SilenceReport
+	// Leavings are the targets whose answers lately said that they leave.
+	Leavings []LeavingReport
 	// Waits are the longest waits that the sender knows of, in a large fleet only.
 	Waits []WaitReport
 	// Organisations is empty in a large fleet, where Usage messages sum up organisations.
@@ -108,6 +110,7 @@
 		report.Organisations = gate.newUsage(DaemonUsage, gate.ownUsage(now)).Organisations
 	}
 	report.Silences = gate.silenceReports(now)
+	report.Leavings = gate.leavingReports(now)
 	if gate.silenceNews {
 		gate.lastNews = now
 	}
@@ -152,8 +155,9 @@
 // report is added to the queues of the targets. For a peer without a previous report it
 // is the work whose answers have not started: after a restart of the whole fleet all
 // first reports describe a flood of requests, and daemons that ignored it as old work
-// sent theirs on top of it.
-func (gate *Gate) ReceiveReport(now time.Time, from berylspoke.VMID, report Report) {
+// sent theirs on top of it. It returns the runs of targets that leave as the peer says and
+// that were not known to.
+func (gate *Gate) ReceiveReport(now time.Time, from berylspoke.VMID, report Report) []berylspoke.TargetRun {
 	sender := gate.peer(from, report.Incarnation)
 	for _, item := range report.Targets {
 		target := gate.byHash[item.Target]
@@ -178,6 +182,7 @@
 	gate.receiveWaits(now, report.Waits)
 	sender.report, sender.receivedAt = report, now
 	gate.sumOthers(now)
+	return gate.receiveLeavings(now, report.Leavings)
 }
 
 // peer returns the state of one incarnation of a daemon, and creates it if needed.
--- a/core/berylgate/targets.go
+++ b/core/berylgate/targets.go
@@ -39,6 +39,7 @@
 	}
 	coldBefore := known.ColdFor
 	known.Target = declared
+	known.Draining = declared.Draining || gate.Leaving(declared.Run())
 	gate.updateCold(now, known, coldBefore)
 	known.scope = gate.scopeBetween(gate.options.FailureDomain, known.FailureDomain)
 	if known.latencyMillis == 0 {
@@ -93,6 +94,13 @@
 	}
 }
 
+// reindex applies a change to a target that decides whether it is a candidate.
+func (gate *Gate) reindex(target *target, change func()) {
+	gate.removeFromPool(target)
+	change()
+	gate.addToPool(target)
+}
+
 // insertTarget inserts a target into a list that is sorted by id.
 func insertTarget(sorted []*target, added *target) []*target {
 	at, _ := slices.BinarySearchFunc(sorted, added.ID, compareID)
--- a/io/beryledge/actor.go
+++ b/io/beryledge/actor.go
@@ -125,7 +125,7 @@
 		return peerMessage
 	case storeAnswer, storeFailed:
 		return storeMessage
-	case submit, reserve, answerStarted, attemptEnded, connectTimed, crashed:
+	case submit, reserve, answerStarted, attemptEnded, connectTimed, advised, crashed:
 		return requestMessage
 	case overloadBegan:
 		return overloadMessage
@@ -224,6 +224,8 @@
 		if message.outcome == berylgate.Succeeded {
 			core.quarantine.Served(now, message.request.Digest)
 		}
+	case advised:
+		core.applyAdvice(now, message)
 	case crashed:
 		core.recordCrash(now, message)
 	case connectTimed:
@@ -376,7 +378,7 @@
 			core.daemon.transport.Send(from, *reply)
 		}
 	case berylgate.Report:
-		core.gate.ReceiveReport(now, from, message)
+		core.closeLeft(now, from, core.gate.ReceiveReport(now, from, message))
 		core.observeContact(now, berylfeed.Contact{ID: message.ContactID, Age: message.Contact}, message.Complete)
 		core.compareFeeds(now, from, message.Feeds)
 	case berylgate.Usage:
--- a/io/beryledge/advice.go
+++ b/io/beryledge/advice.go
@@ -3,6 +3,9 @@
 // This file defines how daemons follow what targets ask of their callers in answers.
 
 import (
+	"sync"
+	"time"
+
 	"go.uber.org/zap"
 
 	"berylspoke"
@@ -21,9 +24,84 @@
 // adviceNames are the metric labels.
 var adviceNames = [adviceKinds]string{"leaving", "rest", "unusable"}
 
-// recordAdvice records what an answer to the current attempt asks. An answer without the
-// request's id may come from another target that now has the address.
-func (call *call) recordAdvice(info berylspoke.ResponseInfo) {
+// sendableTargets holds the runs of targets that requests may be sent to. Requests check it
+// right before they are sent: they may have waited since they were given their target.
+type sendableTargets struct {
+	mutex sync.Mutex
+	// accepting are the runs that the core sends to.
+	accepting map[berylspoke.TargetRun]bool
+	// left are the runs whose answers said that they leave, until the core knows it too.
+	left map[berylspoke.TargetRun]bool
+}
+
+func newSendableTargets() *sendableTargets {
+	return &sendableTargets{accepting: make(map[berylspoke.TargetRun]bool), left: make(map[berylspoke.TargetRun]bool)}
+}
+
+// accepts reports whether a request may be sent to a target now.
+func (sendable *sendableTargets) accepts(run berylspoke.TargetRun) bool {
+	sendable.mutex.Lock()
+	defer sendable.mutex.Unlock()
+	return sendable.accepting[run] && !sendable.left[run]
+}
+
+// set applies what the core decides.
+func (sendable *sendableTargets) set(run berylspoke.TargetRun, accepts bool) {
+	sendable.mutex.Lock()
+	defer sendable.mutex.Unlock()
+	if accepts {
+		sendable.accepting[run] = true
+	} else {
+		delete(sendable.accepting, run)
+	}
+}
+
+// leave closes a target at once, before the core knows that it leaves.
+func (sendable *sendableTargets) leave(run berylspoke.TargetRun) {
+	sendable.mutex.Lock()
+	defer sendable.mutex.Unlock()
+	sendable.left[run] = true
+}
+
+// confirmLeft closes a target that the core knows to leave.
+func (sendable *sendableTargets) confirmLeft(run berylspoke.TargetRun) {
+	sendable.mutex.Lock()
+	defer sendable.mutex.Unlock()
+	delete(sendable.accepting, run)
+	delete(sendable.left, run)
+}
+
+// advised says what a target asked of this daemon in an answer.
+type advised struct {
+	target berylspoke.TargetRun
+	at     time.Time
+}
+
+// applyAdvice applies what a target asked for.
+func (core *core) applyAdvice(now time.Time, message advised) {
+	isNew := core.gate.RecordLeaving(message.target, message.at)
+	core.daemon.sendable.confirmLeft(message.target)
+	if isNew {
+		core.logLeaving(now, message.target, "answer")
+	}
+}
+
+// closeLeft closes the targets that leave as a peer reports.
+func (core *core) closeLeft(now time.Time, from berylspoke.VMID, runs []berylspoke.TargetRun) {
+	for _, run := range runs {
+		core.daemon.sendable.confirmLeft(run)
+		core.logLeaving(now, run, string(from))
+	}
+}
+
+func (core *core) logLeaving(now time.Time, run berylspoke.TargetRun, source string) {
+	core.daemon.log.Info("target leaves", zap.String("target", string(run.ID)), zap.Int64("started", run.Started),
+		zap.String("from", source), zap.Duration("age", now.Sub(core.gate.LeavingSince(run))))
+}
+
+// recordAdvice records what an answer of a target to the current attempt asks. An answer
+// without the request's id may come from another target that now has the address.
+func (call *call) recordAdvice(target berylspoke.Target, info berylspoke.ResponseInfo) {
 	if info.ID != call.info.ID && (info.Leaving || info.Rest > 0) {
 		info.Leaving, info.Rest = false, 0
 		info.Unusable++
@@ -33,6 +111,8 @@
 	meters.advice[unusableAdvice].Add(info.Unusable)
 	if info.Leaving {
 		meters.advice[leavingAdvice].Inc()
+		call.daemon.sendable.leave(target.Run())
+		call.daemon.send(advised{target.Run(), time.Now()})
 	}
 	if info.Rest > 0 {
 		meters.advice[restAdvice].Inc()
--- a/io/beryledge/attempt.go
+++ b/io/beryledge/attempt.go
@@ -66,7 +66,7 @@
 	}
 	info := call.daemon.dialect.ParseResponse(exchange.Response.StatusCode, exchange.Response.Header)
 	call.status = exchange.Response.StatusCode
-	call.recordAdvice(info)
+	call.recordAdvice(decision.Target, info)
 	if info.NotRun {
 		call.drain(exchange)
 		call.endAttempt(decision, berylgate.Rejected, nil)
@@ -105,8 +105,7 @@
 // request that is sent after the other daemons have stopped sending would be run by a
 // target that is about to exit.
 func (call *call) stillWanted(target berylspoke.Target) bool {
-	_, accepting := call.daemon.accepting.Load(target.ID)
-	return accepting && !callerDisconnected(call.incoming.Context())
+	return call.daemon.sendable.accepts(target.Run()) && !callerDisconnected(call.incoming.Context())
 }
 
 // sendFailed handles an attempt that got no answer.
--- a/io/beryledge/daemon.go
+++ b/io/beryledge/daemon.go
@@ -7,7 +7,6 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -62,8 +61,8 @@
 	admission   *admission
 	index       atomic.Pointer[berylcatalog.Index]
 	entries     atomic.Pointer[entries]
-	// accepting holds the ids of the targets that accept new requests.
-	accepting   sync.Map
+	// sendable holds the runs of targets that requests may be sent to.
+	sendable    *sendableTargets
 	ready       atomic.Bool
 	stopping    atomic.Bool
 	stopStarted atomic.Int64
@@ -97,7 +96,7 @@
 		settings: settings, dialect: dialect, store: store,
 		log:         log.With(zap.String("vm", settings.Name)),
 		incarnation: berylspoke.Incarnation(now.UnixMicro()), started: now,
-		pool: berylconn.NewPool(), idle: newIdleConns(),
+		pool: berylconn.NewPool(), idle: newIdleConns(), sendable: newSendableTargets(),
 	}
 	daemon.readDue = newReadDue()
 	daemon.meters = newMeters(daemon)
--- a/io/beryledge/feeds.go
+++ b/io/beryledge/feeds.go
@@ -211,8 +211,8 @@
 		core.daemon.log.Debug("ignoring a published item that names no target", cause(err))
 	}
 	gone := item.Deleted || err != nil
-	if known && (gone || old.ID != target.ID) {
-		core.daemon.accepting.Delete(old.ID)
+	if known && (gone || old.Run() != target.Run()) {
+		core.daemon.sendable.set(old.Run(), false)
 		core.gate.RemoveTarget(old.ID)
 		delete(core.published, item.Key)
 	}
@@ -224,12 +224,8 @@
 
 // setTarget passes a published target on to those that use it.
 func (core *core) setTarget(now time.Time, target berylspoke.Target) {
-	target.Draining = target.Draining || core.evacuated[target.FailureDomain]
-	if target.Draining {
-		core.daemon.accepting.Delete(target.ID)
-	} else {
-		core.daemon.accepting.Store(target.ID, true)
-	}
+	target.Draining = target.Draining || core.evacuated[target.FailureDomain] || core.gate.Leaving(target.Run())
+	core.daemon.sendable.set(target.Run(), !target.Draining)
 	core.gate.SetTarget(now, target)
 }
 
--- a/io/berylpeer/peer_test.go
+++ b/io/berylpeer/peer_test.go
@@ -70,6 +70,7 @@
 			Targets:       []berylgate.TargetReport{{Target: 9, WorkMillis: 1_200, Running: 3, Tokens: 24_000}},
 			Loads:         []berylgate.LoadReport{{Target: 9, Running: 12, Waiting: 3, Age: 200 * time.Millisecond}},
 			Silences:      []berylgate.SilenceReport{{Target: 9, Silent: 300 * time.Millisecond, Answered: time.Second}},
+			Leavings:      []berylgate.LeavingReport{{Target: 9, Run: 4, Age: 250 * time.Millisecond}},
 			Waits:         []berylgate.WaitReport{{Target: 9, Wait: 400 * time.Millisecond, Age: 100 * time.Millisecond}},
 			Organisations: []berylgate.OrganisationReport{{Organisation: 8, Demand: 9_000, Served: 4_000}},
 		},
--- a/io/berylpeer/wirefeed.go
+++ b/io/berylpeer/wirefeed.go
@@ -88,6 +88,11 @@
 	SilentMillis, AnsweredMillis uint32
 }
 
+type wireLeavingReport struct {
+	_                      struct{} `cbor:",toarray"`
+	Target, Run, AgeMillis uint32
+}
+
 type wireWaitReport struct {
 	_                     struct{} `cbor:",toarray"`
 	Target                uint32
@@ -153,6 +158,7 @@
 	Complete         []uint64
 	Silences         []wireSilenceReport
 	Waits            []wireWaitReport
+	Leavings         []wireLeavingReport
 }
 
 func daemonReportToWire(report berylgate.Report) *wireDaemonReport {
@@ -181,6 +187,9 @@
 	for _, item := range report.Waits {
 		wire.Waits = append(wire.Waits, wireWaitReport{Target: item.Target, WaitMillis: millisToWire(item.Wait), AgeMillis: millisToWire(item.Age)})
 	}
+	for _, item := range report.Leavings {
+		wire.Leavings = append(wire.Leavings, wireLeavingReport{Target: item.Target, Run: item.Run, AgeMillis: millisToWire(item.Age)})
+	}
 	wire.Organisations = organisationsToWire(report.Organisations)
 	return wire
 }
@@ -219,6 +228,11 @@
 			Target: item.Target, Wait: time.Duration(item.WaitMillis) * time.Millisecond, Age: time.Duration(item.AgeMillis) * time.Millisecond,
 		})
 	}
+	for _, item := range wire.Leavings {
+		report.Leavings = append(report.Leavings, berylgate.LeavingReport{
+			Target: item.Target, Run: item.Run, Age: time.Duration(item.AgeMillis) * time.Millisecond,
+		})
+	}
 	report.Organisations = organisationsFromWire(wire.Organisations)
 	return report
 }
