Targets that ask for rest get no requests until its end

Cause: Retry-After of an engine was read nowhere. A rejection added 60 ms to the estimated queue, and as an engine that turns everything away runs nothing, it became the cheapest target for the next request. Ruled out: requests that were already on the way (attempts ended after 1 to 5 ms, for seconds).

Change: a run of a target that asks this daemon for rest is no candidate, no second attempt and no source of cached segments until its end; requests that were given the target and wait for a connection go elsewhere. A rest is no failure, no silence and no sign of a queue. Daemons do not tell each other: a target asks each for itself.

--- a/core/berylgate/advice.go
+++ b/core/berylgate/advice.go
@@ -34,6 +34,8 @@
 	leavingSince time.Time
 	// reports is the number of reports in which this daemon passed that on.
 	reports int
+	// restUntil is until when the target asked this daemon to send it nothing.
+	restUntil time.Time
 	// unpublishedAt is when the run was found to be no longer published, zero while it is.
 	unpublishedAt time.Time
 }
--- a/core/berylgate/choose.go
+++ b/core/berylgate/choose.go
@@ -92,7 +92,7 @@
 	prompt := gate.prompt(pool, request)
 	best, found := gate.best(now, pool, request, prompt, allowance)
 	if !found {
-		return refused(berylspoke.ReasonNoTarget, defaultRetryAfter)
+		return gate.refuseUnplaced(now, pool, request)
 	}
 	decision := gate.newDecision(now, best, prompt, allowance)
 	decision.Share = gate.share(now, request)
@@ -125,7 +125,7 @@
 		return false
 	}
 	another := slices.ContainsFunc(pool.targets, func(target *target) bool {
-		return target.usable(now) && gate.withinColdBudget(now, target) && !request.tried[target.ID] && gate.allows(request.Regions, target)
+		return target.usable(now) && !target.recovering() && gate.withinColdBudget(now, target) && !request.tried[target.ID] && gate.allows(request.Regions, target)
 	})
 	if !another {
 		return false
@@ -218,7 +218,7 @@
 		return
 	}
 	target.considered = gate.decisions
-	if target.removed || target.Draining || request.tried[target.ID] || !gate.allows(request.Regions, target) || !gate.withinColdBudget(now, target) {
+	if target.removed || !target.accepts() || target.recovering() || request.tried[target.ID] || !gate.allows(request.Regions, target) || !gate.withinColdBudget(now, target) {
 		return
 	}
 	option := gate.evaluate(now, target, request, prompt)
--- a/core/berylgate/dump.go
+++ b/core/berylgate/dump.go
@@ -28,6 +28,10 @@
 	ErrorRate     float64              `json:"errorRate"`
 	Suspect       bool                 `json:"suspect"`
 	Paused        bool                 `json:"paused"`
+	// Resting says that the target asked this daemon for rest, Recovering that it gets few
+	// requests since.
+	Resting    bool `json:"resting"`
+	Recovering bool `json:"recovering"`
 	// Silent says that the target answered no daemon recently, WaitMillis how long requests
 	// are known to wait there.
 	Silent     bool    `json:"silent"`
@@ -46,6 +50,7 @@
 			ID: target.ID, Service: target.Service, Draining: target.Draining, BacklogMillis: target.backlogMillis,
 			Slowdown: target.slowdown, Running: target.running, OthersRunning: target.others.running,
 			ErrorRate: target.errorRate, Suspect: target.suspect, Paused: now.Before(target.pausedUntil),
+			Resting: target.resting, Recovering: target.recovery.limit > 0,
 			Silent: target.silent(now), WaitMillis: target.wait.now(now),
 		})
 	}
--- a/core/berylgate/gate.go
+++ b/core/berylgate/gate.go
@@ -114,6 +114,9 @@
 	// targets of which the next reports tell that they leave.
 	advice      map[berylspoke.TargetRun]*advice
 	leavingNews targetList
+	// resting lists the targets that rest, rested the runs whose rest has ended lately.
+	resting targetList
+	rested  []berylspoke.TargetRun
 	// recentSends records, by shared segment, where this daemon sent it.
 	recentSends map[uint64][]recentSend
 	// decisions counts the searches for a target; marks on targets refer to one of them.
@@ -283,6 +286,7 @@
 func (gate *Gate) Tick(now time.Time) {
 	elapsed := now.Sub(gate.lastTick)
 	gate.lastTick = now
+	gate.endRests(now)
 	gate.active.update(func(target *target) bool {
 		target.updateInflow(elapsed)
 		gate.checkSilence(now, target)
@@ -354,6 +358,7 @@
 	target := attempt.target
 	gate.markAnswerStarted(attempt)
 	target.recordSuccess(now)
+	target.recordRecovery(attempt)
 	if target.engine == nil {
 		return
 	}
--- a/core/berylgate/index.go
+++ b/core/berylgate/index.go
@@ -131,6 +131,15 @@
 	maxDraws = 3
 )
 
+// count returns the number of targets.
+func (index *targetIndex) count() int {
+	count := 0
+	for _, near := range index.near {
+		count += len(near)
+	}
+	return count
+}
+
 // draws returns the number of draws that cover all targets.
 func (index *targetIndex) draws() int {
 	longest := 0
--- a/core/berylgate/outcome.go
+++ b/core/berylgate/outcome.go
@@ -83,7 +83,7 @@
 
 // undoSend removes the work of a request that the target did not run. An engine that
 // rejects a request is full even if its estimated queue is short, so the estimate rises
-// by a step.
+// by a step. One that asks for rest instead need not be full.
 func (gate *Gate) undoSend(now time.Time, attempt *attempt, outcome Outcome) {
 	const stepMillis = 60.0
 	target := attempt.target
@@ -96,7 +96,7 @@
 	gate.undoServed(now, attempt)
 	target.drain(now)
 	target.backlogMillis = max(0, target.backlogMillis-attempt.addedMillis)
-	if outcome == Rejected {
+	if outcome == Rejected && !target.resting {
 		target.backlogMillis += stepMillis
 	}
 }
--- a/core/berylgate/parts.go
+++ b/core/berylgate/parts.go
@@ -119,7 +119,7 @@
 	if gate.targetScope(to, from) == fleetScope {
 		minTokens = minCrossRegionFetchTokens
 	}
-	return from != to && tokens >= minTokens && from.responsive(now)
+	return from != to && tokens >= minTokens && from.responsive(now) && !from.resting
 }
 
 func (gate *Gate) targetScope(one, other *target) scope {
--- a/core/berylgate/target.go
+++ b/core/berylgate/target.go
@@ -101,6 +101,9 @@
 	wait        observedWait
 	attempts    map[*attempt]bool
 	cold        coldState
+	// resting is set while the target has asked this daemon for rest.
+	resting  bool
+	recovery recovery
 	// removed is set once the target is no longer published.
 	removed bool
 	// considered is the decision for which the target was last evaluated; prefix is what
@@ -301,7 +304,7 @@
 }
 
 // usable reports whether a request may be sent to the target.
-func (target *target) usable(now time.Time) bool { return !target.Draining && target.responsive(now) }
+func (target *target) usable(now time.Time) bool { return target.accepts() && target.responsive(now) }
 
 // responsive reports whether the target is neither suspect nor paused after a failure.
 // A draining target remains responsive for a while.
--- a/core/berylgate/targets.go
+++ b/core/berylgate/targets.go
@@ -49,6 +49,9 @@
 		}
 	}
 	gate.addToPool(known)
+	if rest := gate.advice[known.Run()]; rest != nil && now.Before(rest.restUntil) && !known.resting {
+		gate.beginRest(known)
+	}
 }
 
 // RemoveTarget removes a target that is no longer published.
@@ -77,7 +80,7 @@
 		target.slots = target.engine.Slots
 	}
 	pool.targets = insertTarget(pool.targets, target)
-	if !target.Draining {
+	if target.accepts() {
 		pool.index.add(target, gate.options.RegionOf[target.FailureDomain])
 	}
 }
@@ -89,7 +92,7 @@
 		return
 	}
 	pool.targets = deleteTarget(pool.targets, target)
-	if !target.Draining {
+	if target.accepts() {
 		pool.index.remove(target, gate.options.RegionOf[target.FailureDomain])
 	}
 }
--- a/core/berylgate/window.go
+++ b/core/berylgate/window.go
@@ -46,7 +46,7 @@
 
 // part returns this daemon's part of the slots of a service.
 func (gate *Gate) part(pool *pool) float64 {
-	slots := len(pool.targets) * pool.service.Engine.Slots
+	slots := pool.index.count() * pool.service.Engine.Slots
 	return float64(slots) / float64(max(gate.live, minDaemons))
 }
 
--- a/io/beryledge/actor.go
+++ b/io/beryledge/actor.go
@@ -286,6 +286,7 @@
 	core.withdraw(now)
 	core.syncMembers(now)
 	core.gate.Tick(now)
+	core.logRested()
 	interval := reportInterval
 	if core.gate.LargeFleet() {
 		interval = largeFleetReportInterval
--- a/io/beryledge/advice.go
+++ b/io/beryledge/advice.go
@@ -32,17 +32,22 @@
 	accepting map[berylspoke.TargetRun]bool
 	// left are the runs whose answers said that they leave, until the core knows it too.
 	left map[berylspoke.TargetRun]bool
+	// restUntil is until when runs asked this daemon to send them nothing.
+	restUntil map[berylspoke.TargetRun]time.Time
 }
 
 func newSendableTargets() *sendableTargets {
-	return &sendableTargets{accepting: make(map[berylspoke.TargetRun]bool), left: make(map[berylspoke.TargetRun]bool)}
+	return &sendableTargets{
+		accepting: make(map[berylspoke.TargetRun]bool), left: make(map[berylspoke.TargetRun]bool),
+		restUntil: make(map[berylspoke.TargetRun]time.Time),
+	}
 }
 
 // accepts reports whether a request may be sent to a target now.
-func (sendable *sendableTargets) accepts(run berylspoke.TargetRun) bool {
+func (sendable *sendableTargets) accepts(now time.Time, run berylspoke.TargetRun) bool {
 	sendable.mutex.Lock()
 	defer sendable.mutex.Unlock()
-	return sendable.accepting[run] && !sendable.left[run]
+	return sendable.accepting[run] && !sendable.left[run] && !now.Before(sendable.restUntil[run])
 }
 
 // set applies what the core decides.
@@ -71,18 +76,47 @@
 	delete(sendable.left, run)
 }
 
+// rest closes a target until the given time.
+func (sendable *sendableTargets) rest(now time.Time, run berylspoke.TargetRun, until time.Time) {
+	sendable.mutex.Lock()
+	defer sendable.mutex.Unlock()
+	for other, end := range sendable.restUntil {
+		if !now.Before(end) {
+			delete(sendable.restUntil, other)
+		}
+	}
+	if until.After(sendable.restUntil[run]) {
+		sendable.restUntil[run] = until
+	}
+}
+
 // advised says what a target asked of this daemon in an answer.
 type advised struct {
-	target berylspoke.TargetRun
-	at     time.Time
+	target  berylspoke.TargetRun
+	at      time.Time
+	leaving bool
+	rest    time.Duration
 }
 
 // applyAdvice applies what a target asked for.
 func (core *core) applyAdvice(now time.Time, message advised) {
-	isNew := core.gate.RecordLeaving(message.target, message.at)
-	core.daemon.sendable.confirmLeft(message.target)
-	if isNew {
-		core.logLeaving(now, message.target, "answer")
+	if message.leaving {
+		isNew := core.gate.RecordLeaving(message.target, message.at)
+		core.daemon.sendable.confirmLeft(message.target)
+		if isNew {
+			core.logLeaving(now, message.target, "answer")
+		}
+	}
+	if message.rest > 0 && core.gate.RecordRest(now, message.target, message.at.Add(message.rest)) {
+		core.daemon.log.Info("target rests", zap.String("target", string(message.target.ID)),
+			zap.Duration("rest", message.rest), zap.Duration("age", now.Sub(message.at)))
+	}
+}
+
+// logRested logs the targets whose rest has ended.
+func (core *core) logRested() {
+	for _, run := range core.gate.TakeRested() {
+		core.daemon.log.Info("target has rested", zap.String("target", string(run.ID)))
 	}
 }
 
@@ -109,14 +143,19 @@
 	call.advice = info
 	meters := call.daemon.meters
 	meters.advice[unusableAdvice].Add(info.Unusable)
+	if !info.Leaving && info.Rest == 0 {
+		return
+	}
+	now := time.Now()
 	if info.Leaving {
 		meters.advice[leavingAdvice].Inc()
 		call.daemon.sendable.leave(target.Run())
-		call.daemon.send(advised{target.Run(), time.Now()})
 	}
 	if info.Rest > 0 {
 		meters.advice[restAdvice].Inc()
+		call.daemon.sendable.rest(now, target.Run(), now.Add(info.Rest))
 	}
+	call.daemon.send(advised{target: target.Run(), at: now, leaving: info.Leaving, rest: info.Rest})
 }
 
 // adviceFields returns the log fields of what the last answer asked.
--- a/io/beryledge/advice_test.go
+++ b/io/beryledge/advice_test.go
@@ -87,8 +87,8 @@
 	require.Equal(t, seen, weary.seen.Load())
 	other.serve.Store(pointerTo(leaving(http.StatusOK, "other")))
 	require.Eventually(t, func() bool {
-		sendMany(t, daemon, 1, "/read/x")
-		return weary.seen.Load() > seen
+		response, body, err := send(t, daemon, http.MethodGet, "/read/x", "r", "")
+		return err == nil && response.StatusCode == http.StatusOK && body == "awake"
 	}, 10*time.Second, 50*time.Millisecond, "it is used again after its rest")
 }
 
@@ -160,7 +160,7 @@
 		daemon, _ := startServing(t, targets)
 		go func() { _, _, _ = send(t, daemon, http.MethodPost, item.path, "r", "b") }()
 		require.Eventually(t, func() bool { return daemon.meters.advice[leavingAdvice].Get() > 0 }, 5*time.Second, 5*time.Millisecond, item.name)
-		require.False(t, daemon.sendable.accepts(berylspoke.TargetRun{ID: "leaver"}), item.name)
+		require.False(t, daemon.sendable.accepts(time.Now(), berylspoke.TargetRun{ID: "leaver"}), item.name)
 		seen := leaver.seen.Load()
 		response, _, err := send(t, daemon, http.MethodPost, item.path, "r2", "b")
 		require.NoError(t, err, item.name)
--- a/io/beryledge/attempt.go
+++ b/io/beryledge/attempt.go
@@ -105,7 +105,7 @@
 // request that is sent after the other daemons have stopped sending would be run by a
 // target that is about to exit.
 func (call *call) stillWanted(target berylspoke.Target) bool {
-	return call.daemon.sendable.accepts(target.Run()) && !callerDisconnected(call.incoming.Context())
+	return call.daemon.sendable.accepts(time.Now(), target.Run()) && !callerDisconnected(call.incoming.Context())
 }
 
 // sendFailed handles an attempt that got no answer.
--- a/io/beryledge/daemon_test.go
+++ b/io/beryledge/daemon_test.go
@@ -360,7 +360,7 @@
 	decision := call.decide()
 	require.Nil(t, decision.Refusal)
 	store.put("t/d1", "")
-	none := func() bool { return !daemon.sendable.accepts(decision.Target.Run()) }
+	none := func() bool { return !daemon.sendable.accepts(time.Now(), decision.Target.Run()) }
 	require.Eventually(t, none, 10*time.Second, 10*time.Millisecond)
 	require.False(t, call.attempt(decision), "the request may not be retried")
 	require.False(t, call.mayHaveRun)
--- a/io/beryledge/feeds.go
+++ b/io/beryledge/feeds.go
@@ -212,6 +212,9 @@
 	}
 	gone := item.Deleted || err != nil
 	if known && (gone || old.Run() != target.Run()) {
+		if core.gate.Leaving(old.Run()) {
+			core.daemon.log.Info("target that leaves is no longer published", zap.String("target", string(old.ID)), zap.Int64("started", old.Started))
+		}
 		core.daemon.sendable.set(old.Run(), false)
 		core.gate.RemoveTarget(old.ID)
 		delete(core.published, item.Key)
--- a/verdict.go
+++ b/verdict.go
@@ -54,6 +54,7 @@
 	ReasonOwnerUnreachable   Reason = "ownerUnreachable"
 	ReasonWaitedTooLong      Reason = "waitedTooLong"
 	ReasonCPUStarved         Reason = "processorShort"
+	ReasonTargetsResting     Reason = "targetsResting"
 )
 
 // Refusal is the final error of a request, with its verdict.
