The project's own interface follows what targets ask for in answers

The same fault elsewhere: berylspoke serve read neither header, passed a rejection on as the target's answer, and had leased slots ahead at a target that asked for rest.

Its protocol to targets now has the header Berylspoke-Leaving, and a 503 with Retry-After is a rejection that did not run. Nothing is sent to a target that rests: no request, second attempt, probe, report of load or order; a connection that was opened meanwhile is closed unused, and leased slots there stay unused. Such a rejection is no failure of the target, is not passed on, and another target is tried. If all targets of a service are held, requests are refused at once, those that wait too, until the first has rested. Targets of this interface do not tell their runs apart, so one that said that it leaves is tried again a minute after, or once it is declared with another address.

--- a/core/berylnode/node.go
+++ b/core/berylnode/node.go
@@ -62,6 +62,7 @@
 	owner              *berylticket.Owner
 	witness            *berylticket.Witness
 	health             *berylroute.Health
+	holds              map[berylspoke.TargetID]hold
 	prefixes           *berylroute.Prefixes
 	retryBudget        *berylroute.Budget
 	crossBudget        *berylroute.Budget
@@ -106,6 +107,7 @@
 		owner:              berylticket.NewOwner(self, options.MaxRecords),
 		witness:            berylticket.NewWitness(self, options.MaxRecords),
 		health:             berylroute.NewHealth(),
+		holds:              make(map[berylspoke.TargetID]hold),
 		prefixes:           berylroute.NewPrefixes(),
 		retryBudget:        berylroute.NewBudget(now, 1, retryBurst),
 		crossBudget:        berylroute.NewBudget(now, options.CrossBytesPerSecond, options.CrossBytesPerSecond*crossBurstSeconds),
--- a/core/berylnode/requests.go
+++ b/core/berylnode/requests.go
@@ -39,6 +39,10 @@
 		node.refuse(now, request.Request, berylspoke.ReasonNoTarget, overloadRetryAfter)
 		return
 	}
+	if refusal := node.refuseHeld(now, service); refusal != nil {
+		node.refuse(now, request.Request, refusal.Reason, refusal.RetryAfter)
+		return
+	}
 	node.retryBudget.Earn(node.options.RetriesPerRequest)
 	node.updateVirtualTime(now, service)
 	displaced, err := service.queue.Push(request.QueuedRequest, organisation.Weight, organisation.MaxWaiting)
@@ -126,7 +130,7 @@
 	for _, placement := range service.holder.Free(now, tag) {
 		// A draining target has no lessor. Slots leased before it was declared draining
 		// must not be used.
-		if service.lessors.Of[placement.Target] == "" || !node.health.Usable(now, placement.Target) {
+		if service.lessors.Of[placement.Target] == "" || !node.usable(now, placement.Target) {
 			continue
 		}
 		if !cross && node.isRemote(placement.Target) {
@@ -142,7 +146,7 @@
 	targets := node.Declarations().TargetsOf(service.id)
 	var usable []berylspoke.TargetID
 	for _, target := range targets {
-		if node.health.Usable(now, target) {
+		if node.usable(now, target) {
 			usable = append(usable, target)
 		}
 	}
--- a/io/berylserve/actor.go
+++ b/io/berylserve/actor.go
@@ -149,6 +149,8 @@
 	case resolve:
 		addresses, ticket := runner.node.Resolve(message.organisation)
 		message.reply <- resolveReply{addresses, ticket}
+	case berylnode.Advice:
+		runner.node.FollowAdvice(now, message)
 	case loadReported:
 		runner.node.HandleLoadReport(now, message.target, message.report)
 		runner.node.ReconcileEngine(now, message.target, message.actual)
--- a/io/berylserve/attempt.go
+++ b/io/berylserve/attempt.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"berylspoke"
 	"berylspoke/core/berylnode"
 	"berylspoke/core/berylroute"
@@ -85,3 +87,10 @@
 	daemon.send(retry{allowed})
 	return <-allowed
 }
+
+// wantsNoRequests reports whether an attempt ended because its target asked for no requests,
+// which is no failure.
+func wantsNoRequests(err error) bool {
+	var refusal *berylspoke.Refusal
+	return errors.As(err, &refusal) && refusal.Reason == berylspoke.ReasonTargetsResting
+}
--- a/io/berylserve/callers.go
+++ b/io/berylserve/callers.go
@@ -130,6 +130,7 @@
 	berylspoke.ReasonUnknownService:     http.StatusNotFound,
 	berylspoke.ReasonOrganisationLimit:  http.StatusTooManyRequests,
 	berylspoke.ReasonOverload:           http.StatusServiceUnavailable,
+	berylspoke.ReasonTargetsResting:     http.StatusServiceUnavailable,
 	berylspoke.ReasonStarting:           http.StatusServiceUnavailable,
 	berylspoke.ReasonDraining:           http.StatusServiceUnavailable,
 	berylspoke.ReasonNoTarget:           http.StatusServiceUnavailable,
--- a/io/berylserve/calls.go
+++ b/io/berylserve/calls.go
@@ -63,7 +63,7 @@
 			daemon.writeAnswer(writer, answer)
 			return
 		}
-		if refusal.Reason != berylspoke.ReasonTargetFailed || try == maxIdempotentAttempts || ctx.Err() != nil || !daemon.mayRetry() {
+		if refusal.Reason != berylspoke.ReasonTargetFailed && !wantsNoRequests(refusal) || try == maxIdempotentAttempts || ctx.Err() != nil || !daemon.mayRetry() {
 			daemon.refuse(writer, 0, refusal)
 			return
 		}
@@ -80,7 +80,7 @@
 	answer, err := daemon.targets.Call(ctx, target, call)
 	transferred := len(call.Body) + len(answer.Body)
 	daemon.dataTraffic.add(daemon.targetLink(target), uint64(transferred))
-	attempt.finish(berylnode.Outcome{Received: 1, Bytes: transferred, Failed: err != nil && ctx.Err() == nil})
+	attempt.finish(berylnode.Outcome{Received: 1, Bytes: transferred, Failed: err != nil && ctx.Err() == nil && !wantsNoRequests(err)})
 	if err != nil {
 		return berylspoke.Answer{}, asRefusal(err)
 	}
@@ -147,7 +147,7 @@
 	}
 	transferred := len(call.Body) + len(answer.Body)
 	daemon.dataTraffic.add(daemon.targetLink(target), uint64(transferred))
-	attempt.finish(berylnode.Outcome{Received: 1, Bytes: transferred, Failed: err != nil, Verdict: verdict, Answer: answer})
+	attempt.finish(berylnode.Outcome{Received: 1, Bytes: transferred, Failed: err != nil && !wantsNoRequests(err), Verdict: verdict, Answer: answer})
 	daemon.log.Info("call ended", zap.Stringer("id", id), zap.String("organisation", string(from.organisation)),
 		zap.String("target", string(target)), zap.Stringer("verdict", verdict), zap.Error(err))
 }
--- a/io/berylserve/daemon.go
+++ b/io/berylserve/daemon.go
@@ -91,6 +91,11 @@
 		FirstTokenTimeout: berylsettings.Millis(settings.Targets.FirstTokenTimeoutMillis),
 		ProgressTimeout:   berylsettings.Millis(settings.Targets.ProgressTimeoutMillis),
 		CallTimeout:       berylsettings.Millis(settings.Targets.CallTimeoutMillis),
+		OnAdvice: func(advice berylnode.Advice) {
+			daemon.log.Info("target wants no requests", zap.String("target", string(advice.Target)),
+				zap.Bool("leaving", advice.Leaving), zap.Duration("rest", advice.Rest))
+			daemon.send(advice)
+		},
 	}, daemon)
 	daemon.startActor(now, incarnation)
 	if err := daemon.listen(); err != nil {
--- a/io/berylserve/generation.go
+++ b/io/berylserve/generation.go
@@ -192,7 +192,7 @@
 	daemon.dataTraffic.add(daemon.targetLink(target), uint64(transferred))
 	attempt.finish(berylnode.Outcome{
 		Received: stream.next - startOffset, Bytes: transferred,
-		Failed: err != nil && !callerDisconnected && ctx.Err() == nil,
+		Failed: err != nil && !callerDisconnected && ctx.Err() == nil && !wantsNoRequests(err),
 	})
 	return err
 }
--- a/io/berylstand/engine.go
+++ b/io/berylstand/engine.go
@@ -76,6 +76,8 @@
 
 // Engine generates deterministic text with continuous batching.
 type Engine struct {
+	// Advice is what the engine asks of its callers.
+	Advice
 	options EngineOptions
 	slots   chan struct{}
 	mutex   sync.Mutex
@@ -113,7 +115,7 @@
 	mux.HandleFunc("POST /v1/orders", engine.serveOrder)
 	mux.HandleFunc("GET /v1/cacheEvents", engine.serveEvents)
 	mux.HandleFunc("GET /v1/stats", engine.serveStats)
-	return mux
+	return engine.wrap(mux, func(path string) bool { return path != "/v1/generate" })
 }
 
 // maxTrackedRequests bounds the requests whose progress is kept.
--- a/io/berylstand/plaintarget.go
+++ b/io/berylstand/plaintarget.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -13,6 +14,8 @@
 // PlainTarget is a target of a plain service, which accepts filings and bookings and
 // counts the executions of each request.
 type PlainTarget struct {
+	// Advice is what the target asks of its callers.
+	Advice
 	delay      time.Duration
 	mutex      sync.Mutex
 	executions map[string]int
@@ -34,7 +37,7 @@
 	mux.HandleFunc("GET /addresses/{id}", target.serveStatus)
 	mux.HandleFunc("GET /executions", target.serveExecutions)
 	mux.HandleFunc("GET /v1/load", target.serveLoad)
-	return mux
+	return target.wrap(mux, func(path string) bool { return strings.HasPrefix(path, "/v1/") || path == "/executions" })
 }
 
 // Executions returns the number of executions of a request.
--- a/io/beryltarget/client.go
+++ b/io/beryltarget/client.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"berylspoke"
+	"berylspoke/core/berylnode"
 )
 
 // RequestHeader carries the request id to targets. It is none of the header names that
@@ -43,11 +44,16 @@
 	ProgressTimeout time.Duration
 	// CallTimeout bounds a call to a plain service.
 	CallTimeout time.Duration
+	// OnAdvice is called with what targets ask for in answers.
+	OnAdvice func(berylnode.Advice)
 }
 
 // DefaultOptions returns the default timeouts.
 func DefaultOptions() Options {
-	return Options{FirstTokenTimeout: 2 * time.Second, ProgressTimeout: time.Second, CallTimeout: 20 * time.Second}
+	return Options{
+		FirstTokenTimeout: 2 * time.Second, ProgressTimeout: time.Second, CallTimeout: 20 * time.Second,
+		OnAdvice: func(berylnode.Advice) {},
+	}
 }
 
 // Client implements berylspoke.Targets.
@@ -57,6 +63,7 @@
 	streams *http.Client
 	calls   *http.Client
 	control *http.Client
+	closed  closedTargets
 	// ControlBytes counts the bytes of load reports and orders in both directions.
 	ControlBytes atomic.Uint64
 }
@@ -65,13 +72,13 @@
 
 // NewClient returns a client of the targets that locator finds.
 func NewClient(options Options, locator Locator) *Client {
-	client := &Client{options: options, locator: locator}
+	client := &Client{options: options, locator: locator, closed: closedTargets{advice: make(map[berylspoke.TargetID]berylnode.Advice)}}
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	// Each stream and call opens a new connection. A middlebox may have dropped the
 	// state of a reused one; net/http would then hang or retry the request by itself,
 	// and whether it ran could not be determined.
 	newTransport := func() *http.Transport {
-		return &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true}
+		return &http.Transport{DialContext: client.dialOpen(dialer), DisableKeepAlives: true, DisableCompression: true}
 	}
 	client.streams = &http.Client{Transport: newTransport()}
 	client.calls = &http.Client{Transport: newTransport(), CheckRedirect: useLastResponse}
@@ -98,8 +105,28 @@
 	return "http://" + address + path, nil
 }
 
+// requestURL is url for a request, which a closed target does not get.
+func (client *Client) requestURL(target berylspoke.TargetID, path string) (string, error) {
+	if client.closed.refuses(time.Now(), target, client.locator.Address(target)) {
+		return "", closedRefusal(target)
+	}
+	return client.url(target, path)
+}
+
+// controlURL is url for a control request, which a target that rests does not get.
+func (client *Client) controlURL(target berylspoke.TargetID, path string) (string, error) {
+	if client.closed.rests(time.Now(), target, client.locator.Address(target)) {
+		return "", closedRefusal(target)
+	}
+	return client.url(target, path)
+}
+
 // targetRefusal returns the refusal for an error of a request to a target.
 func targetRefusal(err error) *berylspoke.Refusal {
+	var refusal *berylspoke.Refusal
+	if errors.As(err, &refusal) {
+		return refusal
+	}
 	verdict := berylspoke.MayHaveRun
 	var operation *net.OpError
 	if errors.As(err, &operation) && operation.Op == "dial" {
@@ -111,13 +138,13 @@
 
 // Call implements berylspoke.Targets.
 func (client *Client) Call(ctx context.Context, target berylspoke.TargetID, call berylspoke.Call) (berylspoke.Answer, error) {
-	url, err := client.url(target, call.Path)
+	url, err := client.requestURL(target, call.Path)
 	if err != nil {
 		return berylspoke.Answer{}, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, client.options.CallTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, call.Method, url, bytes.NewReader(call.Body))
+	request, err := http.NewRequestWithContext(withDestination(ctx, target), call.Method, url, bytes.NewReader(call.Body))
 	if err != nil {
 		return berylspoke.Answer{}, &berylspoke.Refusal{Verdict: berylspoke.NotRun, Reason: berylspoke.ReasonMalformed, Cause: err}
 	}
@@ -136,6 +163,9 @@
 			Cause: errors.Errorf("answer names request %.80q", echoed),
 		}
 	}
+	if client.followAdvice(target, call.Request, response) {
+		return berylspoke.Answer{}, closedRefusal(target)
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
 	if err != nil {
 		return berylspoke.Answer{}, targetRefusal(err)
@@ -177,7 +207,7 @@
 
 // exchange sends one control request.
 func (client *Client) exchange(ctx context.Context, target berylspoke.TargetID, method, path string, body []byte, answer any) error {
-	url, err := client.url(target, path)
+	url, err := client.controlURL(target, path)
 	if err != nil {
 		return err
 	}
--- a/io/beryltarget/stream.go
+++ b/io/beryltarget/stream.go
@@ -46,7 +46,7 @@
 
 // Stream implements berylspoke.Targets. It returns nil after the last chunk.
 func (client *Client) Stream(ctx context.Context, target berylspoke.TargetID, generation berylspoke.GenerationRequest, sink func(berylspoke.Chunk) error) error {
-	address, err := client.url(target, "/v1/generate")
+	address, err := client.requestURL(target, "/v1/generate")
 	if err != nil {
 		return err
 	}
@@ -61,7 +61,7 @@
 	defer cancel(nil)
 	watchdog := startWatchdog(client, target, generation, cancel)
 	defer watchdog.stop()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, address, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(withDestination(ctx, target), http.MethodPost, address, bytes.NewReader(body))
 	if err != nil {
 		return errors.Wrap(err, "draft request cannot be made")
 	}
@@ -71,6 +71,9 @@
 		return streamRefusal(ctx, err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	if client.followAdvice(target, generation.Request, response) {
+		return closedRefusal(target)
+	}
 	if response.StatusCode != http.StatusOK {
 		return &berylspoke.Refusal{
 			Verdict: berylspoke.MayHaveRun, Reason: berylspoke.ReasonTargetFailed,
@@ -131,7 +134,7 @@
 // probe asks the engine over a new connection how many tokens of a request it has
 // produced.
 func (client *Client) probe(ctx context.Context, target berylspoke.TargetID, id berylspoke.RequestID) (wireProgress, error) {
-	address, err := client.url(target, "/v1/requests?id="+url.QueryEscape(string(id)))
+	address, err := client.controlURL(target, "/v1/requests?id="+url.QueryEscape(string(id)))
 	if err != nil {
 		return wireProgress{}, err
 	}
@@ -202,7 +205,7 @@
 			timer.Reset(timeout)
 		case <-timer.C:
 			state, err := watchdog.client.probe(context.Background(), watchdog.target, watchdog.generation.Request)
-			if err != nil {
+			if err != nil && !errors.Is(err, errClosed) {
 				failures++
 			}
 			stalled := err == nil && (state.Produced > received || state.State == stateUnknown)
