Soak: targets say in answers that they leave or want rest

The fake targets of the platform send Server-Leaving while their entry still says ready, and 503 with Retry-After, one target or a whole service at once. They exit later, and their address is used again by their own next run or by a target of the other service. All processes may lose the store without a closed connection. The judge checks both rules at the end of a soak: no request that its caller sent over 3 s after the answer was passed on; no more than two requests between half a second after a rejection and the end of its rest. A restart or suspension of the process excuses both, a cut of the target's connections the second.

TestAdviceSoak is the short seeded run.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -35,6 +35,9 @@
 	return fmt.Sprintf("%7.3f s %s %d for %s", step.at.Seconds(), step.fault.name, step.index, step.duration)
 }
 
+// sound and silent are impairments of a connection.
+var sound, silent = berylstand.Impairment{}, berylstand.Impairment{DropForward: true, DropBackward: true}
+
 var faults = []*fault{
 	{"stop", true, func(world *World, step step) { world.restart(world.process(step), syscall.SIGTERM, step.duration/4) }},
 	{"reload", true, func(world *World, step step) { world.process(step).signal(syscall.SIGHUP) }},
@@ -61,8 +64,8 @@
 	}},
 	{"cutTargetForth", false, func(world *World, step step) { world.impairTarget(step, berylstand.Impairment{DropForward: true}) }},
 	{"cutTargetBack", false, func(world *World, step step) { world.impairTarget(step, berylstand.Impairment{DropBackward: true}) }},
-	{"resetTarget", false, func(world *World, step step) { world.target(step).relay.Reset() }},
-	{"silenceTarget", false, func(world *World, step step) { world.target(step).relay.Blackhole() }},
+	{"resetTarget", false, func(world *World, step step) { world.cutTarget(step, (*berylstand.StreamRelay).Reset) }},
+	{"silenceTarget", false, func(world *World, step step) { world.cutTarget(step, (*berylstand.StreamRelay).Blackhole) }},
 	{"hangTarget", false, func(world *World, step step) { world.hangTarget(step) }},
 	{"crashTarget", false, func(world *World, step step) { world.crashTarget(step) }},
 }
@@ -87,6 +90,10 @@
 func newPlan(random *rand.Rand, size Size) []step {
 	var plan []step
 	var last *fault
+	kinds := faults
+	if size.Advice {
+		kinds = slices.Concat(faults, adviceFaults, adviceFaults)
+	}
 	length := time.Duration(size.Seconds) * time.Second
 	for at := time.Duration(0); ; {
 		at += time.Duration(random.ExpFloat64() * float64(meanInterval))
@@ -94,9 +101,9 @@
 			return plan
 		}
 		planned := float64(at) < plannedFraction*float64(length)
-		chosen := faults[random.IntN(len(faults))]
+		chosen := kinds[random.IntN(len(kinds))]
 		for planned && !chosen.planned {
-			chosen = faults[random.IntN(len(faults))]
+			chosen = kinds[random.IntN(len(kinds))]
 		}
 		if last != nil && random.Float64() < repeatProbability && (last.planned || !planned) {
 			chosen = last
@@ -148,6 +155,9 @@
 	return chosen
 }
 
+// drainDuration is the time from the announcement that a target drains to its exit.
+const drainDuration = drainGracePeriod + 2*time.Second
+
 // drainTarget drains a target as planned: it is published as draining and stops only
 // after the grace period.
 func (world *World) drainTarget(step step) {
@@ -156,8 +166,7 @@
 		return
 	}
 	chosen.Drain()
-	world.judge.recordDraining(chosen.ID(), time.Now())
-	const drainDuration = drainGracePeriod + 2*time.Second
+	world.judge.recordDraining(chosen.Name(), time.Now())
 	time.Sleep(drainDuration)
 	chosen.Deregister()
 	chosen.relay.Close()
@@ -187,11 +196,19 @@
 
 func (world *World) impairTarget(step step, impairment berylstand.Impairment) {
 	chosen := world.target(step)
+	world.judge.recordDisturbed(chosen.Name(), time.Now().Add(step.duration))
 	chosen.relay.SetImpairment(impairment)
 	time.Sleep(step.duration)
 	chosen.relay.SetImpairment(berylstand.Impairment{})
 }
 
+// cutTarget cuts the open connections of a target.
+func (world *World) cutTarget(step step, cut func(*berylstand.StreamRelay) int) {
+	chosen := world.target(step)
+	world.judge.recordDisturbed(chosen.Name(), time.Now())
+	cut(chosen.relay)
+}
+
 // impairStore impairs the connections of one process or of all processes to the store.
 func (world *World) impairStore(step step, impairment berylstand.Impairment) {
 	impaired := []*process{world.process(step)}
@@ -213,6 +230,7 @@
 	if !process.claimStop() {
 		return
 	}
+	world.judge.recordDisturbed(process.vm.Name, time.Now().Add((stopSeconds+1)*time.Second+downtime))
 	process.signal(signal)
 	process.awaitExit((stopSeconds + 1) * time.Second)
 	time.Sleep(downtime)
@@ -233,6 +251,7 @@
 
 // suspend suspends a process for a while, as the suspension of its VM would.
 func (world *World) suspend(process *process, duration time.Duration) {
+	world.judge.recordDisturbed(process.vm.Name, time.Now().Add(duration))
 	process.signal(syscall.SIGSTOP)
 	time.Sleep(duration)
 	process.signal(syscall.SIGCONT)
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -67,6 +67,8 @@
 	observed   map[string]observedConfig
 	violations []Violation
 	served     int
+	// advice holds what targets asked for in answers.
+	advice adviceRecord
 	// answerCounts are the numbers of answers by outcomeLabel.
 	answerCounts map[string]int
 }
@@ -75,6 +77,7 @@
 	return &Judge{
 		started: time.Now(), attempts: make(map[string]*attempt), drainingSince: make(map[string]time.Time),
 		observed: make(map[string]observedConfig), answerCounts: make(map[string]int),
+		advice: newAdviceRecord(),
 	}
 }
 
@@ -180,6 +183,9 @@
 	if cut && attempt.planned && !judge.unplanned && len(attempt.runs) > 0 {
 		judge.addViolation("planned operations cut no request", "%s ran at %s and failed: %v", answer.Request.ID, attempt.runs[0].Target, answer.Err)
 	}
+	if answer.Leaving {
+		judge.recordLeavingTold(attempt, answer)
+	}
 	judge.checkConfiguration(attempt, answer)
 }
 
@@ -259,6 +265,7 @@
 func (judge *Judge) result() Result {
 	judge.mutex.Lock()
 	defer judge.mutex.Unlock()
+	judge.checkAdvice()
 	return Result{judge.violations, len(judge.attempts), judge.served, judge.answerCounts}
 }
 
--- a/soak/judge_test.go
+++ b/soak/judge_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -40,6 +41,24 @@
 func TestJudgeDetectsViolations(t *testing.T) {
 	cut := errors.New("cut")
 	drain := func(judge *Judge, now time.Time) { judge.recordDraining("t-1", now.Add(-drainGracePeriod-time.Second)) }
+	// reach records a request that is sent and reaches a target after a time since the start.
+	start := time.Now()
+	reach := func(after, rest time.Duration, target string) event {
+		return func(judge *Judge, _ time.Time) {
+			id := fmt.Sprint(target, after)
+			judge.recordSent(id, &attempt{path: pathLook, organisation: "o", processRun: "vm-1 run 1", sent: start.Add(after)})
+			judge.recordArrival(beryldouble.Arrival{RequestID: id, Target: target, At: start.Add(after), Rest: rest})
+		}
+	}
+	told := func(judge *Judge, _ time.Time) {
+		sentEvent("told", pathLook)(judge, start)
+		judge.recordAnswer(beryldouble.Result{
+			Request: beryldouble.Request{ID: "told"}, Status: 200, Sealed: true, Body: []byte("answer to told"), Sent: start, Leaving: true, Target: "t-1#1",
+		})
+	}
+	disturbed := func(name string) event {
+		return func(judge *Judge, _ time.Time) { judge.recordDisturbed(name, start.Add(time.Minute)) }
+	}
 	fault := func(judge *Judge, _ time.Time) { judge.recordUnplannedFault() }
 	cases := map[string]struct {
 		events   []event
@@ -58,6 +77,16 @@
 		"cut by planned operation": {[]event{sentEvent("1", pathBook), runEvent("1", pathBook, "t-1"), answerEvent("1", 0, false, "", cut)}, "planned operations cut no request"},
 		"own deadline exceeded":    {[]event{sentEvent("1", pathBook), runEvent("1", pathBook, "t-1"), answerEvent("1", 0, false, "", context.DeadlineExceeded)}, ""},
 		"cut by a fault":           {[]event{fault, sentEvent("1", pathBook), runEvent("1", pathBook, "t-1"), answerEvent("1", 0, false, "", cut)}, ""},
+		"late at a leaver":         {[]event{told, reach(leavingBound+time.Second, 0, "t-1#1")}, "no request at a target that said it leaves"},
+		"soon at a leaver":         {[]event{told, reach(leavingBound-time.Second, 0, "t-1#1")}, ""},
+		"next run of a leaver":     {[]event{told, reach(leavingBound+time.Second, 0, "t-1#2")}, ""},
+		"restarted since":          {[]event{told, disturbed("vm-1"), reach(leavingBound+time.Second, 0, "t-1#1")}, ""},
+		"another restarted":        {[]event{told, disturbed("vm-2"), reach(leavingBound+time.Second, 0, "t-1#1")}, "no request at a target that said it leaves"},
+		"three at rest":            {[]event{reach(0, 3*time.Second, "t-1#1"), reach(time.Second, 0, "t-1#1"), reach(2*time.Second, 0, "t-1#1"), reach(2900*time.Millisecond, 0, "t-1#1")}, "no requests at a target that rests"},
+		"two at rest":              {[]event{reach(0, 3*time.Second, "t-1#1"), reach(time.Second, 0, "t-1#1"), reach(2*time.Second, 0, "t-1#1"), reach(3100*time.Millisecond, 0, "t-1#1")}, ""},
+		"on their way":             {[]event{reach(0, 3*time.Second, "t-1#1"), reach(100*time.Millisecond, 0, "t-1#1"), reach(200*time.Millisecond, 0, "t-1#1"), reach(400*time.Millisecond, 0, "t-1#1")}, ""},
+		"rest of another":          {[]event{reach(0, 3*time.Second, "t-2#1"), reach(time.Second, 0, "t-1#1"), reach(2*time.Second, 0, "t-1#1"), reach(2900*time.Millisecond, 0, "t-1#1")}, ""},
+		"answer was cut":           {[]event{reach(0, 3*time.Second, "t-1#1"), disturbed("t-1#1"), reach(time.Second, 0, "t-1#1"), reach(2*time.Second, 0, "t-1#1"), reach(2900*time.Millisecond, 0, "t-1#1")}, ""},
 		"added route disappears":   {[]event{sentEvent("1", pathAdded), answerEvent("1", 200, true, "answer to 1", nil), sentEvent("2", pathAdded), answerEvent("2", http.StatusNotFound, false, "", nil)}, "configuration never reverts"},
 		"revoked key served again": {[]event{
 			sentEvent("1", pathLook+revocableMarker+"2/"), answerEvent("1", http.StatusUnauthorized, false, "", nil),
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -75,6 +75,14 @@
 	soak(t, 1, shortSize)
 }
 
+// Targets say in answers that they leave, or ask for rest, beside the faults of the other
+// soaks. Guards against requests that reach them all the same.
+func TestAdviceSoak(t *testing.T) {
+	size := shortSize
+	size.Advice = true
+	soak(t, 2, size)
+}
+
 // Runs the seeds that failed before; each entry names the cause of its failure.
 func TestRegressionSeeds(t *testing.T) {
 	regressions := []struct {
@@ -92,7 +100,7 @@
 
 // TestFreshSoak runs fresh seeds; see -seeds.
 func TestFreshSoak(t *testing.T) {
-	size := Size{VMs: *vms, Engines: *vms, Desks: 3, MemoryMB: *memoryMB, RequestsPerSecond: *rate, Seconds: *seconds}
+	size := Size{VMs: *vms, Engines: *vms, Desks: 3, MemoryMB: *memoryMB, RequestsPerSecond: *rate, Seconds: *seconds, Advice: true}
 	first := *from
 	if first == 0 {
 		first = uint64(time.Now().UnixNano() / 1e6 % 1e9)
--- a/soak/world.go
+++ b/soak/world.go
@@ -36,6 +36,8 @@
 	RequestsPerSecond float64
 	// Seconds is how long faults are injected.
 	Seconds int
+	// Advice adds targets that ask in their answers to be left alone.
+	Advice bool
 }
 
 // domains are the failure domains and their regions.
@@ -236,14 +238,12 @@
 	return nil
 }
 
-// addTarget starts another target of a service.
-func (world *World) addTarget(service string) (*target, error) {
-	world.mutex.Lock()
-	defer world.mutex.Unlock()
+// targetOptions returns the options of another target of a service. Its relay is started
+// with it.
+func (world *World) targetOptions(added *target) beryldouble.TargetOptions {
 	world.targetsStarted++
-	added := &target{service: service}
 	options := beryldouble.TargetOptions{
-		ID: fmt.Sprintf("t-%d", world.targetsStarted), Service: service, FailureDomain: domains[world.targetsStarted%len(domains)].name,
+		ID: fmt.Sprintf("t-%d", world.targetsStarted), Service: added.service, FailureDomain: domains[world.targetsStarted%len(domains)].name,
 		Slots: 8, ProcessingTime: 20 * time.Millisecond,
 		Advertise: func(address string) string {
 			if added.relay == nil {
@@ -256,16 +256,34 @@
 			return added.relay.Address()
 		},
 	}
-	if service == engineService {
+	if added.service == engineService {
 		options.Slots, options.Events, options.EventInterval = 16, 12, 30*time.Millisecond
 	}
-	started, err := beryldouble.StartTarget(world.store, options, world.judge.recordRun)
+	return options
+}
+
+// startTarget starts a target and adds it to the world.
+func (world *World) startTarget(added *target, options beryldouble.TargetOptions) error {
+	started, err := beryldouble.StartTarget(world.store, options, beryldouble.Observer{
+		OnRun: world.judge.recordRun, OnArrival: world.judge.recordArrival,
+	})
 	if err != nil {
-		return nil, err
+		return err
 	}
 	added.Target = started
+	world.mutex.Lock()
+	defer world.mutex.Unlock()
 	world.targets[options.ID] = added
-	return added, nil
+	return nil
+}
+
+// addTarget starts another target of a service.
+func (world *World) addTarget(service string) (*target, error) {
+	added := &target{service: service}
+	world.mutex.Lock()
+	options := world.targetOptions(added)
+	world.mutex.Unlock()
+	return added, world.startTarget(added, options)
 }
 
 // Close stops all processes and targets that the world started, and its store.
