Simulated engines ask for rest and say that they leave

core/berylmodel has engines that reject everything for a while and ask for rest, and engines that leave; a run counts the requests that reach them all the same.

At loads beyond the capacity the model of a large fleet swings by itself, as it has no sums of usage, and says nothing.

--- a/core/berylmodel/fleet.go
+++ b/core/berylmodel/fleet.go
@@ -35,6 +35,8 @@
 	// ReportInterval is the time between two reports of a gate, ReportLatency their
 	// network latency.
 	ReportInterval, ReportLatency time.Duration
+	// Advice is what engines ask for in their answers.
+	Advice []Advice
 }
 
 // SmallFleet returns a fleet of the size of the first deployment.
@@ -62,6 +64,10 @@
 	// ExpectedMillis and ActualMillis hold the time to the first event of each request
 	// that started: as expected by the gate, and as it was.
 	ExpectedMillis, ActualMillis []float64
+	// StartedAt holds when each of these requests arrived, since the start of the run.
+	StartedAt []time.Duration
+	// Unwanted counts the requests that reached engines which had asked for none.
+	Unwanted int
 }
 
 // event is a function to call at a time of the run; sequence orders events of the same
@@ -102,6 +108,7 @@
 	ids     []berylspoke.TargetID
 	// inFlight counts the unfinished requests by entry daemon and engine.
 	inFlight []map[berylspoke.TargetID]int
+	asked    map[askedKey]asked
 	events   events
 	sequence int
 	result   Result
@@ -136,7 +143,7 @@
 
 func newFleet(options FleetOptions, load LoadOptions) *fleet {
 	fleet := &fleet{
-		options: options, load: load, engines: make(map[berylspoke.TargetID]*Engine),
+		options: options, load: load, engines: make(map[berylspoke.TargetID]*Engine), asked: make(map[askedKey]asked),
 		result: Result{Organisations: make([]Tally, load.Organisations), Kinds: make([]Tally, len(load.Kinds))},
 	}
 	now := time.Unix(0, 0)
@@ -222,6 +229,7 @@
 		actual := started.Sub(now)
 		fleet.result.ExpectedMillis = append(fleet.result.ExpectedMillis, float64(expected.Milliseconds()))
 		fleet.result.ActualMillis = append(fleet.result.ActualMillis, float64(actual.Milliseconds()))
+		fleet.result.StartedAt = append(fleet.result.StartedAt, now.Sub(time.Unix(0, 0)))
 		updateTallies(func(tally *Tally) {
 			if actual <= kind.Objective {
 				tally.InTime++
@@ -230,7 +238,10 @@
 			}
 		})
 		load := engine.Load()
-		fleet.schedule(started, func(now time.Time) { gate.AnswerStarted(now, request, &load) })
+		fleet.schedule(started, func(now time.Time) {
+			gate.AnswerStarted(now, request, &load)
+			fleet.announceLeaving(now, arrival.Entry, gate, target)
+		})
 	}
 	job.Ended = func(ended time.Time) {
 		fleet.schedule(ended, func(now time.Time) {
@@ -238,7 +249,8 @@
 			gate.AttemptEnded(now, request, berylgate.Succeeded)
 		})
 	}
-	if !engine.Admit(now, job) {
+	fleet.countArrival(now, arrival.Entry, target)
+	if fleet.shed(now, arrival.Entry, gate, target) || !engine.Admit(now, job) {
 		updateTallies(func(tally *Tally) { tally.Rejected++ })
 		fleet.inFlight[arrival.Entry][target]--
 		gate.AttemptEnded(now, request, berylgate.Rejected)
--- a/core/berylmodel/model_test.go
+++ b/core/berylmodel/model_test.go
@@ -146,6 +146,42 @@
 	require.Greater(t, float64(inTime)/float64(inTime+late), 0.85)
 }
 
+// Guards against requests at engines that have asked for rest or said that they leave.
+func TestEnginesThatWantNoRequestsGetNone(t *testing.T) {
+	options := SmallFleet(Gates)
+	options.Advice = []Advice{
+		{From: 4 * time.Second, Until: 9 * time.Second, Engines: 4, Rest: 2 * time.Second},
+		{From: 12 * time.Second, Engines: 2},
+	}
+	load := meanLoad(7)
+	load.RequestsPerSecond = 250
+	require.Zero(t, Run(options, load).Unwanted)
+}
+
+// Guards against a flood of requests to engines whose rests end together: all engines reject
+// everything for two seconds, and callers come back. As the engines take requests again,
+// nineteen of twenty first tokens must come within the objective of the longest prompts.
+func TestRestsThatEndTogetherCauseNoFlood(t *testing.T) {
+	const rest, end, window = 2 * time.Second, 8 * time.Second, 2 * time.Second
+	options := SmallFleet(Gates)
+	options.Entries, options.Engines, options.Engine.Slots = 64, 20, 16
+	options.TokensPerSecond = 800_000
+	options.ReportInterval = 400 * time.Millisecond
+	options.Advice = []Advice{{From: end - rest, Until: end - rest + 100*time.Millisecond, Engines: options.Engines, Rest: rest}}
+	load := meanLoad(8)
+	load.RequestsPerSecond = 260
+	result := Run(options, load)
+	var millis []float64
+	for i, at := range result.StartedAt {
+		if at >= end && at < end+window {
+			millis = append(millis, result.ActualMillis[i])
+		}
+	}
+	sort.Float64s(millis)
+	require.NotEmpty(t, millis)
+	require.Less(t, millis[len(millis)*19/20], float64(Kinds()[0].Objective.Milliseconds()))
+}
+
 // The same load gives the same result; otherwise policies could not be compared.
 func TestRunsAreDeterministic(t *testing.T) {
 	load := meanLoad(6)
