--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -19,6 +19,7 @@
 	vms      = flag.Int("vms", 9, "number of processes with a fresh seed")
 	seconds  = flag.Int("seconds", 25, "seconds of faults with a fresh seed")
 	rate     = flag.Float64("rate", 40, "requests per second with a fresh seed")
+	advice   = flag.Bool("advice", true, "whether targets of a fresh seed ask to be left alone")
 	memoryMB = flag.Int("memoryMB", 134, "memory limit in the settings of each process")
 )
 
@@ -100,7 +101,7 @@
 
 // TestFreshSoak runs fresh seeds; see -seeds.
 func TestFreshSoak(t *testing.T) {
-	size := Size{VMs: *vms, Engines: *vms, Desks: 3, MemoryMB: *memoryMB, RequestsPerSecond: *rate, Seconds: *seconds, Advice: true}
+	size := Size{VMs: *vms, Engines: *vms, Desks: 3, MemoryMB: *memoryMB, RequestsPerSecond: *rate, Seconds: *seconds, Advice: *advice}
 	first := *from
 	if first == 0 {
 		first = uint64(time.Now().UnixNano() / 1e6 % 1e9)
