--- a/core/berylgate/rest.go
+++ b/core/berylgate/rest.go
@@ -39,7 +39,7 @@
 	before := known.restUntil
 	spread := min(time.Duration(restSpread*float64(until.Sub(now))), maxRestSpread)
 	known.restUntil = until.Add(time.Duration(gate.rng.Float64() * float64(spread)))
-	if target := gate.targets[run.ID]; target != nil && target.Run() == run {
+	if target := gate.targets[run.ID]; target != nil && target.Run() == run && !target.resting {
 		gate.beginRest(target)
 	}
 	return !before.After(now)
--- a/io/beryledge/attempt.go
+++ b/io/beryledge/attempt.go
@@ -101,9 +101,9 @@
 
 // stillWanted reports whether a request should still be sent once its connection is
 // open. Opening a connection takes over a second if packets are lost. Meanwhile the
-// caller may have disconnected, and the target may have announced that it is draining: a
-// request that is sent after the other daemons have stopped sending would be run by a
-// target that is about to exit.
+// caller may have disconnected, and the target may have announced that it is draining, or
+// asked for rest: a request that is sent after the other daemons have stopped sending would
+// be run by a target that is about to exit.
 func (call *call) stillWanted(target berylspoke.Target) bool {
 	return call.daemon.sendable.accepts(time.Now(), target.Run()) && !callerDisconnected(call.incoming.Context())
 }
