--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"flag"
+	"fmt"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -37,11 +40,21 @@
 	if err := build.Run(); err != nil {
 		panic(err)
 	}
+	go reportSignals()
 	code := tests.Run()
 	_ = os.RemoveAll(folder)
 	os.Exit(code)
 }
 
+// reportSignals names the signal that ends the soak, which would otherwise end without a
+// line while its processes go on.
+func reportSignals() {
+	received := make(chan os.Signal, 1)
+	signal.Notify(received, syscall.SIGHUP, syscall.SIGINT, syscall.SIGTERM)
+	_, _ = fmt.Fprintf(os.Stderr, "soak is ended by the signal %q\n", <-received)
+	os.Exit(1)
+}
+
 // soak runs one seed and fails the test for each violated guarantee.
 func soak(t *testing.T, seed uint64, size Size) {
 	t.Helper()
