Processes of the own interface are tested with an engine that wants no requests

Three daemons and two engines: one engine asks for rest, is used again, and says that it leaves. Each daemon sends it nothing later than half a second after its own first draft there. Fails if the client does not keep what engines ask for.

--- a/cmd/berylspoke/config_test.go
+++ b/cmd/berylspoke/config_test.go
@@ -24,6 +24,7 @@
 	"berylspoke/io/berylfleet"
 	"berylspoke/io/berylserve"
 	"berylspoke/io/berylsettings"
+	"berylspoke/io/berylstand"
 )
 
 func weightPatch(base berylspoke.ConfigVersion, weight berylspoke.Weight) *berylconfig.Patch {
@@ -343,3 +344,60 @@
 	fleet.Platform.Publish(published)
 	fleet.waitVersion(2)
 }
+
+// Guards against drafts that reach an engine which has asked the daemon for rest, or has
+// said in an answer that it leaves, though the platform and its lessor still count on it.
+func TestEngineThatWantsNoRequestsGetsNone(t *testing.T) {
+	const rest, onTheWay = 3 * time.Second, 500 * time.Millisecond
+	plan := berylfleet.Kitamine()
+	plan.Domains = plan.Domains[:1]
+	plan.Domains[0].Engines = 2
+	fleet := startProcesses(t, plan, nil)
+	ctx := testContext(t)
+	entry := fleet.Plan.VMs()[0].ID
+	count := 0
+	// draft runs some drafts at once, more than one engine has slots for.
+	draft := func(length time.Duration) {
+		for end := time.Now().Add(length); time.Now().Before(end); {
+			var drafts []*draftStream
+			for range 2 * plan.EngineOptions.Slots {
+				count++
+				drafts = append(drafts, startDraft(ctx, fleet.client("small-3", entry), plan.ModelService, fmt.Sprintf("Case %d. [tokens=3]", count), 1))
+			}
+			for _, draft := range drafts {
+				draft.wait(t)
+			}
+		}
+	}
+	// arrivals returns when drafts of each daemon reached an engine since a time.
+	arrivals := func(engine *berylstand.Engine, since time.Time) map[string][]time.Time {
+		found := make(map[string][]time.Time)
+		for _, arrival := range engine.Arrivals() {
+			if fields := strings.Split(arrival.Request, "/"); arrival.Path == "/v1/generate" && arrival.At.After(since) {
+				found[fields[1]] = append(found[fields[1]], arrival.At)
+			}
+		}
+		return found
+	}
+	check := func(engine *berylstand.Engine, length time.Duration) {
+		since := time.Now()
+		draft(length)
+		found := arrivals(engine, since)
+		require.NotEmpty(t, found, "the engine is used until it has asked")
+		for daemon, times := range found {
+			for _, at := range times[1:] {
+				after := at.Sub(times[0])
+				require.False(t, after > onTheWay && after < length, "daemon %s sent a draft %s after the engine had asked for none", daemon, after)
+			}
+		}
+	}
+	for _, engine := range fleet.Engines {
+		engine.Shed(rest)
+		check(engine, rest)
+		engine.Shed(0)
+		draft(rest)
+		engine.Leave()
+		check(engine, rest)
+		return
+	}
+}
--- a/io/berylstand/advice.go
+++ b/io/berylstand/advice.go
@@ -22,8 +22,8 @@
 
 // Arrival is one request that reached a target.
 type Arrival struct {
-	Path string
-	At   time.Time
+	Path, Request string
+	At            time.Time
 }
 
 // Leave makes the target say in all answers that it leaves.
@@ -49,10 +49,10 @@
 }
 
 // arrive records a request and returns what the target asks for now.
-func (advice *Advice) arrive(path string) (leaving bool, rest time.Duration) {
+func (advice *Advice) arrive(request *http.Request) (leaving bool, rest time.Duration) {
 	advice.mutex.Lock()
 	defer advice.mutex.Unlock()
-	advice.arrivals = append(advice.arrivals, Arrival{Path: path, At: time.Now()})
+	advice.arrivals = append(advice.arrivals, Arrival{request.URL.Path, request.Header.Get(requestHeader), time.Now()})
 	return advice.leaving, advice.rest
 }
 
@@ -60,7 +60,7 @@
 // requests other than control requests.
 func (advice *Advice) wrap(next http.Handler, control func(path string) bool) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-		leaving, rest := advice.arrive(request.URL.Path)
+		leaving, rest := advice.arrive(request)
 		if leaving {
 			writer.Header().Set(leavingHeader, "1")
 		}
