--- a/core/berylmodel/fleet.go
+++ b/core/berylmodel/fleet.go
@@ -64,8 +64,8 @@
 	// ExpectedMillis and ActualMillis hold the time to the first event of each request
 	// that started: as expected by the gate, and as it was.
 	ExpectedMillis, ActualMillis []float64
-	// StartedAt holds when each of these requests arrived, since the start of the run.
-	StartedAt []time.Duration
+	// ArrivedAt holds when each of these requests arrived, since the start of the run.
+	ArrivedAt []time.Duration
 	// Unwanted counts the requests that reached engines which had asked for none.
 	Unwanted int
 }
@@ -229,7 +229,7 @@
 		actual := started.Sub(now)
 		fleet.result.ExpectedMillis = append(fleet.result.ExpectedMillis, float64(expected.Milliseconds()))
 		fleet.result.ActualMillis = append(fleet.result.ActualMillis, float64(actual.Milliseconds()))
-		fleet.result.StartedAt = append(fleet.result.StartedAt, now.Sub(time.Unix(0, 0)))
+		fleet.result.ArrivedAt = append(fleet.result.ArrivedAt, now.Sub(time.Unix(0, 0)))
 		updateTallies(func(tally *Tally) {
 			if actual <= kind.Objective {
 				tally.InTime++
--- a/core/berylmodel/model_test.go
+++ b/core/berylmodel/model_test.go
@@ -172,7 +172,7 @@
 	load.RequestsPerSecond = 260
 	result := Run(options, load)
 	var millis []float64
-	for i, at := range result.StartedAt {
+	for i, at := range result.ArrivedAt {
 		if at >= end && at < end+window {
 			millis = append(millis, result.ActualMillis[i])
 		}
--- a/soak/advice.go
+++ b/soak/advice.go
@@ -63,7 +63,8 @@
 		world.mutex.Unlock()
 		options.Address = chosen.Options().Address
 	}
-	// The address may have been taken meanwhile by another process of the machine.
+	// Another process of the machine may have taken the address meanwhile; the world then
+	// has one target less.
 	_ = world.startTarget(next, options)
 }
 
@@ -110,7 +111,7 @@
 // pair is a run of a process and a run of a target.
 type pair struct{ process, target string }
 
-// arrival is a request that reached a target.
+// arrival is a request that its caller sent and that reached a target.
 type arrival struct{ sent, at time.Time }
 
 // interval is a time in which a process or a target was disturbed.
