--- a/catalog.go
+++ b/catalog.go
@@ -161,9 +161,19 @@
 // Run returns the run of the target.
 func (target Target) Run() TargetRun { return TargetRun{target.ID, target.Started} }
 
-// Revision is a position in the store's history of changes.
+// Revision counts the changes of the store within one era.
 type Revision uint64
 
+// Era counts how often the store has returned from an older copy of itself.
+type Era uint64
+
+// Position is a position in the store's history of changes. Each era has revisions of its
+// own: those after the copy are given out again.
+type Position struct {
+	Era      Era
+	Revision Revision
+}
+
 // Item is one key of the store with its last change.
 type Item struct {
 	Key      string
--- a/dialect.go
+++ b/dialect.go
@@ -13,14 +13,37 @@
 // reader has to list all items again.
 var ErrHistoryGone = errors.New("requested changes are no longer in the store's history")
 
+// StoreAnswer is the answer of a store to one list or watch.
+type StoreAnswer struct {
+	Items []Item
+	// AsOf is the position up to which a list is complete, or from which a watch continues.
+	AsOf Position
+	// EraUnknown is set if the answer does not say its era.
+	EraUnknown bool
+}
+
+// StoreError is a call that the store answered with a failure.
+type StoreError struct {
+	// Era is the era of the answer unless EraUnknown is set.
+	Era        Era
+	EraUnknown bool
+	Cause      error
+}
+
+// Error implements error.
+func (failure *StoreError) Error() string { return failure.Cause.Error() }
+
+// Unwrap returns the cause.
+func (failure *StoreError) Unwrap() error { return failure.Cause }
+
 // Store reads the published items. It is read-only.
 type Store interface {
-	// List returns all items below a prefix and the revision up to which the list
-	// is complete.
-	List(ctx context.Context, prefix string) ([]Item, Revision, error)
-	// Watch waits for changes after a revision, at most for the given time. It returns
-	// them with the revision to continue from.
-	Watch(ctx context.Context, prefix string, after Revision, wait time.Duration) ([]Item, Revision, error)
+	// List returns all items below a prefix. Errors of calls that were answered are a
+	// StoreError.
+	List(ctx context.Context, prefix string) (StoreAnswer, error)
+	// Watch waits for changes after a revision, at most for the given time. Errors are those
+	// of List.
+	Watch(ctx context.Context, prefix string, after Revision, wait time.Duration) (StoreAnswer, error)
 }
 
 // PromptSegment is one segment of a prompt, which other prompts may have as a prefix too.
--- a/io/beryledge/actor.go
+++ b/io/beryledge/actor.go
@@ -82,6 +82,9 @@
 		items []berylspoke.Item
 		asOf  berylspoke.Revision
 		full  bool
+		// era is the era of the answer unless eraUnknown is set.
+		era        berylspoke.Era
+		eraUnknown bool
 	}
 	// overloadBegan says that requests have to wait for the processor.
 	overloadBegan struct{}
--- a/io/beryledge/daemon.go
+++ b/io/beryledge/daemon.go
@@ -70,6 +70,8 @@
 	lastRequest atomic.Int64
 	revisions   [berylfeed.Count]atomic.Uint64
 	known       [berylfeed.Count]atomic.Bool
+	// storeEra is the era in which the store last answered the reader of each feed.
+	storeEra [berylfeed.Count]atomic.Uint64
 	// readDue wakes the reader of each feed.
 	readDue [berylfeed.Count]chan struct{}
 	// watcher is set if this daemon reads the store for the fleet.
--- a/io/beryledge/fakes_test.go
+++ b/io/beryledge/fakes_test.go
@@ -146,32 +146,33 @@
 	return items, store.revision, store.changed
 }
 
-func (store *testStore) List(_ context.Context, prefix string) ([]berylspoke.Item, berylspoke.Revision, error) {
+func (store *testStore) List(_ context.Context, prefix string) (berylspoke.StoreAnswer, error) {
 	store.calls.Add(1)
 	if store.down.Load() {
-		return nil, 0, errors.New("store is down")
+		return berylspoke.StoreAnswer{}, errors.New("store is down")
 	}
 	items, revision, _ := store.after(prefix, 0, false)
-	return items, revision, nil
+	return berylspoke.StoreAnswer{Items: items, AsOf: berylspoke.Position{Revision: revision}}, nil
 }
 
-func (store *testStore) Watch(ctx context.Context, prefix string, after berylspoke.Revision, wait time.Duration) ([]berylspoke.Item, berylspoke.Revision, error) {
+func (store *testStore) Watch(ctx context.Context, prefix string, after berylspoke.Revision, wait time.Duration) (berylspoke.StoreAnswer, error) {
 	store.calls.Add(1)
 	deadline := time.After(wait)
 	for {
 		if store.down.Load() {
-			return nil, 0, errors.New("store is down")
+			return berylspoke.StoreAnswer{}, errors.New("store is down")
 		}
 		items, revision, changed := store.after(prefix, after, true)
+		answer := berylspoke.StoreAnswer{Items: items, AsOf: berylspoke.Position{Revision: revision}}
 		if len(items) > 0 {
-			return items, revision, nil
+			return answer, nil
 		}
 		select {
 		case <-changed:
 		case <-deadline:
-			return nil, revision, nil
+			return answer, nil
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return berylspoke.StoreAnswer{}, ctx.Err()
 		}
 	}
 }
--- a/io/beryledge/meters.go
+++ b/io/beryledge/meters.go
@@ -20,12 +20,15 @@
 
 // meters are the metrics of one daemon.
 type meters struct {
-	set                 *metrics.Set
-	storeCalls          *metrics.Counter
-	streamsAborted      *metrics.Counter
-	callersDisconnected *metrics.Counter
-	shed                *metrics.Counter
-	rejections          *rejections
+	set        *metrics.Set
+	storeCalls *metrics.Counter
+	// storeLists counts the calls that were lists, storeHistoryGone the watches that the
+	// store could not answer, and storeEraUnknown the answers that do not state their era.
+	storeLists, storeHistoryGone, storeEraUnknown *metrics.Counter
+	streamsAborted                                *metrics.Counter
+	callersDisconnected                           *metrics.Counter
+	shed                                          *metrics.Counter
+	rejections                                    *rejections
 	// pulls and pulledBytes count the requests for changes of the feeds and what they
 	// brought, by link.
 	pulls, pulledBytes [berylpeer.LinkCount]*metrics.Counter
@@ -46,6 +49,9 @@
 	meters := &meters{
 		set:                 set,
 		storeCalls:          set.NewCounter("berylspoke_store_calls_total"),
+		storeLists:          set.NewCounter("berylspoke_store_lists_total"),
+		storeHistoryGone:    set.NewCounter("berylspoke_store_history_gone_total"),
+		storeEraUnknown:     set.NewCounter("berylspoke_store_era_unknown_total"),
 		streamsAborted:      set.NewCounter("berylspoke_streams_broken_off_total"),
 		callersDisconnected: set.NewCounter("berylspoke_callers_left_total"),
 		shed:                set.NewCounter("berylspoke_connections_shed_total"),
@@ -118,6 +124,7 @@
 		meters.set.NewGauge(fmt.Sprintf("berylspoke_feed_age_seconds{feed=%q}", name), func() float64 {
 			return daemon.replicaAge(name, time.Now()).Seconds()
 		})
+		meters.set.NewGauge(fmt.Sprintf("berylspoke_store_era{feed=%q}", name), func() float64 { return float64(daemon.storeEra[name].Load()) })
 	}
 }
 
--- a/io/beryledge/store.go
+++ b/io/beryledge/store.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 
 	"berylspoke"
 	"berylspoke/core/berylfeed"
@@ -54,6 +55,7 @@
 func (daemon *Daemon) followStore(feed berylfeed.Name, prefix string) {
 	pause, wait := minRetryPause, watchTimeout
 	var after berylspoke.Revision
+	var era eraObserver
 	for daemon.ctx.Err() == nil {
 		if !daemon.mustWatch(feed, time.Now()) {
 			select {
@@ -64,8 +66,11 @@
 		}
 		full := !daemon.known[feed].Load() && after == 0
 		message, err := daemon.read(feed, prefix, full, after, wait)
+		daemon.observeEra(&era, feed, message, err)
 		if errors.Is(err, berylspoke.ErrHistoryGone) {
+			daemon.meters.storeHistoryGone.Inc()
 			message, err = daemon.read(feed, prefix, true, 0, wait)
+			daemon.observeEra(&era, feed, message, err)
 		}
 		if err != nil {
 			daemon.send(storeFailed{feed, err})
@@ -135,15 +140,46 @@
 	daemon.meters.storeCalls.Inc()
 	message := storeAnswer{feed: feed, full: full}
 	var err error
+	var answer berylspoke.StoreAnswer
 	if full {
-		message.items, message.asOf, err = daemon.store.List(daemon.ctx, prefix)
-		return message, err
+		daemon.meters.storeLists.Inc()
+		answer, err = daemon.store.List(daemon.ctx, prefix)
+	} else {
+		after = max(after, berylspoke.Revision(daemon.revisions[feed].Load()))
+		answer, err = daemon.store.Watch(daemon.ctx, prefix, after, wait)
 	}
-	after = max(after, berylspoke.Revision(daemon.revisions[feed].Load()))
-	message.items, message.asOf, err = daemon.store.Watch(daemon.ctx, prefix, after, wait)
+	message.items, message.asOf, message.era, message.eraUnknown = answer.Items, answer.AsOf.Revision, answer.AsOf.Era, answer.EraUnknown
 	return message, err
 }
 
+// eraObserver is the newest era that the answers to one reader stated.
+type eraObserver struct {
+	era   berylspoke.Era
+	known bool
+}
+
+// observeEra counts answers that do not state the era of the store and logs its changes.
+func (daemon *Daemon) observeEra(observer *eraObserver, feed berylfeed.Name, message storeAnswer, err error) {
+	era, unknown := message.era, message.eraUnknown
+	var failure *berylspoke.StoreError
+	switch {
+	case errors.As(err, &failure):
+		era, unknown = failure.Era, failure.EraUnknown
+	case err != nil:
+		return
+	}
+	if unknown {
+		daemon.meters.storeEraUnknown.Inc()
+		return
+	}
+	if observer.known && era != observer.era {
+		daemon.log.Info("store changed its era", zap.Uint8("feed", uint8(feed)), zap.Uint64("era", uint64(era)), zap.Uint64("before", uint64(observer.era)),
+			zap.Uint64("asOf", uint64(message.asOf)), zap.Uint64("known", daemon.revisions[feed].Load()), cause(err))
+	}
+	observer.era, observer.known = era, true
+	daemon.storeEra[feed].Store(uint64(era))
+}
+
 // sleep waits for a time or until the daemon ends.
 func (daemon *Daemon) sleep(pause time.Duration) {
 	timer := time.NewTimer(pause)
