--- a/io/beryledge/fakes_test.go
+++ b/io/beryledge/fakes_test.go
@@ -5,9 +5,11 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -101,26 +103,52 @@
 }
 
 func (testDialect) Target(item berylspoke.Item) (berylspoke.Target, error) {
-	service, address, found := strings.Cut(string(item.Value), " ")
-	if !found {
+	fields := strings.Fields(string(item.Value))
+	if len(fields) < 2 {
 		return berylspoke.Target{}, errors.Errorf("target %s is malformed", item.Key)
 	}
 	return berylspoke.Target{
-		ID: berylspoke.TargetID(strings.TrimPrefix(item.Key, "t/")), Service: berylspoke.ServiceID(service),
-		Address: address, FailureDomain: "a", Slots: 8,
+		ID: berylspoke.TargetID(strings.TrimPrefix(item.Key, "t/")), Service: berylspoke.ServiceID(fields[0]),
+		Address: fields[1], FailureDomain: "a", Slots: 8, Draining: slices.Contains(fields, "leaving"),
 	}, nil
 }
 
-// testStore is an in-memory store that can be made to fail.
+// testStore is an in-memory store that can be made to fail, or to return from a copy.
 type testStore struct {
 	mutex    sync.Mutex
 	items    map[string]berylspoke.Item
 	revision berylspoke.Revision
+	era      berylspoke.Era
 	changed  chan struct{}
 	down     atomic.Bool
 	calls    atomic.Int64
 }
 
+// testCopy is what a store held at one time.
+type testCopy struct {
+	items    map[string]berylspoke.Item
+	revision berylspoke.Revision
+}
+
+func (store *testStore) copy() testCopy {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	return testCopy{maps.Clone(store.items), store.revision}
+}
+
+// returnFrom makes the store return from a copy, and then writes items before it answers a
+// call.
+func (store *testStore) returnFrom(copy testCopy, written ...[2]string) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.items, store.revision = maps.Clone(copy.items), copy.revision
+	store.era++
+	for _, item := range written {
+		store.write(item[0], item[1])
+	}
+	store.wake()
+}
+
 func newTestStore() *testStore {
 	return &testStore{items: make(map[string]berylspoke.Item), changed: make(chan struct{}), revision: 1}
 }
@@ -128,13 +156,22 @@
 func (store *testStore) put(key, value string) {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
+	store.write(key, value)
+	store.wake()
+}
+
+func (store *testStore) write(key, value string) {
 	store.revision++
 	store.items[key] = berylspoke.Item{Key: key, Value: []byte(value), Revision: store.revision, Deleted: value == ""}
+}
+
+// wake ends the waits for a change.
+func (store *testStore) wake() {
 	close(store.changed)
 	store.changed = make(chan struct{})
 }
 
-func (store *testStore) after(prefix string, after berylspoke.Revision, deleted bool) ([]berylspoke.Item, berylspoke.Revision, chan struct{}) {
+func (store *testStore) after(prefix string, after berylspoke.Revision, deleted bool) (berylspoke.StoreAnswer, chan struct{}) {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
 	var items []berylspoke.Item
@@ -143,7 +180,7 @@
 			items = append(items, item)
 		}
 	}
-	return items, store.revision, store.changed
+	return berylspoke.StoreAnswer{Items: items, AsOf: berylspoke.Position{Era: store.era, Revision: store.revision}}, store.changed
 }
 
 func (store *testStore) List(_ context.Context, prefix string) (berylspoke.StoreAnswer, error) {
@@ -151,8 +188,8 @@
 	if store.down.Load() {
 		return berylspoke.StoreAnswer{}, errors.New("store is down")
 	}
-	items, revision, _ := store.after(prefix, 0, false)
-	return berylspoke.StoreAnswer{Items: items, AsOf: berylspoke.Position{Revision: revision}}, nil
+	answer, _ := store.after(prefix, 0, false)
+	return answer, nil
 }
 
 func (store *testStore) Watch(ctx context.Context, prefix string, after berylspoke.Revision, wait time.Duration) (berylspoke.StoreAnswer, error) {
@@ -162,9 +199,11 @@
 		if store.down.Load() {
 			return berylspoke.StoreAnswer{}, errors.New("store is down")
 		}
-		items, revision, changed := store.after(prefix, after, true)
-		answer := berylspoke.StoreAnswer{Items: items, AsOf: berylspoke.Position{Revision: revision}}
-		if len(items) > 0 {
+		answer, changed := store.after(prefix, after, true)
+		if after > answer.AsOf.Revision {
+			return berylspoke.StoreAnswer{}, &berylspoke.StoreError{Era: answer.AsOf.Era, Cause: berylspoke.ErrHistoryGone}
+		}
+		if len(answer.Items) > 0 {
 			return answer, nil
 		}
 		select {
