--- a/catalog.go
+++ b/catalog.go
@@ -4,6 +4,7 @@
 // organisations and limits) and the targets that register themselves.
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -174,10 +175,27 @@
 	Revision Revision
 }
 
+// Compare returns -1, 0 or 1 for a position that is earlier than, the same as or later than
+// another.
+func (position Position) Compare(other Position) int {
+	return cmp.Or(cmp.Compare(position.Era, other.Era), cmp.Compare(position.Revision, other.Revision))
+}
+
+// After reports whether a position is later than another.
+func (position Position) After(other Position) bool { return position.Compare(other) > 0 }
+
+// Later returns the later of two positions.
+func (position Position) Later(other Position) Position {
+	if other.After(position) {
+		return other
+	}
+	return position
+}
+
 // Item is one key of the store with its last change.
 type Item struct {
 	Key      string
 	Value    []byte
-	Revision Revision
+	Position Position
 	Deleted  bool
 }
--- a/core/berylfeed/changes.go
+++ b/core/berylfeed/changes.go
@@ -1,7 +1,7 @@
 package berylfeed
 
 // This file defines how the user of a feed follows its changes one by one, and the order
-// of changes by revision, from which peers are sent what they lack.
+// of changes by position, from which peers are sent what they lack.
 
 import (
 	"slices"
@@ -68,30 +68,28 @@
 	if !record.item.Deleted {
 		return record.item
 	}
-	return berylspoke.Item{Key: record.item.Key, Value: record.lastValue, Revision: record.item.Revision}
+	return berylspoke.Item{Key: record.item.Key, Value: record.lastValue, Position: record.item.Position}
 }
 
-// order lists records by revision. Records that were superseded stay in it until they are
+// order lists records by position. Records that were superseded stay in it until they are
 // more than half of it.
 type order struct {
 	records    []*record
 	superseded int
 }
 
-func compareRevision(record *record, revision berylspoke.Revision) int {
-	switch {
-	case record.item.Revision < revision:
-		return -1
-	case record.item.Revision > revision:
+// compareAfter orders a record before a position that is not earlier than its own.
+func compareAfter(record *record, position berylspoke.Position) int {
+	if record.item.Position.After(position) {
 		return 1
 	}
-	return 0
+	return -1
 }
 
 func (order *order) add(added *record) {
 	at := len(order.records)
-	if at > 0 && order.records[at-1].item.Revision > added.item.Revision {
-		at, _ = slices.BinarySearchFunc(order.records, added.item.Revision+1, compareRevision)
+	if at > 0 && order.records[at-1].item.Position.After(added.item.Position) {
+		at, _ = slices.BinarySearchFunc(order.records, added.item.Position, compareAfter)
 	}
 	order.records = slices.Insert(order.records, at, added)
 }
@@ -108,8 +106,8 @@
 	}
 }
 
-// after returns the records that changed after a revision, including superseded ones.
-func (order *order) after(revision berylspoke.Revision) []*record {
-	first, _ := slices.BinarySearchFunc(order.records, revision+1, compareRevision)
+// after returns the records that changed after a position, including superseded ones.
+func (order *order) after(position berylspoke.Position) []*record {
+	first, _ := slices.BinarySearchFunc(order.records, position, compareAfter)
 	return order.records[first:]
 }
--- a/core/berylfeed/changes_test.go
+++ b/core/berylfeed/changes_test.go
@@ -23,13 +23,13 @@
 		taken := make(map[string]berylspoke.Item)
 		for range 60 {
 			now = now.Add(time.Duration(rapid.IntRange(0, 1200).Draw(t, "pause")) * time.Millisecond)
-			switch rapid.IntRange(0, 6).Draw(t, "step") {
+			switch rapid.IntRange(0, 7).Draw(t, "step") {
 			case 0, 1:
 				store.write(fmt.Sprint("k", rapid.IntRange(0, 6).Draw(t, "key")), rapid.Bool().Draw(t, "deleted"))
 			case 2:
 				if feed.Known() {
 					feed.Answered(now)
-					feed.ApplyChanges(now, store.changes[feed.AsOf():], store.asOf())
+					feed.ApplyChanges(now, store.after(feed.AsOf().Revision), store.asOf())
 				}
 			case 3:
 				feed.Answered(now)
@@ -42,6 +42,8 @@
 				if delta, newer := peer.Since(now, Targets, feed.AsOf()); newer {
 					feed.Merge(now, delta)
 				}
+			case 7:
+				store.returnFrom(berylspoke.Revision(rapid.IntRange(0, len(store.changes)).Draw(t, "copy")))
 			}
 			if rapid.Bool().Draw(t, "take") {
 				checkTaken(t, now, feed, taken)
@@ -81,19 +83,21 @@
 
 // checkDelta compares a delta with a walk over all records.
 func checkDelta(t *rapid.T, now time.Time, feed *Feed) {
-	after := berylspoke.Revision(rapid.IntRange(0, 20).Draw(t, "after"))
+	after := berylspoke.Position{
+		Era: berylspoke.Era(rapid.IntRange(0, 3).Draw(t, "era")), Revision: berylspoke.Revision(rapid.IntRange(0, 20).Draw(t, "after")),
+	}
 	delta, newer := feed.Since(now, Targets, after)
 	if !newer {
 		return
 	}
 	var expected, sent []string
 	for key, record := range feed.records {
-		if delta.Full || record.item.Revision > after {
-			expected = append(expected, fmt.Sprint(key, record.item.Revision, record.item.Deleted))
+		if delta.Full || record.item.Position.After(after) {
+			expected = append(expected, fmt.Sprint(key, record.item.Position, record.item.Deleted))
 		}
 	}
 	for _, change := range delta.Changes {
-		sent = append(sent, fmt.Sprint(change.Item.Key, change.Item.Revision, change.Item.Deleted))
+		sent = append(sent, fmt.Sprint(change.Item.Key, change.Item.Position, change.Item.Deleted))
 	}
 	slices.Sort(expected)
 	slices.Sort(sent)
@@ -108,18 +112,18 @@
 			feed := New()
 			var items []berylspoke.Item
 			for i := range size {
-				items = append(items, berylspoke.Item{Key: fmt.Sprint("k-", i), Value: make([]byte, 200), Revision: berylspoke.Revision(i + 1)})
+				items = append(items, berylspoke.Item{Key: fmt.Sprint("k-", i), Value: make([]byte, 200), Position: at(berylspoke.Revision(i + 1))})
 			}
 			revision := berylspoke.Revision(size)
-			feed.Replace(now, items, revision)
+			feed.Replace(now, items, at(revision))
 			feed.TakeChanges(now)
 			for b.Loop() {
 				revision++
 				item := items[int(revision)%size]
-				item.Revision = revision
-				feed.ApplyChanges(now, []berylspoke.Item{item}, revision)
+				item.Position = at(revision)
+				feed.ApplyChanges(now, []berylspoke.Item{item}, item.Position)
 				feed.TakeChanges(now)
-				feed.Since(now, Targets, revision-1)
+				feed.Since(now, Targets, at(revision-1))
 			}
 		})
 	}
--- a/core/berylfeed/currency.go
+++ b/core/berylfeed/currency.go
@@ -12,11 +12,11 @@
 // ones once the changes have arrived.
 const maxClaims = 64
 
-// claim states that feeds at these revisions are complete as of an answer of the store.
+// claim states that feeds at these positions are complete as of an answer of the store.
 type claim struct {
 	contact   ContactID
 	at        time.Time
-	revisions [Count]berylspoke.Revision
+	positions [Count]berylspoke.Position
 	confirmed [Count]bool
 }
 
@@ -46,15 +46,15 @@
 	}
 }
 
-// Claim records that feeds which are complete up to the given revisions are complete as of
+// Claim records that feeds which are complete up to the given positions are complete as of
 // a contact, unless none is known. The claim holds for each feed of this daemon once it has
-// reached the revision.
-func (currency *Currency) Claim(id ContactID, at time.Time, revisions []berylspoke.Revision, feeds [Count]*Feed) {
-	if id == 0 || len(revisions) < int(Count) || !at.After(currency.newestAt) {
+// reached the position.
+func (currency *Currency) Claim(id ContactID, at time.Time, positions []berylspoke.Position, feeds [Count]*Feed) {
+	if id == 0 || len(positions) < int(Count) || !at.After(currency.newestAt) {
 		return
 	}
 	fresh := claim{contact: id, at: at}
-	copy(fresh.revisions[:], revisions)
+	copy(fresh.positions[:], positions)
 	if !currency.confirm(&fresh, feeds) {
 		if len(currency.claims) == maxClaims {
 			currency.claims = currency.claims[1:]
@@ -74,12 +74,12 @@
 	currency.claims = waiting
 }
 
-// confirm applies a claim to the feeds that have reached its revisions and reports
+// confirm applies a claim to the feeds that have reached its positions and reports
 // whether all have.
 func (currency *Currency) confirm(claim *claim, feeds [Count]*Feed) bool {
 	all := true
 	for name, feed := range feeds {
-		if !claim.confirmed[name] && feed.AsOf() >= claim.revisions[name] {
+		if !claim.confirmed[name] && !claim.positions[name].After(feed.AsOf()) {
 			claim.confirmed[name] = true
 			currency.Confirm(Name(name), claim.at)
 		}
--- a/core/berylfeed/currency_test.go
+++ b/core/berylfeed/currency_test.go
@@ -27,12 +27,12 @@
 // answered records an answer of the store.
 func (replica *replica) answered(now time.Time) {
 	replica.currency.Confirm(Targets, now)
-	replica.currency.Claim(replica.contacts.RecordOwn(now), now, replica.claimRevisions(), replica.feeds)
+	replica.currency.Claim(replica.contacts.RecordOwn(now), now, replica.claimPositions(), replica.feeds)
 	replica.currency.Advance(replica.feeds)
 }
 
-func (replica *replica) claimRevisions() []berylspoke.Revision {
-	return []berylspoke.Revision{0, replica.targets().ClaimRevision()}
+func (replica *replica) claimPositions() []berylspoke.Position {
+	return []berylspoke.Position{{}, replica.targets().ClaimPosition()}
 }
 
 // report passes the newest contact on to another replica.
@@ -42,28 +42,30 @@
 		return
 	}
 	at = to.contacts.Receive(now, Contact{ID: id, Age: now.Sub(at)})
-	to.currency.Claim(id, at, replica.claimRevisions(), to.feeds)
+	to.currency.Claim(id, at, replica.claimPositions(), to.feeds)
 }
 
 // Guards against a replica that is taken for complete although it lacks a change: daemons
-// list, watch and pull in any order, and a list hides which keys were removed before it.
+// list, watch and pull in any order, a list hides which keys were removed before it, and the
+// store returns from older copies.
 func TestReplicaIsAsCompleteAsItsCurrencyTells(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Unix(1000, 0)
 		store := new(history)
 		var written []time.Time
+		var returned time.Time
 		replicas := []*replica{newReplica(1), newReplica(2), newReplica(3)}
 		for range 60 {
 			now = now.Add(time.Millisecond)
 			one := replicas[rapid.IntRange(0, 2).Draw(t, "replica")]
 			other := replicas[rapid.IntRange(0, 2).Draw(t, "peer")]
-			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			switch rapid.IntRange(0, 6).Draw(t, "step") {
 			case 0, 1:
 				store.write(string(rune('a'+rapid.IntRange(0, 3).Draw(t, "key"))), rapid.Bool().Draw(t, "deleted"))
 				written = append(written, now)
 			case 2:
-				if one.targets().Known() {
-					one.targets().ApplyChanges(now, store.changes[one.targets().AsOf():], store.asOf())
+				if one.targets().Known() && one.targets().AsOf().Era == store.era {
+					one.targets().ApplyChanges(now, store.after(one.targets().AsOf().Revision), store.asOf())
 					one.answered(now)
 				}
 			case 3:
@@ -76,9 +78,15 @@
 				}
 			case 5:
 				other.report(now, one)
+			case 6:
+				store.returnFrom(berylspoke.Revision(rapid.IntRange(0, len(store.changes)).Draw(t, "copy")))
+				written, returned = written[:len(store.changes)], now
 			}
 			for _, replica := range replicas {
 				requireComplete(t, now, replica, store, written)
+				if replica.currency.CompleteAsOf(Targets).After(returned) {
+					require.Equal(t, store.era, replica.targets().AsOf().Era, "complete as of a time after the return, without what it brought")
+				}
 			}
 		}
 	})
@@ -91,7 +99,7 @@
 	items, _ := replica.targets().Items(now)
 	held := make(map[string]berylspoke.Revision)
 	for _, item := range items {
-		held[item.Key] = item.Revision
+		held[item.Key] = item.Position.Revision
 	}
 	for i, change := range store.changes {
 		if written[i].After(asOf) {
@@ -99,9 +107,9 @@
 		}
 		revision, present := held[change.Key]
 		if present {
-			require.GreaterOrEqual(t, revision, change.Revision, "key %s", change.Key)
+			require.GreaterOrEqual(t, revision, change.Position.Revision, "key %s", change.Key)
 		} else {
-			require.GreaterOrEqual(t, replica.targets().AsOf(), change.Revision, "key %s", change.Key)
+			require.GreaterOrEqual(t, replica.targets().AsOf().Revision, change.Position.Revision, "key %s", change.Key)
 		}
 	}
 }
--- a/core/berylfeed/feed.go
+++ b/core/berylfeed/feed.go
@@ -37,16 +37,16 @@
 	records map[string]*record
 	order   order
 	changes changes
-	// bytes is the size of the present items without keys and revisions.
+	// bytes is the size of the present items without keys and positions.
 	bytes int
-	asOf  berylspoke.Revision
-	// lastChange is the revision of the newest change that was applied. The store's
+	asOf  berylspoke.Position
+	// lastChange is the position of the newest change that was applied. The store's
 	// revisions also count changes below other prefixes, so only this one tells
 	// whether a peer has updates.
-	lastChange berylspoke.Revision
-	// removalsFrom is the revision after which every removal is known by its key: that
+	lastChange berylspoke.Position
+	// removalsFrom is the position after which every removal is known by its key: that
 	// of the last list, or of the last removal that was pruned.
-	removalsFrom berylspoke.Revision
+	removalsFrom berylspoke.Position
 	removedCount int
 	known        bool
 	down         bool
@@ -67,18 +67,20 @@
 // outage.
 func (feed *Feed) SetOutageThreshold(threshold time.Duration) { feed.outageThreshold = threshold }
 
-// AsOf returns the revision up to which the feed is complete.
-func (feed *Feed) AsOf() berylspoke.Revision { return feed.asOf }
+// AsOf returns the position up to which the feed is complete.
+func (feed *Feed) AsOf() berylspoke.Position { return feed.asOf }
 
-// LastChange returns the revision of the newest change that was applied.
-func (feed *Feed) LastChange() berylspoke.Revision { return feed.lastChange }
+// LastChange returns the position of the newest change that was applied.
+func (feed *Feed) LastChange() berylspoke.Position { return feed.lastChange }
 
-// ClaimRevision returns the revision that another replica must have reached to be complete
+// ClaimPosition returns the position that another replica must have reached to be complete
 // if this one is. It is that of the newest change, or of the last list if that is newer: a
 // list does not tell which unknown keys were removed before it.
-func (feed *Feed) ClaimRevision() berylspoke.Revision { return max(feed.lastChange, feed.removalsFrom) }
+func (feed *Feed) ClaimPosition() berylspoke.Position {
+	return feed.lastChange.Later(feed.removalsFrom)
+}
 
-// Bytes returns the size of the present items without keys and revisions.
+// Bytes returns the size of the present items without keys and positions.
 func (feed *Feed) Bytes() int { return feed.bytes }
 
 // Known reports whether the feed has ever held the store's state.
@@ -124,10 +126,14 @@
 	return feed.down && now.Sub(feed.lastAnswerToAny) > feed.outageThreshold
 }
 
-// Replace applies a full list of the store and reports whether anything changed.
-func (feed *Feed) Replace(now time.Time, items []berylspoke.Item, asOf berylspoke.Revision) bool {
+// Replace applies a full list of the store and reports whether anything changed. A list of
+// an earlier era is late and is not applied.
+func (feed *Feed) Replace(now time.Time, items []berylspoke.Item, asOf berylspoke.Position) bool {
+	if asOf.Era < feed.asOf.Era {
+		return false
+	}
 	listed := make(map[string]bool, len(items))
-	changed := !feed.known
+	changed := feed.begin(asOf.Era)
 	for _, item := range items {
 		listed[item.Key] = true
 		changed = feed.apply(now, item, 0) || changed
@@ -138,20 +144,24 @@
 }
 
 // remove removes the items that a full list does not contain.
-func (feed *Feed) remove(now time.Time, listed map[string]bool, asOf berylspoke.Revision) bool {
+func (feed *Feed) remove(now time.Time, listed map[string]bool, asOf berylspoke.Position) bool {
 	changed := false
 	for key, record := range feed.records {
-		if !listed[key] && !record.item.Deleted && record.item.Revision <= asOf {
-			changed = feed.apply(now, berylspoke.Item{Key: key, Revision: asOf, Deleted: true}, 0) || changed
+		if !listed[key] && !record.item.Deleted && !record.item.Position.After(asOf) {
+			changed = feed.apply(now, berylspoke.Item{Key: key, Position: asOf, Deleted: true}, 0) || changed
 		}
 	}
-	feed.removalsFrom = max(feed.removalsFrom, asOf)
+	feed.removalsFrom = feed.removalsFrom.Later(asOf)
 	return changed
 }
 
 // ApplyChanges applies the changes that a watch returned and reports whether anything
-// changed.
-func (feed *Feed) ApplyChanges(now time.Time, items []berylspoke.Item, asOf berylspoke.Revision) bool {
+// changed. The changes of another era continue from a state that this feed does not have
+// and are not applied.
+func (feed *Feed) ApplyChanges(now time.Time, items []berylspoke.Item, asOf berylspoke.Position) bool {
+	if asOf.Era != feed.asOf.Era {
+		return false
+	}
 	changed := false
 	for _, item := range items {
 		changed = feed.apply(now, item, 0) || changed
@@ -160,18 +170,29 @@
 	return changed
 }
 
-// advance records that the feed is complete up to a revision.
-func (feed *Feed) advance(asOf berylspoke.Revision) {
+// begin prepares the feed for a full list and reports whether that is its first one of the
+// era. Peers of an earlier era need it even if it holds no items.
+func (feed *Feed) begin(era berylspoke.Era) bool {
+	first := !feed.known || era > feed.asOf.Era
+	feed.lastChange = feed.lastChange.Later(berylspoke.Position{Era: era})
+	return first
+}
+
+// advance records that the feed is complete up to a position.
+func (feed *Feed) advance(asOf berylspoke.Position) {
 	feed.known = true
-	feed.asOf = max(feed.asOf, asOf)
+	feed.asOf = feed.asOf.Later(asOf)
 }
 
-// apply applies a change if it is newer than the present one. The newest revision wins,
+// apply applies a change if it is newer than the present one. The latest position wins,
 // so the results of lists, watches and peers may arrive in any order.
 func (feed *Feed) apply(now time.Time, item berylspoke.Item, grace time.Duration) bool {
 	old := feed.records[item.Key]
-	if old != nil && (item.Revision < old.item.Revision || item.Revision == old.item.Revision && item.Deleted == old.item.Deleted) {
-		return false
+	if old != nil {
+		order := item.Position.Compare(old.item.Position)
+		if order < 0 || order == 0 && item.Deleted == old.item.Deleted {
+			return false
+		}
 	}
 	next := &record{item: item}
 	if item.Deleted {
@@ -188,7 +209,7 @@
 	feed.records[item.Key] = next
 	feed.order.add(next)
 	feed.changes.untaken[item.Key] = true
-	feed.lastChange = max(feed.lastChange, item.Revision)
+	feed.lastChange = feed.lastChange.Later(item.Position)
 	feed.pruneRemoved()
 	return true
 }
@@ -219,7 +240,7 @@
 	for feed.removedCount > maxRemoved {
 		at := slices.IndexFunc(feed.order.records, func(record *record) bool { return !record.superseded && record.item.Deleted })
 		oldest := feed.order.records[at]
-		feed.removalsFrom = max(feed.removalsFrom, oldest.item.Revision)
+		feed.removalsFrom = feed.removalsFrom.Later(oldest.item.Position)
 		delete(feed.records, oldest.item.Key)
 		feed.drop(oldest)
 	}
--- a/core/berylfeed/feed_test.go
+++ b/core/berylfeed/feed_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -21,25 +22,53 @@
 	os.Exit(tests.Run())
 }
 
-// history is a fake store that keeps all of its changes.
-type history struct{ changes []berylspoke.Item }
+// at returns a position in the first era.
+func at(revision berylspoke.Revision) berylspoke.Position {
+	return berylspoke.Position{Revision: revision}
+}
+
+// history is a fake store that keeps all changes of its era, and can return from a copy of
+// an older state.
+type history struct {
+	era     berylspoke.Era
+	changes []berylspoke.Item
+	// written counts the changes of all eras.
+	written int
+}
 
 func (history *history) write(key string, deleted bool) {
-	revision := berylspoke.Revision(len(history.changes) + 1)
+	history.written++
 	history.changes = append(history.changes, berylspoke.Item{
-		Key: key, Value: fmt.Append(nil, revision), Revision: revision, Deleted: deleted,
+		Key: key, Value: fmt.Append(nil, history.written), Position: at(history.asOf().Revision + 1), Deleted: deleted,
 	})
 }
 
-func (history *history) asOf() berylspoke.Revision { return berylspoke.Revision(len(history.changes)) }
+// returnFrom loses the changes after a revision.
+func (history *history) returnFrom(revision berylspoke.Revision) {
+	history.changes = slices.Clone(history.changes[:revision])
+	history.era++
+}
+
+func (history *history) asOf() berylspoke.Position {
+	return berylspoke.Position{Era: history.era, Revision: berylspoke.Revision(len(history.changes))}
+}
+
+// after returns the answer to a watch, whatever the era of the revision.
+func (history *history) after(revision berylspoke.Revision) []berylspoke.Item {
+	items := slices.Clone(history.changes[min(int(revision), len(history.changes)):])
+	for i := range items {
+		items[i].Position.Era = history.era
+	}
+	return items
+}
 
-func (history *history) present() map[string]berylspoke.Revision {
-	present := make(map[string]berylspoke.Revision)
-	for _, change := range history.changes {
+func (history *history) present() map[string]berylspoke.Position {
+	present := make(map[string]berylspoke.Position)
+	for _, change := range history.after(0) {
 		if change.Deleted {
 			delete(present, change.Key)
 		} else {
-			present[change.Key] = change.Revision
+			present[change.Key] = change.Position
 		}
 	}
 	return present
@@ -47,35 +76,35 @@
 
 func (history *history) list() []berylspoke.Item {
 	var items []berylspoke.Item
-	for key, revision := range history.present() {
-		items = append(items, history.changes[revision-1])
-		_ = key
+	for _, position := range history.present() {
+		items = append(items, history.after(position.Revision - 1)[0])
 	}
 	return items
 }
 
-// Watches, lists and deltas of peers arrive in any order, and peers are behind or
-// ahead. Guards against a key that reverts to an older revision, which would give
-// callers an old route or a removed API key again. A feed that is complete up to the
-// last revision must equal the store.
+// Watches, lists and deltas of peers arrive in any order, peers are behind or ahead, and the
+// store returns from older copies. Guards against a key that reverts to an earlier position,
+// which would give callers an old route or a removed API key again, and against revisions of
+// two eras that are taken for one order. A feed that is complete up to the last position must
+// equal the store.
 func TestFeedsAgreeWithTheStoreAndNeverGoBack(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Unix(0, 0)
 		store := new(history)
 		feeds := []*Feed{New(), New(), New()}
-		newest := make([]map[string]berylspoke.Revision, len(feeds))
+		newest := make([]map[string]berylspoke.Position, len(feeds))
 		for i := range newest {
-			newest[i] = make(map[string]berylspoke.Revision)
+			newest[i] = make(map[string]berylspoke.Position)
 		}
 		for range 40 {
 			i := rapid.IntRange(0, len(feeds)-1).Draw(t, "feed")
 			feed := feeds[i]
-			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
 			case 0, 1:
 				store.write(fmt.Sprint("k", rapid.IntRange(0, 4).Draw(t, "key")), rapid.Bool().Draw(t, "deleted"))
 			case 2:
 				if feed.Known() {
-					feed.ApplyChanges(now, store.changes[feed.AsOf():], store.asOf())
+					feed.ApplyChanges(now, store.after(feed.AsOf().Revision), store.asOf())
 				}
 			case 3:
 				feed.Replace(now, store.list(), store.asOf())
@@ -84,21 +113,23 @@
 				if delta, newer := from.Since(now, Targets, feed.AsOf()); newer {
 					feed.Merge(now, delta)
 				}
+			case 5:
+				store.returnFrom(berylspoke.Revision(rapid.IntRange(0, len(store.changes)).Draw(t, "copy")))
 			}
 			checkFeed(t, now, feed, store, newest[i])
 		}
 	})
 }
 
-func checkFeed(t *rapid.T, now time.Time, feed *Feed, store *history, newest map[string]berylspoke.Revision) {
+func checkFeed(t *rapid.T, now time.Time, feed *Feed, store *history, newest map[string]berylspoke.Position) {
 	items, _ := feed.Items(now)
-	seen := make(map[string]berylspoke.Revision)
+	seen := make(map[string]berylspoke.Position)
 	for _, item := range items {
-		seen[item.Key] = item.Revision
-		if item.Revision < newest[item.Key] {
-			t.Fatalf("%s went back from %d to %d", item.Key, newest[item.Key], item.Revision)
+		seen[item.Key] = item.Position
+		if newest[item.Key].After(item.Position) {
+			t.Fatalf("%s went back from %d to %d", item.Key, newest[item.Key], item.Position)
 		}
-		newest[item.Key] = item.Revision
+		newest[item.Key] = item.Position
 	}
 	if feed.Known() && feed.AsOf() == store.asOf() {
 		require.Equal(t, store.present(), seen)
@@ -113,24 +144,24 @@
 	now := time.Unix(0, 0)
 	feed := New()
 	item := func(key string, revision berylspoke.Revision, deleted bool) berylspoke.Item {
-		return berylspoke.Item{Key: key, Value: []byte(key), Revision: revision, Deleted: deleted}
+		return berylspoke.Item{Key: key, Value: []byte(key), Position: at(revision), Deleted: deleted}
 	}
 	feed.Answered(now)
-	feed.Replace(now, []berylspoke.Item{item("back", 1, false), item("gone", 2, false)}, 2)
+	feed.Replace(now, []berylspoke.Item{item("back", 1, false), item("gone", 2, false)}, at(2))
 	require.True(t, feed.Failed())
 	now = now.Add(10 * time.Second)
 	require.True(t, feed.Answered(now))
-	feed.ApplyChanges(now, []berylspoke.Item{item("back", 3, true), item("gone", 4, true)}, 4)
+	feed.ApplyChanges(now, []berylspoke.Item{item("back", 3, true), item("gone", 4, true)}, at(4))
 	items, until := feed.Items(now)
 	require.Len(t, items, 2)
 	require.Equal(t, now.Add(Grace), until)
 	now = now.Add(2 * time.Second)
-	feed.ApplyChanges(now, []berylspoke.Item{item("back", 5, false)}, 5)
+	feed.ApplyChanges(now, []berylspoke.Item{item("back", 5, false)}, at(5))
 	now = now.Add(Grace)
 	items, _ = feed.Items(now)
 	require.Len(t, items, 1)
 	require.Equal(t, "back", items[0].Key)
-	feed.ApplyChanges(now.Add(time.Minute), []berylspoke.Item{item("back", 6, true)}, 6)
+	feed.ApplyChanges(now.Add(time.Minute), []berylspoke.Item{item("back", 6, true)}, at(6))
 	items, _ = feed.Items(now.Add(time.Minute))
 	require.Empty(t, items, "without an outage a removed item has no grace period")
 }
@@ -143,7 +174,7 @@
 	feed := New()
 	feed.SetOutageThreshold(2 * time.Second)
 	feed.Answered(now)
-	feed.Replace(now, []berylspoke.Item{{Key: "gone", Value: []byte("gone"), Revision: 1}}, 1)
+	feed.Replace(now, []berylspoke.Item{{Key: "gone", Value: []byte("gone"), Position: at(1)}}, at(1))
 	feed.Failed()
 	for range 5 {
 		now = now.Add(time.Second)
@@ -151,7 +182,7 @@
 	}
 	feed.Answered(now.Add(time.Second))
 	now = now.Add(time.Second)
-	feed.ApplyChanges(now, []berylspoke.Item{{Key: "gone", Revision: 2, Deleted: true}}, 2)
+	feed.ApplyChanges(now, []berylspoke.Item{{Key: "gone", Position: at(2), Deleted: true}}, at(2))
 	items, _ := feed.Items(now)
 	require.Empty(t, items)
 }
--- a/core/berylfeed/messages.go
+++ b/core/berylfeed/messages.go
@@ -22,10 +22,10 @@
 // String returns the feed as a metric label.
 func (name Name) String() string { return [...]string{"configuration", "targets"}[name] }
 
-// Pull asks a peer for its changes after a revision.
+// Pull asks a peer for its changes after a position.
 type Pull struct {
 	Feed  Name
-	After berylspoke.Revision
+	After berylspoke.Position
 }
 
 // Change is one item of a delta; Grace is the remaining grace period of a removed item at
@@ -35,17 +35,17 @@
 	Grace time.Duration
 }
 
-// Delta holds all changes after one revision up to another. A full delta holds all items
+// Delta holds all changes after one position up to another in the same era. A full delta holds all items
 // instead; items that it does not contain are removed.
 type Delta struct {
 	Feed    Name
 	Full    bool
-	After   berylspoke.Revision
-	AsOf    berylspoke.Revision
+	After   berylspoke.Position
+	AsOf    berylspoke.Position
 	Changes []Change
 }
 
-// Bytes returns the size of the items of the delta without keys and revisions.
+// Bytes returns the size of the items of the delta without keys and positions.
 func (delta Delta) Bytes() int {
 	size := 0
 	for _, change := range delta.Changes {
@@ -65,15 +65,16 @@
 	_ berylspoke.Message = Delta{}
 )
 
-// Since returns the delta for a peer that is complete up to a revision. It returns false
-// if this feed knows nothing newer.
-func (feed *Feed) Since(now time.Time, name Name, after berylspoke.Revision) (Delta, bool) {
-	if !feed.known || feed.asOf <= after {
+// Since returns the delta for a peer that is complete up to a position. It returns false
+// if this feed knows nothing newer. A peer of an earlier era gets a full delta, as each era
+// begins with a list.
+func (feed *Feed) Since(now time.Time, name Name, after berylspoke.Position) (Delta, bool) {
+	if !feed.known || !feed.asOf.After(after) {
 		return Delta{}, false
 	}
 	// The keys removed before the last list are not known here. A peer that is further
 	// behind would keep them forever, so it gets a full delta.
-	delta := Delta{Feed: name, Full: after < feed.removalsFrom, After: after, AsOf: feed.asOf}
+	delta := Delta{Feed: name, Full: feed.removalsFrom.After(after), After: after, AsOf: feed.asOf}
 	records := feed.order.records
 	if !delta.Full {
 		records = feed.order.after(after)
@@ -87,12 +88,12 @@
 }
 
 // Merge applies a peer's delta and reports whether anything changed. A delta that starts
-// after this feed's revision would leave a gap and is not applied.
+// after this feed's position, or in another era, would leave a gap and is not applied.
 func (feed *Feed) Merge(now time.Time, delta Delta) bool {
-	if delta.After > feed.asOf || delta.AsOf <= feed.asOf {
+	if delta.After.After(feed.asOf) || !delta.AsOf.After(feed.asOf) || !delta.Full && delta.AsOf.Era != feed.asOf.Era {
 		return false
 	}
-	changed := !feed.known
+	changed := feed.begin(delta.AsOf.Era)
 	for _, change := range delta.Changes {
 		changed = feed.apply(now, change.Item, change.Grace) || changed
 	}
--- a/core/berylfeed/puller.go
+++ b/core/berylfeed/puller.go
@@ -31,7 +31,7 @@
 
 // offer is a peer that has changes which this daemon lacks.
 type offer struct {
-	revision berylspoke.Revision
+	position berylspoke.Position
 	// remote is set for a peer in another region.
 	remote     bool
 	reportedAt time.Time
@@ -52,8 +52,8 @@
 	pulls int
 }
 
-// Offer records that a peer has changes up to a revision which this daemon lacks.
-func (puller *Puller) Offer(now time.Time, from berylspoke.VMID, remote bool, revision berylspoke.Revision) {
+// Offer records that a peer has changes up to a position which this daemon lacks.
+func (puller *Puller) Offer(now time.Time, from berylspoke.VMID, remote bool, position berylspoke.Position) {
 	if puller.offers == nil {
 		puller.offers = make(map[berylspoke.VMID]*offer)
 	}
@@ -65,13 +65,13 @@
 		found = new(offer)
 		puller.offers[from] = found
 	}
-	found.revision, found.remote, found.reportedAt = revision, remote, now
+	found.position, found.remote, found.reportedAt = position, remote, now
 }
 
-// Advance records that the feed is complete up to a revision.
-func (puller *Puller) Advance(now time.Time, asOf berylspoke.Revision) {
+// Advance records that the feed is complete up to a position.
+func (puller *Puller) Advance(now time.Time, asOf berylspoke.Position) {
 	for vm, offer := range puller.offers {
-		if offer.revision <= asOf {
+		if !offer.position.After(asOf) {
 			delete(puller.offers, vm)
 			continue
 		}
@@ -116,8 +116,8 @@
 		return one.pulls < other.pulls
 	case one.remote != other.remote:
 		return other.remote
-	case one.revision != other.revision:
-		return one.revision > other.revision
+	case one.position != other.position:
+		return one.position.After(other.position)
 	}
 	return one.reportedAt.After(other.reportedAt)
 }
--- a/core/berylfeed/puller_test.go
+++ b/core/berylfeed/puller_test.go
@@ -20,6 +20,7 @@
 		At       int    `json:"atMillis"`
 		Offer    string `json:"offer"`
 		Remote   bool   `json:"remote"`
+		Era      uint64 `json:"era"`
 		Revision uint64 `json:"revision"`
 		Advance  uint64 `json:"advance"`
 	} `json:"steps"`
@@ -52,9 +53,9 @@
 		now := start.Add(time.Duration(millis) * time.Millisecond)
 		for len(steps) > 0 && steps[0].At == millis {
 			if steps[0].Offer != "" {
-				puller.Offer(now, berylspoke.VMID(steps[0].Offer), steps[0].Remote, berylspoke.Revision(steps[0].Revision))
+				puller.Offer(now, berylspoke.VMID(steps[0].Offer), steps[0].Remote, berylspoke.Position{Era: berylspoke.Era(steps[0].Era), Revision: berylspoke.Revision(steps[0].Revision)})
 			} else {
-				puller.Advance(now, berylspoke.Revision(steps[0].Advance))
+				puller.Advance(now, berylspoke.Position{Era: berylspoke.Era(steps[0].Era), Revision: berylspoke.Revision(steps[0].Advance)})
 			}
 			steps = steps[1:]
 		}
--- a/core/berylgate/report.go
+++ b/core/berylgate/report.go
@@ -28,14 +28,14 @@
 // Report describes one daemon's requests at targets and its usage by organisations.
 type Report struct {
 	Incarnation berylspoke.Incarnation
-	// Feeds are the revisions of the newest changes that the sender has.
-	Feeds []berylspoke.Revision
+	// Feeds are the positions of the newest changes that the sender has.
+	Feeds []berylspoke.Position
 	// Contact is the age of the newest answer of the store, to the sender or another
 	// daemon, as of which the sender's feeds are complete; ContactID tells such answers
-	// apart. Complete are the revisions at which a receiver's feeds are so too.
+	// apart. Complete are the positions at which a receiver's feeds are so too.
 	Contact   time.Duration
 	ContactID berylfeed.ContactID
-	Complete  []berylspoke.Revision
+	Complete  []berylspoke.Position
 	// Targets describes the sender's requests at targets; Loads holds the loads that
 	// targets reported to it since its last report. In a large fleet only loads are
 	// reported, as a daemon would learn of a small part of what the others sent.
--- a/dialect.go
+++ b/dialect.go
@@ -22,6 +22,14 @@
 	EraUnknown bool
 }
 
+// SetEra sets the era of an answer that does not say it.
+func (answer *StoreAnswer) SetEra(era Era) {
+	answer.AsOf.Era, answer.EraUnknown = era, false
+	for i := range answer.Items {
+		answer.Items[i].Position.Era = era
+	}
+}
+
 // StoreError is a call that the store answered with a failure.
 type StoreError struct {
 	// Era is the era of the answer unless EraUnknown is set.
--- a/io/beryledge/actor.go
+++ b/io/beryledge/actor.go
@@ -80,11 +80,8 @@
 	storeAnswer struct {
 		feed  berylfeed.Name
 		items []berylspoke.Item
-		asOf  berylspoke.Revision
+		asOf  berylspoke.Position
 		full  bool
-		// era is the era of the answer unless eraUnknown is set.
-		era        berylspoke.Era
-		eraUnknown bool
 	}
 	// overloadBegan says that requests have to wait for the processor.
 	overloadBegan struct{}
@@ -322,7 +319,7 @@
 	for _, feed := range core.feeds {
 		report.Feeds = append(report.Feeds, feed.LastChange())
 	}
-	report.Complete = core.claimRevisions()
+	report.Complete = core.claimPositions()
 	contact := core.newestContact(now)
 	report.Contact, report.ContactID = contact.Age, contact.ID
 	to := core.membership().links
@@ -336,20 +333,20 @@
 // store no longer answered, and sent requests to targets that had left.
 func (core *core) newestContact(now time.Time) berylfeed.Contact {
 	if own := core.ownContact(); !own.IsZero() {
-		core.currency.Claim(core.contacts.RecordOwn(own), own, core.claimRevisions(), core.feeds)
+		core.currency.Claim(core.contacts.RecordOwn(own), own, core.claimPositions(), core.feeds)
 	}
 	id, at := core.currency.Newest()
 	return berylfeed.Contact{ID: id, Age: min(max(now.Sub(at), 0), unknownContactAge)}
 }
 
-// claimRevisions returns the revisions at which other daemons' feeds are as complete as
+// claimPositions returns the positions at which other daemons' feeds are as complete as
 // those of this one.
-func (core *core) claimRevisions() []berylspoke.Revision {
-	var revisions []berylspoke.Revision
+func (core *core) claimPositions() []berylspoke.Position {
+	var positions []berylspoke.Position
 	for _, feed := range core.feeds {
-		revisions = append(revisions, feed.ClaimRevision())
+		positions = append(positions, feed.ClaimPosition())
 	}
-	return revisions
+	return positions
 }
 
 // ownContact returns the oldest of the feeds' last answers from the store to this
@@ -365,8 +362,8 @@
 }
 
 // observeContact records an answer of the store that a peer reports, and that feeds at the
-// given revisions are complete as of it.
-func (core *core) observeContact(now time.Time, contact berylfeed.Contact, complete []berylspoke.Revision) {
+// given positions are complete as of it.
+func (core *core) observeContact(now time.Time, contact berylfeed.Contact, complete []berylspoke.Position) {
 	at := core.contacts.Receive(now, contact)
 	for _, feed := range core.feeds {
 		feed.AnsweredAny(now, core.contacts.Newest())
--- a/io/beryledge/daemon.go
+++ b/io/beryledge/daemon.go
@@ -68,10 +68,9 @@
 	stopStarted atomic.Int64
 	active      atomic.Int64
 	lastRequest atomic.Int64
-	revisions   [berylfeed.Count]atomic.Uint64
-	known       [berylfeed.Count]atomic.Bool
-	// storeEra is the era in which the store last answered the reader of each feed.
-	storeEra [berylfeed.Count]atomic.Uint64
+	// positions are those up to which the feeds are complete, nil before the first list.
+	positions [berylfeed.Count]atomic.Pointer[berylspoke.Position]
+	known     [berylfeed.Count]atomic.Bool
 	// readDue wakes the reader of each feed.
 	readDue [berylfeed.Count]chan struct{}
 	// watcher is set if this daemon reads the store for the fleet.
--- a/io/beryledge/fakes_test.go
+++ b/io/beryledge/fakes_test.go
@@ -98,7 +98,7 @@
 		return nil, nil
 	}
 	catalog := *dialect.catalog
-	catalog.Version = berylspoke.ConfigVersion(items[0].Revision)
+	catalog.Version = berylspoke.ConfigVersion(items[0].Position.Revision)
 	return &catalog, nil
 }
 
@@ -124,6 +124,11 @@
 	calls    atomic.Int64
 }
 
+// at returns a position in the first era.
+func at(revision berylspoke.Revision) berylspoke.Position {
+	return berylspoke.Position{Revision: revision}
+}
+
 // testCopy is what a store held at one time.
 type testCopy struct {
 	items    map[string]berylspoke.Item
@@ -162,7 +167,7 @@
 
 func (store *testStore) write(key, value string) {
 	store.revision++
-	store.items[key] = berylspoke.Item{Key: key, Value: []byte(value), Revision: store.revision, Deleted: value == ""}
+	store.items[key] = berylspoke.Item{Key: key, Value: []byte(value), Position: at(store.revision), Deleted: value == ""}
 }
 
 // wake ends the waits for a change.
@@ -176,7 +181,8 @@
 	defer store.mutex.Unlock()
 	var items []berylspoke.Item
 	for key, item := range store.items {
-		if strings.HasPrefix(key, prefix) && item.Revision > after && (deleted || !item.Deleted) {
+		if strings.HasPrefix(key, prefix) && item.Position.Revision > after && (deleted || !item.Deleted) {
+			item.Position.Era = store.era
 			items = append(items, item)
 		}
 	}
--- a/io/beryledge/feeds.go
+++ b/io/beryledge/feeds.go
@@ -17,14 +17,14 @@
 
 // compareFeeds pulls the changes that a peer has and this daemon lacks: the store may
 // reject calls of this VM while it serves others.
-func (core *core) compareFeeds(now time.Time, from berylspoke.VMID, revisions []berylspoke.Revision) {
+func (core *core) compareFeeds(now time.Time, from berylspoke.VMID, positions []berylspoke.Position) {
 	remote := core.daemon.Link(from) == berylpeer.AcrossRegions
-	for name, revision := range revisions[:min(len(revisions), len(core.feeds))] {
+	for name, position := range positions[:min(len(positions), len(core.feeds))] {
 		feed := core.feeds[name]
-		if feed.Known() && revision <= feed.AsOf() || revision == 0 {
+		if feed.Known() && !position.After(feed.AsOf()) || position == (berylspoke.Position{}) {
 			continue
 		}
-		core.pullers[name].Offer(now, from, remote, revision)
+		core.pullers[name].Offer(now, from, remote, position)
 	}
 	core.pullChanges(now)
 }
@@ -50,7 +50,7 @@
 	core.daemon.meters.pulls[link].Inc()
 	core.pulledAt[name] = now
 	core.daemon.log.Info("pulling changes from a peer", zap.String("peer", string(from)), zap.Stringer("link", link),
-		zap.Uint8("feed", uint8(name)), zap.Uint64("asOf", uint64(asOf)))
+		zap.Uint8("feed", uint8(name)), era(asOf), revision(asOf))
 	core.daemon.transport.Send(from, berylfeed.Pull{Feed: name, After: asOf})
 }
 
@@ -59,13 +59,13 @@
 	link := core.daemon.Link(from)
 	core.daemon.meters.pulledBytes[link].Add(delta.Bytes())
 	changed := feed.Merge(now, delta)
-	core.publishRevision(now, delta.Feed)
+	core.publishPosition(now, delta.Feed)
 	if changed {
 		// The next tick sends a report: the daemons that receive it have already waited
 		// for the change.
 		core.lastReport = time.Time{}
 		core.daemon.log.Info("received changes from a peer", zap.String("peer", string(from)),
-			zap.Uint8("feed", uint8(delta.Feed)), zap.Uint64("asOf", uint64(delta.AsOf)), zap.Int("changes", len(delta.Changes)),
+			zap.Uint8("feed", uint8(delta.Feed)), era(delta.AsOf), revision(delta.AsOf), zap.Int("changes", len(delta.Changes)),
 			zap.Stringer("link", link), zap.Int("bytes", delta.Bytes()), zap.Int64("after", now.Sub(core.pulledAt[delta.Feed]).Milliseconds()))
 		core.refreshFeed(now, delta.Feed)
 	}
@@ -75,7 +75,7 @@
 	feed := core.feeds[message.feed]
 	core.currency.Confirm(message.feed, now)
 	if feed.Answered(now) {
-		core.daemon.log.Info("store is reachable again", zap.Uint8("feed", uint8(message.feed)), zap.Uint64("asOf", uint64(message.asOf)))
+		core.daemon.log.Info("store is reachable again", zap.Uint8("feed", uint8(message.feed)), era(message.asOf), revision(message.asOf))
 	}
 	change := feed.ApplyChanges
 	if message.full {
@@ -86,7 +86,7 @@
 		// The next tick reports the change to the peers that do not watch the store.
 		core.lastReport = time.Time{}
 	}
-	core.publishRevision(now, message.feed)
+	core.publishPosition(now, message.feed)
 }
 
 // publishCurrency sets the times as of which the feeds are complete.
@@ -116,7 +116,7 @@
 			text = "replica of the store is old"
 		}
 		core.daemon.log.Info(text, zap.Uint8("feed", uint8(name)), zap.Int64("age", age.Milliseconds()),
-			zap.Int64("contact", now.Sub(core.contacts.Newest()).Milliseconds()), zap.Uint64("asOf", uint64(feed.AsOf())))
+			zap.Int64("contact", now.Sub(core.contacts.Newest()).Milliseconds()), era(feed.AsOf()), revision(feed.AsOf()))
 	}
 }
 
@@ -129,14 +129,15 @@
 	return now.Sub(daemon.started)
 }
 
-// publishRevision sets the revision after which the readers of the store continue, and
+// publishPosition sets the position after which the readers of the store continue, and
 // tells the puller and the currency how far a feed has come.
-func (core *core) publishRevision(now time.Time, name berylfeed.Name) {
-	if asOf := core.feeds[name].AsOf(); asOf > berylspoke.Revision(core.daemon.revisions[name].Load()) {
+func (core *core) publishPosition(now time.Time, name berylfeed.Name) {
+	asOf := core.feeds[name].AsOf()
+	if asOf.After(core.daemon.position(name)) {
 		core.pullers[name].Advance(now, asOf)
 		core.daemon.replicaBytes[name].Store(int64(core.feeds[name].Bytes()))
 	}
-	core.daemon.revisions[name].Store(uint64(core.feeds[name].AsOf()))
+	core.daemon.positions[name].Store(&asOf)
 	core.daemon.known[name].Store(core.feeds[name].Known())
 	core.currency.Advance(core.feeds)
 	core.publishCurrency()
@@ -184,7 +185,7 @@
 	core.gate.SetCatalog(now, catalog)
 	core.daemon.index.Store(berylcatalog.New(catalog))
 	core.daemon.log.Info("configuration in force", zap.Uint64("version", uint64(catalog.Version)),
-		zap.Uint64("asOf", uint64(core.feeds[berylfeed.Configuration].AsOf())),
+		era(core.feeds[berylfeed.Configuration].AsOf()), revision(core.feeds[berylfeed.Configuration].AsOf()),
 		zap.Int("routes", len(catalog.Routes)), zap.Int("organisations", len(catalog.Organisations)))
 }
 
@@ -234,7 +235,22 @@
 
 func (core *core) logTargets(changed int) {
 	core.daemon.log.Info("targets changed", zap.Int("changed", changed), zap.Int("targets", len(core.published)),
-		zap.Uint64("asOf", uint64(core.feeds[berylfeed.Targets].AsOf())))
+		era(core.feeds[berylfeed.Targets].AsOf()), revision(core.feeds[berylfeed.Targets].AsOf()))
+}
+
+// position returns the position up to which a feed is complete.
+func (daemon *Daemon) position(name berylfeed.Name) berylspoke.Position {
+	if position := daemon.positions[name].Load(); position != nil {
+		return *position
+	}
+	return berylspoke.Position{}
+}
+
+// era and revision return the log fields of a position.
+func era(position berylspoke.Position) zap.Field { return zap.Uint64("era", uint64(position.Era)) }
+
+func revision(position berylspoke.Position) zap.Field {
+	return zap.Uint64("asOf", uint64(position.Revision))
 }
 
 // announce announces this daemon as ready for callers' requests once it knows the
--- a/io/beryledge/meters.go
+++ b/io/beryledge/meters.go
@@ -23,12 +23,13 @@
 	set        *metrics.Set
 	storeCalls *metrics.Counter
 	// storeLists counts the calls that were lists, storeHistoryGone the watches that the
-	// store could not answer, and storeEraUnknown the answers that do not state their era.
-	storeLists, storeHistoryGone, storeEraUnknown *metrics.Counter
-	streamsAborted                                *metrics.Counter
-	callersDisconnected                           *metrics.Counter
-	shed                                          *metrics.Counter
-	rejections                                    *rejections
+	// store could not answer, storeEraUnknown the answers that do not state their era, and
+	// storeEraOld those of an era before the known one, which are not used.
+	storeLists, storeHistoryGone, storeEraUnknown, storeEraOld *metrics.Counter
+	streamsAborted                                             *metrics.Counter
+	callersDisconnected                                        *metrics.Counter
+	shed                                                       *metrics.Counter
+	rejections                                                 *rejections
 	// pulls and pulledBytes count the requests for changes of the feeds and what they
 	// brought, by link.
 	pulls, pulledBytes [berylpeer.LinkCount]*metrics.Counter
@@ -52,6 +53,7 @@
 		storeLists:          set.NewCounter("berylspoke_store_lists_total"),
 		storeHistoryGone:    set.NewCounter("berylspoke_store_history_gone_total"),
 		storeEraUnknown:     set.NewCounter("berylspoke_store_era_unknown_total"),
+		storeEraOld:         set.NewCounter("berylspoke_store_era_old_total"),
 		streamsAborted:      set.NewCounter("berylspoke_streams_broken_off_total"),
 		callersDisconnected: set.NewCounter("berylspoke_callers_left_total"),
 		shed:                set.NewCounter("berylspoke_connections_shed_total"),
@@ -124,7 +126,7 @@
 		meters.set.NewGauge(fmt.Sprintf("berylspoke_feed_age_seconds{feed=%q}", name), func() float64 {
 			return daemon.replicaAge(name, time.Now()).Seconds()
 		})
-		meters.set.NewGauge(fmt.Sprintf("berylspoke_store_era{feed=%q}", name), func() float64 { return float64(daemon.storeEra[name].Load()) })
+		meters.set.NewGauge(fmt.Sprintf("berylspoke_store_era{feed=%q}", name), func() float64 { return float64(daemon.position(name).Era) })
 	}
 }
 
@@ -144,7 +146,7 @@
 	Version berylspoke.ConfigVersion       `json:"version"`
 	Entries map[string][]string            `json:"entries"`
 	Members []string                       `json:"members"`
-	Feeds   map[string]berylspoke.Revision `json:"feeds"`
+	Feeds   map[string]berylspoke.Position `json:"feeds"`
 	Gate    berylgate.Dump                 `json:"gate"`
 }
 
@@ -152,7 +154,7 @@
 func (daemon *Daemon) Dump() Dump {
 	dump := Dump{
 		VM: daemon.settings.Name, Ready: daemon.Ready(), Active: daemon.active.Load(),
-		Entries: make(map[string][]string), Feeds: make(map[string]berylspoke.Revision),
+		Entries: make(map[string][]string), Feeds: make(map[string]berylspoke.Position),
 	}
 	if index := daemon.index.Load(); index != nil {
 		dump.Version = index.Catalog().Version
--- a/io/beryledge/replication_test.go
+++ b/io/beryledge/replication_test.go
@@ -62,7 +62,7 @@
 func awaitRevision(t *testing.T, daemons []*Daemon, feed berylfeed.Name, revision berylspoke.Revision) {
 	require.Eventually(t, func() bool {
 		for _, daemon := range daemons {
-			if berylspoke.Revision(daemon.revisions[feed].Load()) < revision {
+			if daemon.position(feed).Revision < revision {
 				return false
 			}
 		}
@@ -84,12 +84,12 @@
 	const patience, most = 4 * time.Second, 4
 	start := time.Unix(1000, 0)
 	core := newSilentCore(t, start)
-	core.feeds[berylfeed.Targets].Replace(start, nil, 1)
+	core.feeds[berylfeed.Targets].Replace(start, nil, at(1))
 	for now := start; now.Sub(start) < patience; now = now.Add(urgentTickInterval) {
 		for peer := range 8 {
 			if now.Sub(start)%largeFleetReportInterval == time.Duration(peer)*urgentTickInterval {
 				core.deliver(now, berylspoke.VMID(fmt.Sprintf("127.0.0.9:%d", peer+1)), berylgate.Report{
-					Incarnation: 1, Feeds: []berylspoke.Revision{0, 5}, ContactID: 1, Contact: now.Sub(start),
+					Incarnation: 1, Feeds: []berylspoke.Position{at(0), at(5)}, ContactID: 1, Contact: now.Sub(start),
 				})
 			}
 		}
@@ -113,13 +113,13 @@
 	const bound, answer = 3 * time.Second, 500 * time.Millisecond
 	start := time.Unix(1000, 0)
 	core := newSilentCore(t, start)
-	core.applyStoreAnswer(start, storeAnswer{feed: berylfeed.Configuration, asOf: 1, full: true})
-	core.applyStoreAnswer(start, storeAnswer{feed: berylfeed.Targets, asOf: 1, full: true})
+	core.applyStoreAnswer(start, storeAnswer{feed: berylfeed.Configuration, asOf: at(1), full: true})
+	core.applyStoreAnswer(start, storeAnswer{feed: berylfeed.Targets, asOf: at(1), full: true})
 	core.daemon.watcher.Store(false)
 	for now := start; now.Sub(start) < bound-answer; now = now.Add(reportInterval) {
 		core.deliver(now, "127.0.0.9:1", berylgate.Report{
-			Incarnation: 1, Feeds: []berylspoke.Revision{0, 5}, ContactID: berylfeed.ContactID(now.UnixNano()),
-			Complete: []berylspoke.Revision{1, 5},
+			Incarnation: 1, Feeds: []berylspoke.Position{at(0), at(5)}, ContactID: berylfeed.ContactID(now.UnixNano()),
+			Complete: []berylspoke.Position{at(1), at(5)},
 		})
 	}
 	require.True(t, core.daemon.mustWatch(berylfeed.Targets, start.Add(bound-answer)))
@@ -159,11 +159,11 @@
 	start := time.Unix(1000, 0)
 	core := newSilentCore(t, start)
 	for name := range berylfeed.Count {
-		core.deliver(start, "127.0.0.9:1", berylfeed.Delta{Feed: name, Full: true, AsOf: 5})
+		core.deliver(start, "127.0.0.9:1", berylfeed.Delta{Feed: name, Full: true, AsOf: at(5)})
 	}
 	core.daemon.watcher.Store(false)
 	core.deliver(start, "127.0.0.9:1", berylgate.Report{
-		Incarnation: 1, Feeds: []berylspoke.Revision{0, 5}, Contact: unknownContactAge, Complete: []berylspoke.Revision{5, 5},
+		Incarnation: 1, Feeds: []berylspoke.Position{at(0), at(5)}, Contact: unknownContactAge, Complete: []berylspoke.Position{at(5), at(5)},
 	})
 	for name := range berylfeed.Count {
 		require.False(t, core.daemon.mustWatch(name, start.Add(time.Second)))
--- a/io/beryledge/store.go
+++ b/io/beryledge/store.go
@@ -54,8 +54,7 @@
 // followStore reads the items below one prefix until the daemon ends.
 func (daemon *Daemon) followStore(feed berylfeed.Name, prefix string) {
 	pause, wait := minRetryPause, watchTimeout
-	var after berylspoke.Revision
-	var era eraObserver
+	reader := storeReader{daemon: daemon, feed: feed, prefix: prefix}
 	for daemon.ctx.Err() == nil {
 		if !daemon.mustWatch(feed, time.Now()) {
 			select {
@@ -64,21 +63,14 @@
 			}
 			continue
 		}
-		full := !daemon.known[feed].Load() && after == 0
-		message, err := daemon.read(feed, prefix, full, after, wait)
-		daemon.observeEra(&era, feed, message, err)
-		if errors.Is(err, berylspoke.ErrHistoryGone) {
-			daemon.meters.storeHistoryGone.Inc()
-			message, err = daemon.read(feed, prefix, true, 0, wait)
-			daemon.observeEra(&era, feed, message, err)
-		}
+		message, err := reader.read(wait)
 		if err != nil {
 			daemon.send(storeFailed{feed, err})
 			daemon.sleep(pause + time.Duration(rand.Int64N(int64(pause))))
 			pause = min(2*pause, maxRetryPause)
 			continue
 		}
-		pause, after, wait = minRetryPause, message.asOf, watchTimeout
+		pause, wait = minRetryPause, watchTimeout
 		daemon.send(message)
 		if len(message.items) > 0 {
 			// The next answer is not later than without the pause.
@@ -134,50 +126,80 @@
 	return maxContactAge
 }
 
+// storeReader reads the items below one prefix. It watches for changes, and lists all items
+// if there is nothing to continue from: at the start, after the store has discarded its
+// history, and in a new era of the store.
+type storeReader struct {
+	daemon *Daemon
+	feed   berylfeed.Name
+	prefix string
+	// asOf is the position of the last answer.
+	asOf berylspoke.Position
+	// listDue is set once the store has answered in an era that this reader has no list of.
+	listDue bool
+}
+
+// errOldAnswer means that an answer of the store is older than what is known of it.
+var errOldAnswer = errors.New("store gave an answer that is older than the known position")
+
 // read makes one watch call, or the calls of one list. A watch continues after the last
 // answer, or after newer changes that peers sent.
-func (daemon *Daemon) read(feed berylfeed.Name, prefix string, full bool, after berylspoke.Revision, wait time.Duration) (storeAnswer, error) {
+func (reader *storeReader) read(wait time.Duration) (storeAnswer, error) {
+	from := reader.asOf.Later(reader.daemon.position(reader.feed))
+	full := reader.listDue || !reader.daemon.known[reader.feed].Load() && from == (berylspoke.Position{})
+	message, err := reader.call(full, from, wait)
+	if !full && (reader.listDue && err == nil || errors.Is(err, berylspoke.ErrHistoryGone)) {
+		message, err = reader.call(true, from, wait)
+	}
+	if err == nil {
+		reader.asOf = message.asOf
+	}
+	return message, err
+}
+
+// call makes one watch call, or the calls of one list. An answer that does not state its era
+// counts as of the known one.
+func (reader *storeReader) call(full bool, from berylspoke.Position, wait time.Duration) (storeAnswer, error) {
+	daemon := reader.daemon
 	daemon.meters.storeCalls.Inc()
-	message := storeAnswer{feed: feed, full: full}
-	var err error
 	var answer berylspoke.StoreAnswer
+	var err error
 	if full {
 		daemon.meters.storeLists.Inc()
-		answer, err = daemon.store.List(daemon.ctx, prefix)
+		answer, err = daemon.store.List(daemon.ctx, reader.prefix)
 	} else {
-		after = max(after, berylspoke.Revision(daemon.revisions[feed].Load()))
-		answer, err = daemon.store.Watch(daemon.ctx, prefix, after, wait)
+		answer, err = daemon.store.Watch(daemon.ctx, reader.prefix, from.Revision, wait)
 	}
-	message.items, message.asOf, message.era, message.eraUnknown = answer.Items, answer.AsOf.Revision, answer.AsOf.Era, answer.EraUnknown
-	return message, err
-}
-
-// eraObserver is the newest era that the answers to one reader stated.
-type eraObserver struct {
-	era   berylspoke.Era
-	known bool
-}
-
-// observeEra counts answers that do not state the era of the store and logs its changes.
-func (daemon *Daemon) observeEra(observer *eraObserver, feed berylfeed.Name, message storeAnswer, err error) {
-	era, unknown := message.era, message.eraUnknown
-	var failure *berylspoke.StoreError
-	switch {
-	case errors.As(err, &failure):
-		era, unknown = failure.Era, failure.EraUnknown
-	case err != nil:
-		return
+	answered, unknown := answer.AsOf.Era, answer.EraUnknown
+	if err != nil {
+		var failure *berylspoke.StoreError
+		if !errors.As(err, &failure) {
+			return storeAnswer{}, err
+		}
+		answered, unknown = failure.Era, failure.EraUnknown
+		if errors.Is(err, berylspoke.ErrHistoryGone) {
+			daemon.meters.storeHistoryGone.Inc()
+		}
 	}
-	if unknown {
+	switch {
+	case unknown:
 		daemon.meters.storeEraUnknown.Inc()
-		return
+		answer.SetEra(from.Era)
+	case answered < from.Era:
+		daemon.meters.storeEraOld.Inc()
+		return storeAnswer{}, errOldAnswer
+	case answered > from.Era && from != berylspoke.Position{} && !reader.listDue:
+		reader.listDue = true
+		daemon.log.Info("store changed its era", zap.Uint8("feed", uint8(reader.feed)), zap.Uint64("era", uint64(answered)),
+			zap.Uint64("before", uint64(from.Era)), revision(answer.AsOf), zap.Uint64("known", uint64(from.Revision)), cause(err))
 	}
-	if observer.known && era != observer.era {
-		daemon.log.Info("store changed its era", zap.Uint8("feed", uint8(feed)), zap.Uint64("era", uint64(era)), zap.Uint64("before", uint64(observer.era)),
-			zap.Uint64("asOf", uint64(message.asOf)), zap.Uint64("known", daemon.revisions[feed].Load()), cause(err))
+	if full && err == nil {
+		reader.listDue = false
+		if from.After(answer.AsOf) {
+			return storeAnswer{}, errOldAnswer
+		}
 	}
-	observer.era, observer.known = era, true
-	daemon.storeEra[feed].Store(uint64(era))
+	return storeAnswer{feed: reader.feed, items: answer.Items, asOf: answer.AsOf, full: full}, err
 }
 
 // sleep waits for a time or until the daemon ends.
--- a/io/beryledge/store_test.go
+++ b/io/beryledge/store_test.go
@@ -45,10 +45,10 @@
 	}
 	other.daemon.known[berylfeed.Targets].Store(true)
 	now := start
-	other.observeContact(now, watcher.newestContact(now), watcher.claimRevisions())
+	other.observeContact(now, watcher.newestContact(now), watcher.claimPositions())
 	for !other.daemon.mustWatch(berylfeed.Targets, now) {
 		now = now.Add(reportInterval)
-		other.observeContact(now, watcher.newestContact(now), watcher.claimRevisions())
+		other.observeContact(now, watcher.newestContact(now), watcher.claimPositions())
 	}
 	require.Less(t, now.Sub(start), bound-answer)
 }
@@ -60,7 +60,7 @@
 	start := time.Unix(1000, 0)
 	watcher, other := newUnstartedCore(start), newUnstartedCore(start)
 	other.daemon.known[berylfeed.Targets].Store(true)
-	other.observeContact(start, berylfeed.Contact{ID: 1}, watcher.claimRevisions())
+	other.observeContact(start, berylfeed.Contact{ID: 1}, watcher.claimPositions())
 	reports := 0
 	for now := start; now.Sub(start) < time.Minute; now = now.Add(urgentTickInterval) {
 		for _, feed := range watcher.feeds {
@@ -70,7 +70,7 @@
 		}
 		if now.Sub(start)%reportInterval == 0 {
 			if reports++; reports%3 != 0 {
-				other.observeContact(now, watcher.newestContact(now), watcher.claimRevisions())
+				other.observeContact(now, watcher.newestContact(now), watcher.claimPositions())
 			}
 		}
 		require.False(t, other.daemon.mustWatch(berylfeed.Targets, now))
@@ -100,7 +100,7 @@
 	var sent []delivery
 	for now := start; now.Sub(start) < bound-answer; now = now.Add(10 * time.Millisecond) {
 		for len(sent) > 0 && !sent[0].due.After(now) {
-			cores[sent[0].to].observeContact(now, sent[0].contact, cores[0].claimRevisions())
+			cores[sent[0].to].observeContact(now, sent[0].contact, cores[0].claimPositions())
 			sent = sent[1:]
 		}
 		for from, core := range cores {
--- a/io/berylpeer/peer_test.go
+++ b/io/berylpeer/peer_test.go
@@ -53,9 +53,9 @@
 		berylticket.SettleRequest{ID: id, Token: 77},
 		berylticket.CloseRequest{ID: id, Token: 78},
 		berylticket.SettleAnswer{ID: id, Token: 78, Status: berylticket.StatusMayHaveRun, ByWitness: true},
-		berylfeed.Pull{Feed: berylfeed.Targets, After: 17},
-		berylfeed.Delta{Feed: berylfeed.Targets, Full: true, After: 17, AsOf: 21, Changes: []berylfeed.Change{{
-			Item:  berylspoke.Item{Key: "pen-1", Value: []byte("{}"), Revision: 20, Deleted: true},
+		berylfeed.Pull{Feed: berylfeed.Targets, After: at(1, 17)},
+		berylfeed.Delta{Feed: berylfeed.Targets, Full: true, After: at(1, 17), AsOf: at(2, 21), Changes: []berylfeed.Change{{
+			Item:  berylspoke.Item{Key: "pen-1", Value: []byte("{}"), Position: at(2, 20), Deleted: true},
 			Grace: 1500 * time.Millisecond,
 		}}},
 		berylgate.Usage{
@@ -66,7 +66,7 @@
 			Digest: 1 << 63, Crashes: []berylquarantine.Crash{{Run: 9, Age: 70 * time.Millisecond}}, ServedAge: time.Second,
 		}}},
 		berylgate.Report{
-			Incarnation: 5, Feeds: []berylspoke.Revision{20, 21}, Contact: 300 * time.Millisecond, ContactID: 7<<32 | 1, Complete: []berylspoke.Revision{20, 22},
+			Incarnation: 5, Feeds: []berylspoke.Position{at(2, 20), at(2, 21)}, Contact: 300 * time.Millisecond, ContactID: 7<<32 | 1, Complete: []berylspoke.Position{at(2, 20), at(1, 22)},
 			Targets:       []berylgate.TargetReport{{Target: 9, WorkMillis: 1_200, Running: 3, Tokens: 24_000}},
 			Loads:         []berylgate.LoadReport{{Target: 9, Running: 12, Waiting: 3, Age: 200 * time.Millisecond}},
 			Silences:      []berylgate.SilenceReport{{Target: 9, Silent: 300 * time.Millisecond, Answered: time.Second}},
@@ -77,6 +77,10 @@
 	}
 }
 
+func at(era berylspoke.Era, revision berylspoke.Revision) berylspoke.Position {
+	return berylspoke.Position{Era: era, Revision: revision}
+}
+
 func TestMessagesRoundTrip(t *testing.T) {
 	var packet []byte
 	for _, message := range sampleMessages() {
@@ -264,11 +268,11 @@
 	})
 	t.Cleanup(func() { close(release) })
 	sender := open("a", func(berylspoke.VMID, []berylspoke.Message) {})
-	delta := berylfeed.Delta{AsOf: 1, Changes: []berylfeed.Change{{Item: berylspoke.Item{Key: "k", Value: make([]byte, large)}}}}
+	delta := berylfeed.Delta{AsOf: at(0, 1), Changes: []berylfeed.Change{{Item: berylspoke.Item{Key: "k", Value: make([]byte, large)}}}}
 	sender.Send("b", delta)
 	sender.Send("b", delta)
 	time.Sleep(time.Second)
-	sender.Send("b", berylfeed.Pull{After: 1})
+	sender.Send("b", berylfeed.Pull{After: at(0, 1)})
 	select {
 	case <-small:
 	case <-time.After(5 * time.Second):
--- a/io/berylpeer/wire.go
+++ b/io/berylpeer/wire.go
@@ -385,7 +385,7 @@
 		}
 		return wire, kindPullAnswer
 	case berylfeed.Pull:
-		return &wireFeedPull{Feed: uint8(message.Feed), After: uint64(message.After)}, kindFeedPull
+		return &wireFeedPull{Feed: uint8(message.Feed), After: positionToWire(message.After)}, kindFeedPull
 	case berylfeed.Delta:
 		return feedDeltaToWire(message), kindFeedDelta
 	case berylgate.Report:
--- a/io/berylpeer/wirefeed.go
+++ b/io/berylpeer/wirefeed.go
@@ -12,21 +12,50 @@
 	"berylspoke/core/berylgate"
 )
 
+type wirePosition struct {
+	_             struct{} `cbor:",toarray"`
+	Era, Revision uint64
+}
+
+func positionToWire(position berylspoke.Position) wirePosition {
+	return wirePosition{Era: uint64(position.Era), Revision: uint64(position.Revision)}
+}
+
+func (wire wirePosition) position() berylspoke.Position {
+	return berylspoke.Position{Era: berylspoke.Era(wire.Era), Revision: berylspoke.Revision(wire.Revision)}
+}
+
+func positionsToWire(positions []berylspoke.Position) []wirePosition {
+	var wire []wirePosition
+	for _, position := range positions {
+		wire = append(wire, positionToWire(position))
+	}
+	return wire
+}
+
+func positionsFromWire(wire []wirePosition) []berylspoke.Position {
+	var positions []berylspoke.Position
+	for _, position := range wire {
+		positions = append(positions, position.position())
+	}
+	return positions
+}
+
 type wireFeedPull struct {
 	_     struct{} `cbor:",toarray"`
 	Feed  uint8
-	After uint64
+	After wirePosition
 }
 
 func (wire *wireFeedPull) message(berylspoke.VMID) berylspoke.Message {
-	return berylfeed.Pull{Feed: berylfeed.Name(wire.Feed), After: berylspoke.Revision(wire.After)}
+	return berylfeed.Pull{Feed: berylfeed.Name(wire.Feed), After: wire.After.position()}
 }
 
 type wireChange struct {
 	_           struct{} `cbor:",toarray"`
 	Key         string
 	Value       []byte
-	Revision    uint64
+	Position    wirePosition
 	Deleted     bool
 	GraceMillis uint32
 }
@@ -35,16 +64,16 @@
 	_       struct{} `cbor:",toarray"`
 	Feed    uint8
 	Full    bool
-	After   uint64
-	AsOf    uint64
+	After   wirePosition
+	AsOf    wirePosition
 	Changes []wireChange
 }
 
 func feedDeltaToWire(delta berylfeed.Delta) *wireFeedDelta {
-	wire := &wireFeedDelta{Feed: uint8(delta.Feed), Full: delta.Full, After: uint64(delta.After), AsOf: uint64(delta.AsOf)}
+	wire := &wireFeedDelta{Feed: uint8(delta.Feed), Full: delta.Full, After: positionToWire(delta.After), AsOf: positionToWire(delta.AsOf)}
 	for _, change := range delta.Changes {
 		wire.Changes = append(wire.Changes, wireChange{
-			Key: change.Item.Key, Value: change.Item.Value, Revision: uint64(change.Item.Revision),
+			Key: change.Item.Key, Value: change.Item.Value, Position: positionToWire(change.Item.Position),
 			Deleted: change.Item.Deleted, GraceMillis: uint32(change.Grace.Milliseconds()),
 		})
 	}
@@ -53,12 +82,12 @@
 
 func (wire *wireFeedDelta) message(berylspoke.VMID) berylspoke.Message {
 	delta := berylfeed.Delta{
-		Feed: berylfeed.Name(wire.Feed), Full: wire.Full, After: berylspoke.Revision(wire.After), AsOf: berylspoke.Revision(wire.AsOf),
+		Feed: berylfeed.Name(wire.Feed), Full: wire.Full, After: wire.After.position(), AsOf: wire.AsOf.position(),
 	}
 	for _, change := range wire.Changes {
 		delta.Changes = append(delta.Changes, berylfeed.Change{
 			Item: berylspoke.Item{
-				Key: change.Key, Value: change.Value, Revision: berylspoke.Revision(change.Revision), Deleted: change.Deleted,
+				Key: change.Key, Value: change.Value, Position: change.Position.position(), Deleted: change.Deleted,
 			},
 			Grace: time.Duration(change.GraceMillis) * time.Millisecond,
 		})
@@ -149,13 +178,13 @@
 type wireDaemonReport struct {
 	_                struct{} `cbor:",toarray"`
 	Incarnation      uint64
-	FeedRevisions    []uint64
+	FeedPositions    []wirePosition
 	ContactAgeMillis uint32
 	ContactID        uint64
 	Targets          []wireTargetReport
 	Loads            []wireLoadReport
 	Organisations    []wireOrganisationReport
-	Complete         []uint64
+	Complete         []wirePosition
 	Silences         []wireSilenceReport
 	Waits            []wireWaitReport
 	Leavings         []wireLeavingReport
@@ -163,12 +192,7 @@
 
 func daemonReportToWire(report berylgate.Report) *wireDaemonReport {
 	wire := &wireDaemonReport{Incarnation: uint64(report.Incarnation), ContactAgeMillis: uint32(report.Contact.Milliseconds()), ContactID: uint64(report.ContactID)}
-	for _, revision := range report.Feeds {
-		wire.FeedRevisions = append(wire.FeedRevisions, uint64(revision))
-	}
-	for _, revision := range report.Complete {
-		wire.Complete = append(wire.Complete, uint64(revision))
-	}
+	wire.FeedPositions, wire.Complete = positionsToWire(report.Feeds), positionsToWire(report.Complete)
 	for _, item := range report.Targets {
 		wire.Targets = append(wire.Targets, wireTargetReport{
 			Target: item.Target, WorkMillis: item.WorkMillis, Running: item.Running, Tokens: int64(item.Tokens), PendingMillis: item.PendingMillis,
@@ -201,12 +225,7 @@
 
 func (wire *wireDaemonReport) message(berylspoke.VMID) berylspoke.Message {
 	report := berylgate.Report{Incarnation: berylspoke.Incarnation(wire.Incarnation), Contact: time.Duration(wire.ContactAgeMillis) * time.Millisecond, ContactID: berylfeed.ContactID(wire.ContactID)}
-	for _, revision := range wire.FeedRevisions {
-		report.Feeds = append(report.Feeds, berylspoke.Revision(revision))
-	}
-	for _, revision := range wire.Complete {
-		report.Complete = append(report.Complete, berylspoke.Revision(revision))
-	}
+	report.Feeds, report.Complete = positionsFromWire(wire.FeedPositions), positionsFromWire(wire.Complete)
 	for _, item := range wire.Targets {
 		report.Targets = append(report.Targets, berylgate.TargetReport{
 			Target: item.Target, WorkMillis: item.WorkMillis, Running: item.Running, Tokens: berylspoke.Tokens(item.Tokens), PendingMillis: item.PendingMillis,
