--- a/core/berylfeed/currency_test.go
+++ b/core/berylfeed/currency_test.go
@@ -93,9 +93,13 @@
 }
 
 // requireComplete checks that a replica holds what the store held at the time as of which
-// it is said to be complete, or something newer.
+// it is said to be complete, or something newer. After a return of the store, what the copy
+// lacks may still be in its grace period.
 func requireComplete(t *rapid.T, now time.Time, replica *replica, store *history, written []time.Time) {
 	asOf := replica.currency.CompleteAsOf(Targets)
+	if store.era > 0 {
+		now = now.Add(Grace)
+	}
 	items, _ := replica.targets().Items(now)
 	held := make(map[string]berylspoke.Revision)
 	for _, item := range items {
--- a/core/berylfeed/feed.go
+++ b/core/berylfeed/feed.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// Grace is how long an item that disappeared around an outage of the store is
-	// kept. Writers that are alive write again about two seconds after the store returns.
+	// Grace is how long an item that disappeared around an outage of the store, or that
+	// the copy lacks from which it returned, is kept. Writers that are alive write again about two seconds after the store returns.
 	Grace = 2200 * time.Millisecond
 	// lapseWindow is the time after the end of an outage in which the removal of an
 	// item is still attributed to the outage.
@@ -53,7 +53,7 @@
 	// lastAnswer is when the store last answered this daemon, lastAnswerToAny when it
 	// last answered any daemon, as far as is known.
 	lastAnswer, lastAnswerToAny time.Time
-	// recoveredAt is when the store answered again after an outage.
+	// recoveredAt is when the store answered again after an outage, or in a new era.
 	recoveredAt time.Time
 	// outageThreshold is how long the store answers no daemon before that counts as an
 	// outage.
@@ -133,7 +133,7 @@
 		return false
 	}
 	listed := make(map[string]bool, len(items))
-	changed := feed.begin(asOf.Era)
+	changed := feed.begin(now, asOf.Era)
 	for _, item := range items {
 		listed[item.Key] = true
 		changed = feed.apply(now, item, 0) || changed
@@ -170,10 +170,14 @@
 	return changed
 }
 
-// begin prepares the feed for a full list and reports whether that is its first one of the
-// era. Peers of an earlier era need it even if it holds no items.
-func (feed *Feed) begin(era berylspoke.Era) bool {
+// begin prepares the feed for a list and reports whether that is its first one of the era.
+// The copy may lack items whose writers are alive. Peers of an earlier era need the list even
+// if it holds no items.
+func (feed *Feed) begin(now time.Time, era berylspoke.Era) bool {
 	first := !feed.known || era > feed.asOf.Era
+	if first && feed.known {
+		feed.recoveredAt = now
+	}
 	feed.lastChange = feed.lastChange.Later(berylspoke.Position{Era: era})
 	return first
 }
--- a/core/berylfeed/messages.go
+++ b/core/berylfeed/messages.go
@@ -93,7 +93,7 @@
 	if delta.After.After(feed.asOf) || !delta.AsOf.After(feed.asOf) || !delta.Full && delta.AsOf.Era != feed.asOf.Era {
 		return false
 	}
-	changed := feed.begin(delta.AsOf.Era)
+	changed := feed.begin(now, delta.AsOf.Era)
 	for _, change := range delta.Changes {
 		changed = feed.apply(now, change.Item, change.Grace) || changed
 	}
