--- a/catalog.go
+++ b/catalog.go
@@ -192,6 +192,20 @@
 	return position
 }
 
+// Sequence is the position of a value among those of its writer, which knows in which order
+// it wrote them whatever the store has kept of that.
+type Sequence struct {
+	// Run identifies the run of the writer; a later run has a greater one.
+	Run    int64
+	Number uint64
+}
+
+// Compare returns -1, 0 or 1 for a value that is earlier than, the same as or later than
+// another of the same writer.
+func (sequence Sequence) Compare(other Sequence) int {
+	return cmp.Or(cmp.Compare(sequence.Run, other.Run), cmp.Compare(sequence.Number, other.Number))
+}
+
 // Item is one key of the store with its last change.
 type Item struct {
 	Key      string
--- a/core/berylfeed/changes.go
+++ b/core/berylfeed/changes.go
@@ -13,23 +13,23 @@
 // changes are the keys whose visible items the user of a feed has not taken yet.
 type changes struct {
 	untaken map[string]bool
-	// inGrace are the removed keys that are still visible.
-	inGrace map[string]bool
+	// timed are the keys that become visible or invisible by time.
+	timed map[string]bool
 }
 
 func newChanges() changes {
-	return changes{untaken: make(map[string]bool), inGrace: make(map[string]bool)}
+	return changes{untaken: make(map[string]bool), timed: make(map[string]bool)}
 }
 
 // TakeChanges returns the visible items that changed since the last call, sorted by key,
-// and the time at which the next grace period ends, zero for none. An item is deleted once
-// its grace period has ended.
+// and the time at which the next item becomes visible or invisible, zero for none. An item is
+// deleted once its grace period has ended, and while it is withheld.
 func (feed *Feed) TakeChanges(now time.Time) ([]berylspoke.Item, time.Time) {
-	keys := make([]string, 0, len(feed.changes.untaken)+len(feed.changes.inGrace))
+	keys := make([]string, 0, len(feed.changes.untaken)+len(feed.changes.timed))
 	for key := range feed.changes.untaken {
 		keys = append(keys, key)
 	}
-	for key := range feed.changes.inGrace {
+	for key := range feed.changes.timed {
 		if !feed.changes.untaken[key] {
 			keys = append(keys, key)
 		}
@@ -38,19 +38,23 @@
 	var items []berylspoke.Item
 	var next time.Time
 	for _, key := range keys {
-		record, changed := feed.records[key], feed.changes.untaken[key]
-		delete(feed.changes.inGrace, key)
-		switch {
-		case record == nil || record.item.Deleted && !record.visible(now):
+		record, timed := feed.records[key], feed.changes.timed[key]
+		delete(feed.changes.timed, key)
+		if record == nil {
 			items = append(items, berylspoke.Item{Key: key, Deleted: true})
 			continue
-		case record.item.Deleted:
-			feed.changes.inGrace[key] = true
-			if next.IsZero() || record.graceUntil.Before(next) {
-				next = record.graceUntil
+		}
+		changesAt := record.changesAt(now)
+		if !changesAt.IsZero() {
+			feed.changes.timed[key] = true
+			if next.IsZero() || changesAt.Before(next) {
+				next = changesAt
 			}
 		}
-		if changed {
+		switch {
+		case !record.visible(now):
+			items = append(items, berylspoke.Item{Key: key, Deleted: true})
+		case feed.changes.untaken[key] || timed && changesAt.IsZero():
 			items = append(items, record.shown())
 		}
 	}
@@ -58,9 +62,28 @@
 	return items, next
 }
 
-// visible reports whether the item is present or in its grace period.
+// withheld reports whether a present item is not served.
+func (record *record) withheld(now time.Time) bool {
+	return !record.item.Deleted && now.Before(record.withheldUntil)
+}
+
+// visible reports whether the item is served: it is present, or in its grace period.
 func (record *record) visible(now time.Time) bool {
-	return !record.item.Deleted || record.lastValue != nil && record.graceUntil.After(now)
+	if record.item.Deleted {
+		return record.lastValue != nil && record.graceUntil.After(now)
+	}
+	return !record.withheld(now)
+}
+
+// changesAt returns when the item becomes visible or invisible by time, zero for never.
+func (record *record) changesAt(now time.Time) time.Time {
+	switch {
+	case record.item.Deleted && record.visible(now):
+		return record.graceUntil
+	case record.withheld(now):
+		return record.withheldUntil
+	}
+	return time.Time{}
 }
 
 // shown returns the item, with its last value during its grace period.
--- a/core/berylfeed/feed.go
+++ b/core/berylfeed/feed.go
@@ -3,6 +3,7 @@
 // This file defines the feed and how it advances.
 
 import (
+	"bytes"
 	"slices"
 	"sort"
 	"time"
@@ -17,6 +18,8 @@
 	// lapseWindow is the time after the end of an outage in which the removal of an
 	// item is still attributed to the outage.
 	lapseWindow = 2500 * time.Millisecond
+	// defaultLifetime is how long a store is taken to keep an item whose writer has ended.
+	defaultLifetime = 5 * time.Second
 	// maxRemoved bounds the removed keys that are remembered. They are few (one
 	// for each start of a target), and the oldest are of no use to peers.
 	maxRemoved = 1024
@@ -28,6 +31,14 @@
 	// lastValue is the value before the removal, served during the grace period.
 	lastValue  []byte
 	graceUntil time.Time
+	// carried is set if the value may be later than what the store holds in this era: the
+	// store returned from a copy that lacks it.
+	carried bool
+	// withheldUntil is until when a present item is not served: it was known to be removed
+	// before the store returned from a copy that holds it.
+	withheldUntil time.Time
+	// removed is the sequence of the last value before a removal, nil if unknown.
+	removed *berylspoke.Sequence
 	// superseded is set once the key has a newer record.
 	superseded bool
 }
@@ -36,7 +47,11 @@
 type Feed struct {
 	records map[string]*record
 	order   order
-	changes changes
+	// sequence returns the position of a value among those of its writer.
+	sequence func(berylspoke.Item) (berylspoke.Sequence, bool)
+	// lifetime is how long the store keeps an item whose writer has ended.
+	lifetime time.Duration
+	changes  changes
 	// bytes is the size of the present items without keys and positions.
 	bytes int
 	asOf  berylspoke.Position
@@ -60,13 +75,19 @@
 	outageThreshold time.Duration
 }
 
-// New returns an empty feed.
-func New() *Feed { return &Feed{records: make(map[string]*record), changes: newChanges()} }
+// New returns an empty feed. The function returns the position of an item's value among
+// those of its writer, and false if the value does not tell.
+func New(sequence func(berylspoke.Item) (berylspoke.Sequence, bool)) *Feed {
+	return &Feed{records: make(map[string]*record), changes: newChanges(), sequence: sequence, lifetime: defaultLifetime}
+}
 
 // SetOutageThreshold sets how long the store answers no daemon before that counts as an
 // outage.
 func (feed *Feed) SetOutageThreshold(threshold time.Duration) { feed.outageThreshold = threshold }
 
+// SetLifetime sets how long the store keeps an item whose writer has ended.
+func (feed *Feed) SetLifetime(lifetime time.Duration) { feed.lifetime = lifetime }
+
 // AsOf returns the position up to which the feed is complete.
 func (feed *Feed) AsOf() berylspoke.Position { return feed.asOf }
 
@@ -92,6 +113,29 @@
 // Up reports whether the store answered this daemon's last call.
 func (feed *Feed) Up() bool { return !feed.down }
 
+// Kept counts the items of a feed that the store does not hold as they are served.
+type Kept struct {
+	// Carried values are later than those of the copy from which the store returned,
+	// Withheld items were removed before it returned, and InGrace items have disappeared.
+	Carried, Withheld, InGrace int
+}
+
+// Kept returns what the feed keeps against the store at present.
+func (feed *Feed) Kept(now time.Time) Kept {
+	var kept Kept
+	for _, record := range feed.records {
+		switch {
+		case record.withheld(now):
+			kept.Withheld++
+		case record.item.Deleted && record.visible(now):
+			kept.InGrace++
+		case record.carried:
+			kept.Carried++
+		}
+	}
+	return kept
+}
+
 // Failed records that the store did not answer this daemon and reports whether it was up
 // before.
 func (feed *Feed) Failed() bool {
@@ -136,7 +180,7 @@
 	changed := feed.begin(now, asOf.Era)
 	for _, item := range items {
 		listed[item.Key] = true
-		changed = feed.apply(now, item, 0) || changed
+		changed = feed.apply(now, Change{Item: item}) || changed
 	}
 	changed = feed.remove(now, listed, asOf) || changed
 	feed.advance(asOf)
@@ -148,7 +192,7 @@
 	changed := false
 	for key, record := range feed.records {
 		if !listed[key] && !record.item.Deleted && !record.item.Position.After(asOf) {
-			changed = feed.apply(now, berylspoke.Item{Key: key, Position: asOf, Deleted: true}, 0) || changed
+			changed = feed.apply(now, Change{Item: berylspoke.Item{Key: key, Position: asOf, Deleted: true}}) || changed
 		}
 	}
 	feed.removalsFrom = feed.removalsFrom.Later(asOf)
@@ -164,7 +208,7 @@
 	}
 	changed := false
 	for _, item := range items {
-		changed = feed.apply(now, item, 0) || changed
+		changed = feed.apply(now, Change{Item: item}) || changed
 	}
 	feed.advance(asOf)
 	return changed
@@ -190,34 +234,104 @@
 
 // apply applies a change if it is newer than the present one. The latest position wins,
 // so the results of lists, watches and peers may arrive in any order.
-func (feed *Feed) apply(now time.Time, item berylspoke.Item, grace time.Duration) bool {
+func (feed *Feed) apply(now time.Time, change Change) bool {
+	item := change.Item
 	old := feed.records[item.Key]
-	if old != nil {
-		order := item.Position.Compare(old.item.Position)
-		if order < 0 || order == 0 && item.Deleted == old.item.Deleted {
-			return false
-		}
+	next := &record{item: item, carried: change.Carried}
+	if change.Withheld > 0 {
+		next.withheldUntil = now.Add(change.Withheld)
+	}
+	if old != nil && !feed.supersede(now, old, next) {
+		return false
 	}
-	next := &record{item: item}
 	if item.Deleted {
-		next.graceUntil = now.Add(max(grace, feed.currentGrace(now)))
+		next.graceUntil = now.Add(max(change.Grace, feed.currentGrace(now)))
 		if old != nil {
-			next.lastValue = old.item.Value
+			feed.remember(now, old, next)
 		}
 		feed.removedCount++
 	}
 	feed.drop(old)
 	if !item.Deleted {
-		feed.bytes += len(item.Value)
+		feed.bytes += len(next.item.Value)
 	}
 	feed.records[item.Key] = next
 	feed.order.add(next)
-	feed.changes.untaken[item.Key] = true
-	feed.lastChange = feed.lastChange.Later(item.Position)
+	if old == nil || old.item.Deleted || item.Deleted || old.withheldUntil != next.withheldUntil || !bytes.Equal(old.item.Value, next.item.Value) {
+		feed.changes.untaken[item.Key] = true
+	}
+	feed.lastChange = feed.lastChange.Later(next.item.Position)
 	feed.pruneRemoved()
 	return true
 }
 
+// remember completes the record of a removed item with what is known of its last value.
+func (feed *Feed) remember(now time.Time, old, next *record) {
+	next.removed = old.removed
+	if old.withheld(now) {
+		return
+	}
+	next.lastValue = old.item.Value
+	if sequence, known := feed.sequence(old.item); known && !old.item.Deleted {
+		next.removed = &sequence
+	}
+}
+
+// supersede reports whether a record supersedes the present one of its key, and completes
+// it with what is known from earlier eras.
+func (feed *Feed) supersede(now time.Time, old, next *record) bool {
+	order := next.item.Position.Compare(old.item.Position)
+	returned := next.item.Position.Era > old.item.Position.Era
+	switch {
+	case next.item.Deleted:
+	case !old.item.Deleted && (next.carried || old.carried || returned):
+		if returned && old.withheld(now) {
+			feed.withhold(now, old, next)
+		}
+		return feed.carry(old, next)
+	case old.item.Deleted && returned && old.visible(now):
+		feed.carry(&record{item: old.shown()}, next)
+	case old.item.Deleted && returned:
+		feed.withhold(now, old, next)
+	}
+	return order > 0 || order == 0 && next.item.Deleted != old.item.Deleted
+}
+
+// withhold keeps an item from being served if the run of its writer that wrote it was known
+// to have removed it. If the writer is alive, it writes the item again or the item outlives
+// the lifetime of those whose writers have ended.
+func (feed *Feed) withhold(now time.Time, old, next *record) {
+	if sequence, known := feed.sequence(next.item); known && old.removed != nil && sequence.Run <= old.removed.Run {
+		next.removed = old.removed
+		next.withheldUntil = now.Add(feed.lifetime)
+	}
+}
+
+// carry completes a record with the value of the present one if that is the later one of its
+// writer. The store of an older copy holds an earlier value until its writer writes again. It
+// reports whether anything changed.
+func (feed *Feed) carry(old, next *record) bool {
+	position := old.item.Position.Later(next.item.Position)
+	switch {
+	case bytes.Equal(old.item.Value, next.item.Value):
+		next.carried = next.carried && old.carried
+	case feed.precedes(next.item, old.item), next.carried && !feed.precedes(old.item, next.item):
+		next.item.Value, next.carried = old.item.Value, true
+	}
+	next.item.Position = position
+	return position != old.item.Position || !bytes.Equal(old.item.Value, next.item.Value)
+}
+
+// precedes reports whether a value is known to be an earlier one of its writer than another.
+func (feed *Feed) precedes(item, other berylspoke.Item) bool {
+	one, known := feed.sequence(item)
+	if !known {
+		return false
+	}
+	later, known := feed.sequence(other)
+	return known && one.Compare(later) < 0
+}
+
 // drop takes a superseded or pruned record out of the sums and the order.
 func (feed *Feed) drop(old *record) {
 	if old == nil {
@@ -250,18 +364,17 @@
 	}
 }
 
-// Items returns the present items and those in their grace period, sorted by key, and
-// the time at which the first grace period ends, zero for none.
+// Items returns the visible items, sorted by key, and the time at which the next item becomes
+// visible or invisible, zero for none.
 func (feed *Feed) Items(now time.Time) ([]berylspoke.Item, time.Time) {
 	var items []berylspoke.Item
 	var next time.Time
 	for _, record := range feed.records {
-		if !record.visible(now) {
-			continue
+		if record.visible(now) {
+			items = append(items, record.shown())
 		}
-		items = append(items, record.shown())
-		if record.item.Deleted && (next.IsZero() || record.graceUntil.Before(next)) {
-			next = record.graceUntil
+		if at := record.changesAt(now); !at.IsZero() && (next.IsZero() || at.Before(next)) {
+			next = at
 		}
 	}
 	sort.Slice(items, func(i, j int) bool { return items[i].Key < items[j].Key })
--- a/core/berylfeed/messages.go
+++ b/core/berylfeed/messages.go
@@ -28,11 +28,15 @@
 	After berylspoke.Position
 }
 
-// Change is one item of a delta; Grace is the remaining grace period of a removed item at
-// the sender.
+// Change is one item of a delta.
 type Change struct {
-	Item  berylspoke.Item
+	Item berylspoke.Item
+	// Grace is the remaining grace period of a removed item at the sender.
 	Grace time.Duration
+	// Withheld is how much longer the sender does not serve a present item.
+	Withheld time.Duration
+	// Carried is set if the value may be later than what the store holds.
+	Carried bool
 }
 
 // Delta holds all changes after one position up to another in the same era. A full delta holds all items
@@ -81,7 +85,9 @@
 	}
 	for _, record := range records {
 		if !record.superseded {
-			delta.Changes = append(delta.Changes, Change{Item: record.item, Grace: max(record.graceUntil.Sub(now), 0)})
+			delta.Changes = append(delta.Changes, Change{
+				Item: record.item, Grace: max(record.graceUntil.Sub(now), 0), Withheld: max(record.withheldUntil.Sub(now), 0), Carried: record.carried,
+			})
 		}
 	}
 	return delta, true
@@ -95,7 +101,7 @@
 	}
 	changed := feed.begin(now, delta.AsOf.Era)
 	for _, change := range delta.Changes {
-		changed = feed.apply(now, change.Item, change.Grace) || changed
+		changed = feed.apply(now, change) || changed
 	}
 	if delta.Full {
 		present := make(map[string]bool, len(delta.Changes))
--- a/dialect.go
+++ b/dialect.go
@@ -138,6 +138,9 @@
 	// Evacuated returns the failure domains that operators evacuate, from the items of
 	// the configuration. Their targets get no new requests.
 	Evacuated(items []Item) []FailureDomain
+	// Sequence returns the position of an item's value among those of its writer, and false
+	// if the value does not tell.
+	Sequence(item Item) (Sequence, bool)
 	// Target decodes one published target. An error means that the item does not
 	// describe a target.
 	Target(item Item) (Target, error)
--- a/io/beryledge/actor.go
+++ b/io/beryledge/actor.go
@@ -199,8 +199,11 @@
 	}
 	core.table.Join(now, settings.Seeds)
 	for name := range core.feeds {
-		core.feeds[name] = berylfeed.New()
+		core.feeds[name] = berylfeed.New(daemon.dialect.Sequence)
 		core.feeds[name].SetOutageThreshold(maxContactAge + firstAnswerDelay)
+		if settings.EntryLifetime > 0 {
+			core.feeds[name].SetLifetime(settings.EntryLifetime)
+		}
 	}
 	return core
 }
--- a/io/beryledge/era_test.go
+++ b/io/beryledge/era_test.go
@@ -1,9 +1,12 @@
 package beryledge
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -56,3 +59,83 @@
 	}
 	return [2]string{"t/" + id, strings.TrimSpace(fmt.Sprint("desk ", target.address(), " ", state))}
 }
+
+// Guards against requests to a target that is known to leave or to have ended, after the store
+// has returned from a copy that says that it is ready.
+func TestCopyDoesNotTakeBackThatATargetLeaves(t *testing.T) {
+	for _, known := range []string{"desk 127.0.0.1:1 leaving @1.2", ""} {
+		t.Run(known, func(t *testing.T) {
+			leaver := newTestTarget(t, "leaver", sealed(http.StatusOK, "served"))
+			daemon, store := startServing(t, map[string]*testTarget{"desk": leaver})
+			store.put("t/leaver", "desk "+leaver.address()+" @1.1")
+			older := store.copy()
+			awaitRevision(t, []*Daemon{daemon}, berylfeed.Targets, older.revision)
+			store.put("t/leaver", known)
+			awaitRevision(t, []*Daemon{daemon}, berylfeed.Targets, older.revision+1)
+			store.returnFrom(older)
+			time.Sleep(2 * watchTimeout)
+			response, _, err := send(t, daemon, http.MethodGet, "/read/x", "r", "")
+			require.NoError(t, err)
+			require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+			require.Zero(t, leaver.seen.Load())
+			// A new run is used.
+			store.put("t/leaver", "desk "+leaver.address()+" @2.1")
+			require.Eventually(t, func() bool {
+				response, _, err := send(t, daemon, http.MethodGet, "/read/x", "r", "")
+				return err == nil && response.StatusCode == http.StatusOK
+			}, 5*time.Second, 50*time.Millisecond)
+		})
+	}
+}
+
+// awaitEra waits until a daemon has listed the store in an era.
+func awaitEra(t *testing.T, daemon *Daemon, era berylspoke.Era) {
+	require.Eventually(t, func() bool {
+		return daemon.position(berylfeed.Configuration).Era == era && daemon.position(berylfeed.Targets).Era == era
+	}, 10*time.Second, 10*time.Millisecond)
+}
+
+// Guards against VMs that the store turns away and that never learn of its return: they take a
+// full copy from a peer, and do not bring the earlier era back to others.
+func TestReturnIsLearnedFromAPeer(t *testing.T) {
+	leaver := newTestTarget(t, "leaver", sealed(http.StatusOK, "served"))
+	reached, store := startServing(t, map[string]*testTarget{"desk": leaver})
+	away := &awayStore{Store: store}
+	cut := startDaemon(t, away, reached.settings.VM)
+	require.Eventually(t, cut.Ready, 10*time.Second, 10*time.Millisecond)
+	older := store.copy()
+	store.put("t/other", "none 127.0.0.1:1")
+	awaitRevision(t, []*Daemon{reached, cut}, berylfeed.Targets, older.revision+1)
+	away.away.Store(true)
+	store.returnFrom(older, entryOf(leaver, 0, "leaver leaving"))
+	awaitEra(t, reached, 1)
+	awaitEra(t, cut, 1)
+	response, _, err := send(t, cut, http.MethodGet, "/read/x", "r", "")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	require.EqualValues(t, 1, reached.position(berylfeed.Targets).Era)
+}
+
+// awayStore is a store that one daemon cannot reach while it is away.
+type awayStore struct {
+	berylspoke.Store
+	away atomic.Bool
+}
+
+func (store *awayStore) List(ctx context.Context, prefix string) (berylspoke.StoreAnswer, error) {
+	if store.away.Load() {
+		return berylspoke.StoreAnswer{}, errors.New("store is away")
+	}
+	return store.Store.List(ctx, prefix)
+}
+
+func (store *awayStore) Watch(ctx context.Context, prefix string, after berylspoke.Revision, wait time.Duration) (berylspoke.StoreAnswer, error) {
+	if store.away.Load() {
+		return berylspoke.StoreAnswer{}, errors.New("store is away")
+	}
+	answer, err := store.Store.Watch(ctx, prefix, after, wait)
+	if store.away.Load() {
+		return berylspoke.StoreAnswer{}, errors.New("store is away")
+	}
+	return answer, err
+}
--- a/io/beryledge/fakes_test.go
+++ b/io/beryledge/fakes_test.go
@@ -99,9 +99,23 @@
 	}
 	catalog := *dialect.catalog
 	catalog.Version = berylspoke.ConfigVersion(items[0].Position.Revision)
+	if sequence, known := dialect.Sequence(items[0]); known {
+		catalog.Version = berylspoke.ConfigVersion(sequence.Number)
+	}
 	return &catalog, nil
 }
 
+// Sequence reads the value's number at the end of "@run.number".
+func (testDialect) Sequence(item berylspoke.Item) (berylspoke.Sequence, bool) {
+	_, text, found := strings.Cut(string(item.Value), "@")
+	var sequence berylspoke.Sequence
+	if !found {
+		return sequence, false
+	}
+	_, err := fmt.Sscanf(text, "%d.%d", &sequence.Run, &sequence.Number)
+	return sequence, err == nil
+}
+
 func (testDialect) Target(item berylspoke.Item) (berylspoke.Target, error) {
 	fields := strings.Fields(string(item.Value))
 	if len(fields) < 2 {
--- a/io/beryledge/feeds.go
+++ b/io/beryledge/feeds.go
@@ -58,7 +58,9 @@
 	feed := core.feeds[delta.Feed]
 	link := core.daemon.Link(from)
 	core.daemon.meters.pulledBytes[link].Add(delta.Bytes())
+	before := feed.AsOf()
 	changed := feed.Merge(now, delta)
+	core.logEra(now, delta.Feed, before, string(from))
 	core.publishPosition(now, delta.Feed)
 	if changed {
 		// The next tick sends a report: the daemons that receive it have already waited
@@ -81,7 +83,10 @@
 	if message.full {
 		change = feed.Replace
 	}
-	if change(now, message.items, message.asOf) {
+	before := feed.AsOf()
+	changed := change(now, message.items, message.asOf)
+	core.logEra(now, message.feed, before, "store")
+	if changed {
 		core.refreshFeed(now, message.feed)
 		// The next tick reports the change to the peers that do not watch the store.
 		core.lastReport = time.Time{}
@@ -89,6 +94,19 @@
 	core.publishPosition(now, message.feed)
 }
 
+// logEra logs that a feed has entered another era of the store, and what it keeps against the
+// copy from which the store returned.
+func (core *core) logEra(now time.Time, name berylfeed.Name, before berylspoke.Position, source string) {
+	feed := core.feeds[name]
+	if feed.AsOf().Era == before.Era || before == (berylspoke.Position{}) {
+		return
+	}
+	kept := feed.Kept(now)
+	core.daemon.log.Info("replica entered another era of the store", zap.Uint8("feed", uint8(name)), era(feed.AsOf()), revision(feed.AsOf()),
+		zap.Uint64("before", uint64(before.Era)), zap.Uint64("known", uint64(before.Revision)), zap.String("from", source),
+		zap.Int("carried", kept.Carried), zap.Int("withheld", kept.Withheld), zap.Int("inGrace", kept.InGrace))
+}
+
 // publishCurrency sets the times as of which the feeds are complete.
 func (core *core) publishCurrency() {
 	for name := range core.feeds {
--- a/io/beryledge/settings.go
+++ b/io/beryledge/settings.go
@@ -39,6 +39,9 @@
 	StopTimeout time.Duration
 	// RetryRatio and RetrySlack bound the retries of requests over the whole fleet.
 	RetryRatio, RetrySlack float64
+	// EntryLifetime is how long the store keeps the entry of a target that has ended; zero
+	// is a default.
+	EntryLifetime time.Duration
 	// StoreAddress is the address of the platform's store.
 	StoreAddress string
 	// FleetKey is the shared key with which daemons authenticate to each other.
@@ -60,6 +63,9 @@
 	if settings.FailureDomain == "" {
 		return errors.New("failure domain is not set")
 	}
+	if settings.EntryLifetime < 0 {
+		return errors.New("lifetime of targets' entries is negative")
+	}
 	if settings.StopTimeout <= 0 {
 		return errors.New("time to stop within is not positive")
 	}
--- a/io/berylpeer/wirefeed.go
+++ b/io/berylpeer/wirefeed.go
@@ -58,6 +58,9 @@
 	Position    wirePosition
 	Deleted     bool
 	GraceMillis uint32
+	// WithheldMillis is how much longer the sender does not serve the item.
+	WithheldMillis uint32
+	Carried        bool
 }
 
 type wireFeedDelta struct {
@@ -74,7 +77,7 @@
 	for _, change := range delta.Changes {
 		wire.Changes = append(wire.Changes, wireChange{
 			Key: change.Item.Key, Value: change.Item.Value, Position: positionToWire(change.Item.Position),
-			Deleted: change.Item.Deleted, GraceMillis: uint32(change.Grace.Milliseconds()),
+			Deleted: change.Item.Deleted, GraceMillis: uint32(change.Grace.Milliseconds()), WithheldMillis: millisToWire(change.Withheld), Carried: change.Carried,
 		})
 	}
 	return wire
@@ -89,7 +92,7 @@
 			Item: berylspoke.Item{
 				Key: change.Key, Value: change.Value, Position: change.Position.position(), Deleted: change.Deleted,
 			},
-			Grace: time.Duration(change.GraceMillis) * time.Millisecond,
+			Grace: time.Duration(change.GraceMillis) * time.Millisecond, Withheld: time.Duration(change.WithheldMillis) * time.Millisecond, Carried: change.Carried,
 		})
 	}
 	return delta
