--- a/core/berylfeed/messages.go
+++ b/core/berylfeed/messages.go
@@ -93,10 +93,28 @@
 	return delta, true
 }
 
+// adopt takes those values of a peer that is not ahead that are later ones of their writers,
+// and reports whether there are any. The peer knows them from before the store returned.
+func (feed *Feed) adopt(now time.Time, delta Delta) bool {
+	changed := false
+	for _, change := range delta.Changes {
+		old := feed.records[change.Item.Key]
+		if old == nil || old.item.Deleted || old.withheld(now) || change.Item.Deleted || change.Withheld > 0 || !feed.precedes(old.item, change.Item) {
+			continue
+		}
+		change.Item.Position, change.Carried = old.item.Position, true
+		changed = feed.apply(now, change) || changed
+	}
+	return changed
+}
+
 // Merge applies a peer's delta and reports whether anything changed. A delta that starts
 // after this feed's position, or in another era, would leave a gap and is not applied.
 func (feed *Feed) Merge(now time.Time, delta Delta) bool {
-	if delta.After.After(feed.asOf) || !delta.AsOf.After(feed.asOf) || !delta.Full && delta.AsOf.Era != feed.asOf.Era {
+	if !delta.AsOf.After(feed.asOf) {
+		return feed.adopt(now, delta)
+	}
+	if delta.After.After(feed.asOf) || !delta.Full && delta.AsOf.Era != feed.asOf.Era {
 		return false
 	}
 	changed := feed.begin(now, delta.AsOf.Era)
--- a/core/berylgate/report.go
+++ b/core/berylgate/report.go
@@ -30,6 +30,8 @@
 	Incarnation berylspoke.Incarnation
 	// Feeds are the positions of the newest changes that the sender has.
 	Feeds []berylspoke.Position
+	// Version is the version of the configuration in force.
+	Version berylspoke.ConfigVersion
 	// Contact is the age of the newest answer of the store, to the sender or another
 	// daemon, as of which the sender's feeds are complete; ContactID tells such answers
 	// apart. Complete are the positions at which a receiver's feeds are so too.
--- a/io/beryledge/actor.go
+++ b/io/beryledge/actor.go
@@ -159,6 +159,8 @@
 	pullers [berylfeed.Count]berylfeed.Puller
 	// pulledAt is when the changes of a feed were last pulled.
 	pulledAt [berylfeed.Count]time.Time
+	// versionPull limits the pulls of a later configuration than that of the store.
+	versionPull versionPull
 	// graceEnd is when the first grace period of a vanished target ends, zero for none.
 	graceEnd time.Time
 	lastTick time.Time
@@ -319,6 +321,7 @@
 // report sends the peers what this daemon dispatched and the state of its feeds.
 func (core *core) report(now time.Time) {
 	report := core.gate.Report(now)
+	report.Version = core.version()
 	for _, feed := range core.feeds {
 		report.Feeds = append(report.Feeds, feed.LastChange())
 	}
@@ -385,6 +388,7 @@
 		core.closeLeft(now, from, core.gate.ReceiveReport(now, from, message))
 		core.observeContact(now, berylfeed.Contact{ID: message.ContactID, Age: message.Contact}, message.Complete)
 		core.compareFeeds(now, from, message.Feeds)
+		core.compareVersions(now, from, message)
 	case berylgate.Usage:
 		core.gate.ReceiveUsage(now, from, message)
 	case berylquarantine.Notices:
--- a/io/beryledge/era_test.go
+++ b/io/beryledge/era_test.go
@@ -88,6 +88,41 @@
 	}
 }
 
+// Guards against a configuration that goes back: the copy from which the store returned holds
+// an older version than the one in force, at a daemon that has it and at one that starts then.
+func TestCopyDoesNotTakeBackAConfiguration(t *testing.T) {
+	const before, inForce, next = "catalog @0.50", "catalog @0.54", "catalog @0.58"
+	store := newTestStore()
+	store.put("c/1", before)
+	older := store.copy()
+	first := startDaemon(t, store)
+	store.put("c/1", inForce)
+	awaitVersion(t, first, 54)
+	store.returnFrom(older)
+	awaitEra(t, first, 1)
+	second := startDaemon(t, store, first.settings.VM)
+	awaitVersion(t, second, 54)
+	// The operator writes again what the store has lost, one version after the other.
+	store.put("c/1", "catalog @0.52")
+	awaitRevision(t, []*Daemon{first, second}, berylfeed.Configuration, older.revision+1)
+	for _, daemon := range []*Daemon{first, second} {
+		require.EqualValues(t, 54, daemon.index.Load().Catalog().Version)
+	}
+	third := startDaemon(t, store, first.settings.VM)
+	awaitVersion(t, third, 54)
+	store.put("c/1", next)
+	for _, daemon := range []*Daemon{first, second, third} {
+		awaitVersion(t, daemon, 58)
+	}
+}
+
+func awaitVersion(t *testing.T, daemon *Daemon, version berylspoke.ConfigVersion) {
+	require.Eventually(t, func() bool {
+		index := daemon.index.Load()
+		return index != nil && index.Catalog().Version == version
+	}, 10*time.Second, 10*time.Millisecond)
+}
+
 // awaitEra waits until a daemon has listed the store in an era.
 func awaitEra(t *testing.T, daemon *Daemon, era berylspoke.Era) {
 	require.Eventually(t, func() bool {
--- a/io/beryledge/feeds.go
+++ b/io/beryledge/feeds.go
@@ -12,6 +12,7 @@
 	"berylspoke"
 	"berylspoke/core/berylcatalog"
 	"berylspoke/core/berylfeed"
+	"berylspoke/core/berylgate"
 	"berylspoke/io/berylpeer"
 )
 
@@ -29,6 +30,45 @@
 	core.pullChanges(now)
 }
 
+const (
+	// minVersionPullPause is the time between the first two pulls of a later configuration;
+	// it doubles with each, up to maxVersionPullPause.
+	minVersionPullPause = time.Second
+	maxVersionPullPause = time.Minute
+)
+
+// versionPull is when the configuration may be pulled again for its version, and the pause
+// after that.
+type versionPull struct {
+	next  time.Time
+	pause time.Duration
+}
+
+// compareVersions pulls the configuration of a peer that has a later version in force though
+// this daemon knows all that the store says: the store returned from a copy that lacks it.
+func (core *core) compareVersions(now time.Time, from berylspoke.VMID, report berylgate.Report) {
+	feed := core.feeds[berylfeed.Configuration]
+	if report.Version <= core.version() {
+		return
+	}
+	if !feed.Known() || len(report.Feeds) == 0 || report.Feeds[berylfeed.Configuration].After(feed.AsOf()) || now.Before(core.versionPull.next) {
+		return
+	}
+	core.versionPull.pause = min(max(2*core.versionPull.pause, minVersionPullPause), maxVersionPullPause)
+	core.versionPull.next = now.Add(core.versionPull.pause)
+	core.daemon.log.Info("pulling a later configuration than the store holds", zap.String("peer", string(from)),
+		zap.Uint64("version", uint64(report.Version)), zap.Uint64("inForce", uint64(core.version())), era(feed.AsOf()), revision(feed.AsOf()))
+	core.daemon.transport.Send(from, berylfeed.Pull{Feed: berylfeed.Configuration})
+}
+
+// version returns the version of the configuration in force, zero if there is none.
+func (core *core) version() berylspoke.ConfigVersion {
+	if index := core.daemon.index.Load(); index != nil {
+		return index.Catalog().Version
+	}
+	return 0
+}
+
 // pullChanges sends the pulls that are due.
 func (core *core) pullChanges(now time.Time) {
 	delay := time.Duration(0)
@@ -200,6 +240,7 @@
 	if old := core.daemon.index.Load(); old != nil && old.Catalog().Version >= catalog.Version {
 		return
 	}
+	core.versionPull = versionPull{}
 	core.gate.SetCatalog(now, catalog)
 	core.daemon.index.Store(berylcatalog.New(catalog))
 	core.daemon.log.Info("configuration in force", zap.Uint64("version", uint64(catalog.Version)),
--- a/io/berylpeer/peer_test.go
+++ b/io/berylpeer/peer_test.go
@@ -66,7 +66,7 @@
 			Digest: 1 << 63, Crashes: []berylquarantine.Crash{{Run: 9, Age: 70 * time.Millisecond}}, ServedAge: time.Second,
 		}}},
 		berylgate.Report{
-			Incarnation: 5, Feeds: []berylspoke.Position{at(2, 20), at(2, 21)}, Contact: 300 * time.Millisecond, ContactID: 7<<32 | 1, Complete: []berylspoke.Position{at(2, 20), at(1, 22)},
+			Incarnation: 5, Version: 54, Feeds: []berylspoke.Position{at(2, 20), at(2, 21)}, Contact: 300 * time.Millisecond, ContactID: 7<<32 | 1, Complete: []berylspoke.Position{at(2, 20), at(1, 22)},
 			Targets:       []berylgate.TargetReport{{Target: 9, WorkMillis: 1_200, Running: 3, Tokens: 24_000}},
 			Loads:         []berylgate.LoadReport{{Target: 9, Running: 12, Waiting: 3, Age: 200 * time.Millisecond}},
 			Silences:      []berylgate.SilenceReport{{Target: 9, Silent: 300 * time.Millisecond, Answered: time.Second}},
--- a/io/berylpeer/wirefeed.go
+++ b/io/berylpeer/wirefeed.go
@@ -191,10 +191,11 @@
 	Silences         []wireSilenceReport
 	Waits            []wireWaitReport
 	Leavings         []wireLeavingReport
+	ConfigVersion    uint64
 }
 
 func daemonReportToWire(report berylgate.Report) *wireDaemonReport {
-	wire := &wireDaemonReport{Incarnation: uint64(report.Incarnation), ContactAgeMillis: uint32(report.Contact.Milliseconds()), ContactID: uint64(report.ContactID)}
+	wire := &wireDaemonReport{ConfigVersion: uint64(report.Version), Incarnation: uint64(report.Incarnation), ContactAgeMillis: uint32(report.Contact.Milliseconds()), ContactID: uint64(report.ContactID)}
 	wire.FeedPositions, wire.Complete = positionsToWire(report.Feeds), positionsToWire(report.Complete)
 	for _, item := range report.Targets {
 		wire.Targets = append(wire.Targets, wireTargetReport{
@@ -227,7 +228,7 @@
 }
 
 func (wire *wireDaemonReport) message(berylspoke.VMID) berylspoke.Message {
-	report := berylgate.Report{Incarnation: berylspoke.Incarnation(wire.Incarnation), Contact: time.Duration(wire.ContactAgeMillis) * time.Millisecond, ContactID: berylfeed.ContactID(wire.ContactID)}
+	report := berylgate.Report{Version: berylspoke.ConfigVersion(wire.ConfigVersion), Incarnation: berylspoke.Incarnation(wire.Incarnation), Contact: time.Duration(wire.ContactAgeMillis) * time.Millisecond, ContactID: berylfeed.ContactID(wire.ContactID)}
 	report.Feeds, report.Complete = positionsFromWire(wire.FeedPositions), positionsFromWire(wire.Complete)
 	for _, item := range wire.Targets {
 		report.Targets = append(report.Targets, berylgate.TargetReport{
