--- a/io/berylserve/watch.go
+++ b/io/berylserve/watch.go
@@ -3,7 +3,9 @@
 // This file defines the goroutines that watch the platform and poll the load of targets.
 
 import (
+	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -34,20 +36,28 @@
 }
 
 func (daemon *Daemon) watchVMs() {
+	followVMs(daemon.ctx, daemon.platform, daemon.log, func(vms []berylspoke.VM) { daemon.send(vmsListed{vms}) })
+}
+
+// followVMs calls apply for the first list of VMs and for each that differs from the one
+// before it. The revision only tells the platform what the reader has: a platform that
+// returned from an older copy gives revisions out again.
+func followVMs(ctx context.Context, platform berylspoke.Platform, log *zap.Logger, apply func([]berylspoke.VM)) {
 	var revision uint64
+	var applied []berylspoke.VM
 	delays := platformBackoff()
-	for daemon.ctx.Err() == nil {
-		vms, next, err := daemon.platform.VMs(daemon.ctx, revision)
+	for ctx.Err() == nil {
+		vms, next, err := platform.VMs(ctx, revision)
 		if err != nil {
-			daemon.log.Debug("cannot read the list of VMs from the platform; retrying after a delay", zap.Error(err))
-			sleep(daemon.ctx, delays.NextBackOff())
+			log.Debug("cannot read the list of VMs from the platform; retrying after a delay", zap.Error(err))
+			sleep(ctx, delays.NextBackOff())
 			continue
 		}
 		delays.Reset()
-		if next != revision {
-			daemon.send(vmsListed{vms})
+		if revision == 0 || !slices.Equal(vms, applied) {
+			apply(vms)
 		}
-		revision = next
+		revision, applied = next, vms
 	}
 }
 
