--- a/core/berylmodel/advice.go
+++ b/core/berylmodel/advice.go
@@ -52,7 +52,7 @@
 // daemon for none.
 func (fleet *fleet) countArrival(now time.Time, entry int, engine berylspoke.TargetID) {
 	known := fleet.asked[askedKey{entry, engine}]
-	if known.leaving || now.Sub(known.restFrom) > restGrace && now.Before(known.restUntil) {
+	if fleet.store != nil && fleet.store.left(now, engine) || known.leaving || now.Sub(known.restFrom) > restGrace && now.Before(known.restUntil) {
 		fleet.result.Unwanted++
 	}
 }
--- a/core/berylmodel/fleet.go
+++ b/core/berylmodel/fleet.go
@@ -37,6 +37,8 @@
 	ReportInterval, ReportLatency time.Duration
 	// Advice is what engines ask for in their answers.
 	Advice []Advice
+	// Store is the store of which the gates learn the engines, nil if they always know all.
+	Store *StoreOptions
 }
 
 // SmallFleet returns a fleet of the size of the first deployment.
@@ -66,7 +68,8 @@
 	ExpectedMillis, ActualMillis []float64
 	// ArrivedAt holds when each of these requests arrived, since the start of the run.
 	ArrivedAt []time.Duration
-	// Unwanted counts the requests that reached engines which had asked for none.
+	// Unwanted counts the requests that reached engines which had asked for none, or had
+	// said that they leave.
 	Unwanted int
 }
 
@@ -109,6 +112,8 @@
 	// inFlight counts the unfinished requests by entry daemon and engine.
 	inFlight []map[berylspoke.TargetID]int
 	asked    map[askedKey]asked
+	// store is nil if the gates always know all engines.
+	store    *store
 	events   events
 	sequence int
 	result   Result
@@ -153,7 +158,7 @@
 		id := berylspoke.TargetID(fmt.Sprintf("engine-%d", i))
 		fleet.ids = append(fleet.ids, id)
 		fleet.engines[id] = NewEngine(options.Engine, lastUses)
-		targets = append(targets, berylspoke.Target{ID: id, Service: modelService, Address: string(id), FailureDomain: "a", Slots: options.Engine.Slots})
+		targets = append(targets, fleet.target(id))
 	}
 	catalog := &berylspoke.Catalog{
 		Services: map[berylspoke.ServiceID]berylspoke.Service{modelService: {
@@ -169,13 +174,23 @@
 		})
 		gate.SetDaemons(now, options.Entries)
 		gate.SetCatalog(now, catalog)
-		gate.SetTargets(now, targets)
+		if options.Store == nil {
+			gate.SetTargets(now, targets)
+		}
 		fleet.gates = append(fleet.gates, gate)
 		fleet.inFlight = append(fleet.inFlight, make(map[berylspoke.TargetID]int))
 	}
+	if options.Store != nil {
+		fleet.startStore(now, *options.Store)
+	}
 	return fleet
 }
 
+// target returns the target that an engine is.
+func (fleet *fleet) target(id berylspoke.TargetID) berylspoke.Target {
+	return berylspoke.Target{ID: id, Service: modelService, Address: string(id), FailureDomain: "a", Slots: fleet.options.Engine.Slots}
+}
+
 func entryName(entry int) berylspoke.VMID { return berylspoke.VMID(fmt.Sprintf("entry-%d", entry)) }
 
 // schedule adds an event.
--- a/core/berylmodel/model_test.go
+++ b/core/berylmodel/model_test.go
@@ -158,6 +158,43 @@
 	require.Zero(t, Run(options, load).Unwanted)
 }
 
+// Guards against requests at engines that have said that they leave around the return of their
+// store from an older copy. A store that does not state its era shows that the run provokes
+// them.
+func TestEnginesThatLeaveAroundAReturnGetNoRequests(t *testing.T) {
+	for name, test := range map[string]struct {
+		leaves  []Leave
+		returns []Return
+	}{
+		"the revisions pass the known one": {
+			[]Leave{{0, 4 * time.Second}, {1, 4 * time.Second}, {2, 6050 * time.Millisecond}, {3, 6050 * time.Millisecond}},
+			[]Return{{At: 6 * time.Second, Lost: 3 * time.Second}},
+		},
+		"two returns in a row": {
+			[]Leave{{0, 4 * time.Second}, {1, 4500 * time.Millisecond}, {2, 6600 * time.Millisecond}, {3, 6600 * time.Millisecond}},
+			[]Return{{At: 6 * time.Second, Lost: 3 * time.Second}, {At: 6500 * time.Millisecond, Lost: 2 * time.Second}},
+		},
+		"engines exit before the return": {
+			[]Leave{{0, time.Second}, {1, 2 * time.Second}, {2, 3 * time.Second}, {3, 9050 * time.Millisecond}},
+			[]Return{{At: 9 * time.Second, Lost: 8 * time.Second}},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			options := SmallFleet(Gates)
+			options.Store = &StoreOptions{Watchers: 3, Leaves: test.leaves, Returns: test.returns}
+			load := meanLoad(7)
+			load.RequestsPerSecond = 150
+			stated := Run(options, load)
+			require.Zero(t, stated.Unwanted)
+			require.Positive(t, stated.Kinds[0].InTime)
+			hidden := *options.Store
+			hidden.HidesEra = true
+			options.Store = &hidden
+			require.Positive(t, Run(options, load).Unwanted)
+		})
+	}
+}
+
 // Guards against a flood of requests to engines whose rests end together: all engines reject
 // everything for two seconds, and callers come back. As the engines take requests again,
 // nineteen of twenty first tokens must come within the objective of the longest prompts.
