--- a/core/berylfeed/messages.go
+++ b/core/berylfeed/messages.go
@@ -3,6 +3,7 @@
 // This file defines the messages by which daemons synchronise their feeds.
 
 import (
+	"bytes"
 	"time"
 
 	"berylspoke"
@@ -99,7 +100,10 @@
 	changed := false
 	for _, change := range delta.Changes {
 		old := feed.records[change.Item.Key]
-		if old == nil || old.item.Deleted || old.withheld(now) || change.Item.Deleted || change.Withheld > 0 || !feed.precedes(old.item, change.Item) {
+		if old == nil || old.item.Deleted || old.withheld(now) || change.Item.Deleted || change.Withheld > 0 {
+			continue
+		}
+		if bytes.Equal(old.item.Value, change.Item.Value) || !feed.precedes(old.item, change.Item) {
 			continue
 		}
 		change.Item.Position, change.Carried = old.item.Position, true
--- a/io/beryledge/actor.go
+++ b/io/beryledge/actor.go
@@ -153,6 +153,9 @@
 	quarantine *berylquarantine.Quarantine
 	// evacuated are the failure domains whose targets get no more requests.
 	evacuated map[berylspoke.FailureDomain]bool
+	// evacuationsDue is when an item of the configuration becomes visible or invisible, zero
+	// for never.
+	evacuationsDue time.Time
 	// published are the published targets by their key in the store.
 	published map[string]berylspoke.Target
 	// pullers decide which changes to pull from peers.
@@ -161,7 +164,7 @@
 	pulledAt [berylfeed.Count]time.Time
 	// versionPull limits the pulls of a later configuration than that of the store.
 	versionPull versionPull
-	// graceEnd is when the first grace period of a vanished target ends, zero for none.
+	// graceEnd is when the first target becomes visible or invisible by time, zero for none.
 	graceEnd time.Time
 	lastTick time.Time
 	// lastTimerTick is the last tick that was not urgent, and urgentTickDue is set while an
@@ -312,6 +315,9 @@
 	if !core.graceEnd.IsZero() && !now.Before(core.graceEnd) {
 		core.refreshTargets(now)
 	}
+	if !core.evacuationsDue.IsZero() && !now.Before(core.evacuationsDue) {
+		core.refreshEvacuated(now)
+	}
 	core.refreshMembers(now)
 	core.pullChanges(now)
 	core.logReplicaAges(now)
--- a/io/beryledge/era_test.go
+++ b/io/beryledge/era_test.go
@@ -116,6 +116,25 @@
 	}
 }
 
+// Guards against a failure domain that stays evacuated for good: the store returns from a copy
+// of before the evacuation, and operators do not begin it again.
+func TestEvacuationThatTheCopyLacksEnds(t *testing.T) {
+	target := newTestTarget(t, "one", sealed(http.StatusOK, "served"))
+	daemon, store := startServing(t, map[string]*testTarget{"desk": target})
+	status := func() int {
+		response, _, err := send(t, daemon, http.MethodGet, "/read/x", "r", "")
+		require.NoError(t, err)
+		return response.StatusCode
+	}
+	older := store.copy()
+	store.put("c/empty/a", "now")
+	require.Eventually(t, func() bool { return status() == http.StatusServiceUnavailable }, 5*time.Second, 20*time.Millisecond)
+	store.returnFrom(older)
+	awaitEra(t, daemon, 1)
+	require.Equal(t, http.StatusServiceUnavailable, status(), "operators may write it again")
+	require.Eventually(t, func() bool { return status() == http.StatusOK }, berylfeed.Grace+5*time.Second, 50*time.Millisecond)
+}
+
 func awaitVersion(t *testing.T, daemon *Daemon, version berylspoke.ConfigVersion) {
 	require.Eventually(t, func() bool {
 		index := daemon.index.Load()
--- a/io/beryledge/feeds.go
+++ b/io/beryledge/feeds.go
@@ -213,7 +213,8 @@
 
 // refreshEvacuated applies the list of failure domains that operators evacuate.
 func (core *core) refreshEvacuated(now time.Time) {
-	items, _ := core.feeds[berylfeed.Configuration].Items(now)
+	items, next := core.feeds[berylfeed.Configuration].Items(now)
+	core.evacuationsDue = next
 	evacuated := make(map[berylspoke.FailureDomain]bool)
 	for _, domain := range core.daemon.dialect.Evacuated(items) {
 		evacuated[domain] = true
