--- a/io/beryledge/meters.go
+++ b/io/beryledge/meters.go
@@ -138,23 +138,32 @@
 	meters.latency[kind].Update(latency.Seconds())
 }
 
+// FeedDump is the position of one feed and the items that it keeps against the store.
+type FeedDump struct {
+	Era      berylspoke.Era      `json:"era"`
+	AsOf     berylspoke.Revision `json:"asOf"`
+	Carried  int                 `json:"carried"`
+	Withheld int                 `json:"withheld"`
+	InGrace  int                 `json:"inGrace"`
+}
+
 // Dump is the state of a daemon as served to operators.
 type Dump struct {
-	VM      string                         `json:"vm"`
-	Ready   bool                           `json:"ready"`
-	Active  int64                          `json:"active"`
-	Version berylspoke.ConfigVersion       `json:"version"`
-	Entries map[string][]string            `json:"entries"`
-	Members []string                       `json:"members"`
-	Feeds   map[string]berylspoke.Position `json:"feeds"`
-	Gate    berylgate.Dump                 `json:"gate"`
+	VM      string                   `json:"vm"`
+	Ready   bool                     `json:"ready"`
+	Active  int64                    `json:"active"`
+	Version berylspoke.ConfigVersion `json:"version"`
+	Entries map[string][]string      `json:"entries"`
+	Members []string                 `json:"members"`
+	Feeds   map[string]FeedDump      `json:"feeds"`
+	Gate    berylgate.Dump           `json:"gate"`
 }
 
 // Dump returns the state of the daemon.
 func (daemon *Daemon) Dump() Dump {
 	dump := Dump{
 		VM: daemon.settings.Name, Ready: daemon.Ready(), Active: daemon.active.Load(),
-		Entries: make(map[string][]string), Feeds: make(map[string]berylspoke.Position),
+		Entries: make(map[string][]string), Feeds: make(map[string]FeedDump),
 	}
 	if index := daemon.index.Load(); index != nil {
 		dump.Version = index.Catalog().Version
@@ -166,7 +175,12 @@
 		for _, member := range core.table.Members() {
 			dump.Members = append(dump.Members, fmt.Sprintf("%s %s", member.VM.ID, member.Rumour.Status))
 		}
-		dump.Feeds["configuration"], dump.Feeds["targets"] = core.feeds[0].AsOf(), core.feeds[1].AsOf()
+		for name, feed := range core.feeds {
+			kept := feed.Kept(now)
+			dump.Feeds[berylfeed.Name(name).String()] = FeedDump{
+				Era: feed.AsOf().Era, AsOf: feed.AsOf().Revision, Carried: kept.Carried, Withheld: kept.Withheld, InGrace: kept.InGrace,
+			}
+		}
 		dump.Gate = core.gate.Dump(now)
 	})
 	return dump
