--- a/soak/declared.go
+++ b/soak/declared.go
@@ -37,6 +37,15 @@
 // publish publishes a new version and records it with the judge once the store has it.
 func (world *World) publish(state configState) error {
 	world.version++
+	if err := world.write(state); err != nil {
+		return err
+	}
+	world.judge.recordPublished(state)
+	return nil
+}
+
+// write writes the present version.
+func (world *World) write(state configState) error {
 	configuration := beryldouble.Configuration{
 		Version: world.version, Host: "h.example", TokensPerSecond: 400_000,
 		Services: []beryldouble.Service{{Name: engineService, Slots: 16, CacheCapacity: 400_000, EventTokens: 8}, {Name: deskService}},
@@ -59,9 +68,5 @@
 		}
 		configuration.Organisations = append(configuration.Organisations, beryldouble.Organisation{Name: organisationName(i), Keys: keys})
 	}
-	if err := configuration.Publish(world.store); err != nil {
-		return err
-	}
-	world.judge.recordPublished(state)
-	return nil
+	return configuration.Publish(world.store)
 }
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"berylspoke/io/berylstand"
+	"berylspoke/platform/beryldouble"
 )
 
 // fault is one kind of fault or planned operation.
@@ -94,6 +95,9 @@
 	if size.Advice {
 		kinds = slices.Concat(faults, adviceFaults, adviceFaults)
 	}
+	if size.Returns {
+		kinds = slices.Concat(kinds, returnFaults, returnFaults, returnFaults)
+	}
 	length := time.Duration(size.Seconds) * time.Second
 	for at := time.Duration(0); ; {
 		at += time.Duration(random.ExpFloat64() * float64(meanInterval))
@@ -161,15 +165,30 @@
 // drainTarget drains a target as planned: it is published as draining and stops only
 // after the grace period.
 func (world *World) drainTarget(step step) {
+	drain := (*beryldouble.Target).Drain
+	if world.size.Returns {
+		drain = (*beryldouble.Target).DrainQuietly
+	}
+	if chosen := world.beginDrain(step, drain); chosen != nil {
+		chosen.endDrain()
+	}
+}
+
+// beginDrain publishes that a target is draining. It returns nil if there is none to drain.
+func (world *World) beginDrain(step step, drain func(*beryldouble.Target)) *target {
 	chosen := world.removeTarget(step)
-	if chosen == nil {
-		return
+	if chosen != nil {
+		drain(chosen.Target)
+		world.judge.recordDraining(chosen.Name(), time.Now())
 	}
-	chosen.Drain()
-	world.judge.recordDraining(chosen.Name(), time.Now())
+	return chosen
+}
+
+// endDrain stops a draining target after the grace period.
+func (draining *target) endDrain() {
 	time.Sleep(drainDuration)
-	chosen.Deregister()
-	chosen.relay.Close()
+	draining.Deregister()
+	draining.relay.Close()
 }
 
 // crashTarget crashes a target, whose entry stays in the store for a while, and then
@@ -252,6 +271,7 @@
 // suspend suspends a process for a while, as the suspension of its VM would.
 func (world *World) suspend(process *process, duration time.Duration) {
 	world.judge.recordDisturbed(process.vm.Name, time.Now().Add(duration))
+	world.judge.recordSuspended(process.vm.Name, time.Now().Add(duration))
 	process.signal(syscall.SIGSTOP)
 	time.Sleep(duration)
 	process.signal(syscall.SIGCONT)
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -64,7 +64,9 @@
 	unplanned bool
 	newest    configState
 	// observed maps each run of a process to what its answers showed of its configuration.
-	observed   map[string]observedConfig
+	observed map[string]observedConfig
+	// followed is what any process has shown of its configuration.
+	followed   followed
 	violations []Violation
 	served     int
 	// advice holds what targets asked for in answers.
@@ -187,6 +189,7 @@
 		judge.recordLeavingTold(attempt, answer)
 	}
 	judge.checkConfiguration(attempt, answer)
+	judge.checkFollowed(attempt, answer)
 }
 
 // outcomeLabel returns the label of an answer in the summary.
--- a/soak/judge_test.go
+++ b/soak/judge_test.go
@@ -60,34 +60,50 @@
 		return func(judge *Judge, _ time.Time) { judge.recordDisturbed(name, start.Add(time.Minute)) }
 	}
 	fault := func(judge *Judge, _ time.Time) { judge.recordUnplannedFault() }
+	// ask records a request to a process and its answer, some time after the start.
+	ask := func(processRun, path string, after time.Duration, status int) event {
+		return func(judge *Judge, _ time.Time) {
+			id := fmt.Sprint(processRun, path, after)
+			judge.recordSent(id, &attempt{path: path, organisation: "o", processRun: processRun, sent: start.Add(after)})
+			answerEvent(id, status, true, "answer to "+id, nil)(judge, start.Add(after))
+		}
+	}
+	const late = knownGracePeriod + time.Second
+	revocable := pathLook + revocableMarker + "2/"
+	suspended := func(judge *Judge, _ time.Time) { judge.recordSuspended("vm-2", start.Add(late)) }
 	cases := map[string]struct {
 		events   []event
 		violated string
 	}{
-		"served":                   {[]event{sentEvent("1", pathBook), runEvent("1", pathBook, "t-1"), answerEvent("1", 200, true, "answer to 1", nil)}, ""},
-		"runs twice":               {[]event{sentEvent("1", pathBook), runEvent("1", pathBook, "t-1"), runEvent("1", pathBook, "t-2")}, "runs at most once"},
-		"may run twice":            {[]event{sentEvent("1", pathLook), runEvent("1", pathLook, "t-1"), runEvent("1", pathLook, "t-2")}, ""},
-		"refused and ran":          {[]event{sentEvent("1", pathBook), runEvent("1", pathBook, "t-1"), answerEvent("1", 503, false, "", nil)}, "no run before notRun"},
-		"refused, then ran":        {[]event{sentEvent("1", pathDraft), answerEvent("1", 503, false, "", nil), runEvent("1", pathDraft, "t-1")}, "no run after notRun"},
-		"not sealed":               {[]event{sentEvent("1", pathBook), answerEvent("1", 200, false, "answer to 1", nil)}, "complete answer to the right request"},
-		"another's answer":         {[]event{sentEvent("1", pathBook), answerEvent("1", 200, true, "answer to 2", nil)}, "complete answer to the right request"},
-		"other path":               {[]event{sentEvent("1", pathBook), runEvent("1", pathLook, "t-1")}, "runs as sent"},
-		"never sent":               {[]event{runEvent("1", pathBook, "t-1")}, "only sent requests run"},
-		"draining target":          {[]event{drain, sentEvent("1", pathBook), runEvent("1", pathBook, "t-1")}, "no new request at a draining target"},
-		"cut by planned operation": {[]event{sentEvent("1", pathBook), runEvent("1", pathBook, "t-1"), answerEvent("1", 0, false, "", cut)}, "planned operations cut no request"},
-		"own deadline exceeded":    {[]event{sentEvent("1", pathBook), runEvent("1", pathBook, "t-1"), answerEvent("1", 0, false, "", context.DeadlineExceeded)}, ""},
-		"cut by a fault":           {[]event{fault, sentEvent("1", pathBook), runEvent("1", pathBook, "t-1"), answerEvent("1", 0, false, "", cut)}, ""},
-		"late at a leaver":         {[]event{told, reach(leavingBound+time.Second, 0, "t-1#1")}, "no request at a target that said it leaves"},
-		"soon at a leaver":         {[]event{told, reach(leavingBound-time.Second, 0, "t-1#1")}, ""},
-		"next run of a leaver":     {[]event{told, reach(leavingBound+time.Second, 0, "t-1#2")}, ""},
-		"restarted since":          {[]event{told, disturbed("vm-1"), reach(leavingBound+time.Second, 0, "t-1#1")}, ""},
-		"another restarted":        {[]event{told, disturbed("vm-2"), reach(leavingBound+time.Second, 0, "t-1#1")}, "no request at a target that said it leaves"},
-		"three at rest":            {[]event{reach(0, 3*time.Second, "t-1#1"), reach(time.Second, 0, "t-1#1"), reach(2*time.Second, 0, "t-1#1"), reach(2900*time.Millisecond, 0, "t-1#1")}, "no requests at a target that rests"},
-		"two at rest":              {[]event{reach(0, 3*time.Second, "t-1#1"), reach(time.Second, 0, "t-1#1"), reach(2*time.Second, 0, "t-1#1"), reach(3100*time.Millisecond, 0, "t-1#1")}, ""},
-		"on their way":             {[]event{reach(0, 3*time.Second, "t-1#1"), reach(100*time.Millisecond, 0, "t-1#1"), reach(200*time.Millisecond, 0, "t-1#1"), reach(400*time.Millisecond, 0, "t-1#1")}, ""},
-		"rest of another":          {[]event{reach(0, 3*time.Second, "t-2#1"), reach(time.Second, 0, "t-1#1"), reach(2*time.Second, 0, "t-1#1"), reach(2900*time.Millisecond, 0, "t-1#1")}, ""},
-		"answer was cut":           {[]event{reach(0, 3*time.Second, "t-1#1"), disturbed("t-1#1"), reach(time.Second, 0, "t-1#1"), reach(2*time.Second, 0, "t-1#1"), reach(2900*time.Millisecond, 0, "t-1#1")}, ""},
-		"added route disappears":   {[]event{sentEvent("1", pathAdded), answerEvent("1", 200, true, "answer to 1", nil), sentEvent("2", pathAdded), answerEvent("2", http.StatusNotFound, false, "", nil)}, "configuration never reverts"},
+		"served":                        {[]event{sentEvent("1", pathBook), runEvent("1", pathBook, "t-1"), answerEvent("1", 200, true, "answer to 1", nil)}, ""},
+		"runs twice":                    {[]event{sentEvent("1", pathBook), runEvent("1", pathBook, "t-1"), runEvent("1", pathBook, "t-2")}, "runs at most once"},
+		"may run twice":                 {[]event{sentEvent("1", pathLook), runEvent("1", pathLook, "t-1"), runEvent("1", pathLook, "t-2")}, ""},
+		"refused and ran":               {[]event{sentEvent("1", pathBook), runEvent("1", pathBook, "t-1"), answerEvent("1", 503, false, "", nil)}, "no run before notRun"},
+		"refused, then ran":             {[]event{sentEvent("1", pathDraft), answerEvent("1", 503, false, "", nil), runEvent("1", pathDraft, "t-1")}, "no run after notRun"},
+		"not sealed":                    {[]event{sentEvent("1", pathBook), answerEvent("1", 200, false, "answer to 1", nil)}, "complete answer to the right request"},
+		"another's answer":              {[]event{sentEvent("1", pathBook), answerEvent("1", 200, true, "answer to 2", nil)}, "complete answer to the right request"},
+		"other path":                    {[]event{sentEvent("1", pathBook), runEvent("1", pathLook, "t-1")}, "runs as sent"},
+		"never sent":                    {[]event{runEvent("1", pathBook, "t-1")}, "only sent requests run"},
+		"draining target":               {[]event{drain, sentEvent("1", pathBook), runEvent("1", pathBook, "t-1")}, "no new request at a draining target"},
+		"cut by planned operation":      {[]event{sentEvent("1", pathBook), runEvent("1", pathBook, "t-1"), answerEvent("1", 0, false, "", cut)}, "planned operations cut no request"},
+		"own deadline exceeded":         {[]event{sentEvent("1", pathBook), runEvent("1", pathBook, "t-1"), answerEvent("1", 0, false, "", context.DeadlineExceeded)}, ""},
+		"cut by a fault":                {[]event{fault, sentEvent("1", pathBook), runEvent("1", pathBook, "t-1"), answerEvent("1", 0, false, "", cut)}, ""},
+		"late at a leaver":              {[]event{told, reach(leavingBound+time.Second, 0, "t-1#1")}, "no request at a target that said it leaves"},
+		"soon at a leaver":              {[]event{told, reach(leavingBound-time.Second, 0, "t-1#1")}, ""},
+		"next run of a leaver":          {[]event{told, reach(leavingBound+time.Second, 0, "t-1#2")}, ""},
+		"restarted since":               {[]event{told, disturbed("vm-1"), reach(leavingBound+time.Second, 0, "t-1#1")}, ""},
+		"another restarted":             {[]event{told, disturbed("vm-2"), reach(leavingBound+time.Second, 0, "t-1#1")}, "no request at a target that said it leaves"},
+		"three at rest":                 {[]event{reach(0, 3*time.Second, "t-1#1"), reach(time.Second, 0, "t-1#1"), reach(2*time.Second, 0, "t-1#1"), reach(2900*time.Millisecond, 0, "t-1#1")}, "no requests at a target that rests"},
+		"two at rest":                   {[]event{reach(0, 3*time.Second, "t-1#1"), reach(time.Second, 0, "t-1#1"), reach(2*time.Second, 0, "t-1#1"), reach(3100*time.Millisecond, 0, "t-1#1")}, ""},
+		"on their way":                  {[]event{reach(0, 3*time.Second, "t-1#1"), reach(100*time.Millisecond, 0, "t-1#1"), reach(200*time.Millisecond, 0, "t-1#1"), reach(400*time.Millisecond, 0, "t-1#1")}, ""},
+		"rest of another":               {[]event{reach(0, 3*time.Second, "t-2#1"), reach(time.Second, 0, "t-1#1"), reach(2*time.Second, 0, "t-1#1"), reach(2900*time.Millisecond, 0, "t-1#1")}, ""},
+		"answer was cut":                {[]event{reach(0, 3*time.Second, "t-1#1"), disturbed("t-1#1"), reach(time.Second, 0, "t-1#1"), reach(2*time.Second, 0, "t-1#1"), reach(2900*time.Millisecond, 0, "t-1#1")}, ""},
+		"added route disappears":        {[]event{sentEvent("1", pathAdded), answerEvent("1", 200, true, "answer to 1", nil), sentEvent("2", pathAdded), answerEvent("2", http.StatusNotFound, false, "", nil)}, "configuration never reverts"},
+		"revoked key served elsewhere":  {[]event{ask("vm-1 run 1", revocable, 0, 401), ask("vm-2 run 2", revocable, late, 200)}, "configuration comes back at no process"},
+		"revoked key served soon":       {[]event{ask("vm-1 run 1", revocable, 0, 401), ask("vm-2 run 2", revocable, time.Second, 200)}, ""},
+		"revoked key after a pause":     {[]event{ask("vm-1 run 1", revocable, 0, 401), suspended, ask("vm-2 run 2", revocable, late, 200)}, ""},
+		"added route unknown elsewhere": {[]event{ask("vm-1 run 1", pathAdded, 0, 200), ask("vm-2 run 2", pathAdded, late, 404)}, "configuration comes back at no process"},
+		"another key served":            {[]event{ask("vm-1 run 1", revocable, 0, 401), ask("vm-2 run 2", pathLook, late, 200)}, ""},
 		"revoked key served again": {[]event{
 			sentEvent("1", pathLook+revocableMarker+"2/"), answerEvent("1", http.StatusUnauthorized, false, "", nil),
 			sentEvent("2", pathLook+revocableMarker+"2/"), answerEvent("2", 200, true, "answer to 2", nil),
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -23,6 +23,7 @@
 	seconds  = flag.Int("seconds", 25, "seconds of faults with a fresh seed")
 	rate     = flag.Float64("rate", 40, "requests per second with a fresh seed")
 	advice   = flag.Bool("advice", true, "whether targets of a fresh seed ask to be left alone")
+	returns  = flag.Bool("returns", true, "whether the store returns from older copies with a fresh seed")
 	memoryMB = flag.Int("memoryMB", 134, "memory limit in the settings of each process")
 )
 
@@ -97,6 +98,15 @@
 	soak(t, 2, size)
 }
 
+// The store returns from older copies while targets leave, start and end, configurations
+// change, and processes restart or are cut off. Guards against targets that are missed or come
+// back, and against a configuration that goes back.
+func TestReturnSoak(t *testing.T) {
+	size := shortSize
+	size.Returns = true
+	soak(t, 3, size)
+}
+
 // Runs the seeds that failed before; each entry names the cause of its failure.
 func TestRegressionSeeds(t *testing.T) {
 	regressions := []struct {
@@ -114,7 +124,7 @@
 
 // TestFreshSoak runs fresh seeds; see -seeds.
 func TestFreshSoak(t *testing.T) {
-	size := Size{VMs: *vms, Engines: *vms, Desks: 3, MemoryMB: *memoryMB, RequestsPerSecond: *rate, Seconds: *seconds, Advice: *advice}
+	size := Size{VMs: *vms, Engines: *vms, Desks: 3, MemoryMB: *memoryMB, RequestsPerSecond: *rate, Seconds: *seconds, Advice: *advice, Returns: *returns}
 	first := *from
 	if first == 0 {
 		first = uint64(time.Now().UnixNano() / 1e6 % 1e9)
--- a/soak/world.go
+++ b/soak/world.go
@@ -38,6 +38,8 @@
 	Seconds int
 	// Advice adds targets that ask in their answers to be left alone.
 	Advice bool
+	// Returns adds returns of the store from an older copy.
+	Returns bool
 }
 
 // domains are the failure domains and their regions.
@@ -61,14 +63,16 @@
 
 // World is a running fleet with its store, targets and relays.
 type World struct {
-	size           Size
-	program        string
-	folder         string
-	store          *beryldouble.Store
-	judge          *Judge
-	processes      []*process
-	mutex          sync.Mutex
-	targets        map[string]*target
+	size      Size
+	program   string
+	folder    string
+	store     *beryldouble.Store
+	judge     *Judge
+	processes []*process
+	mutex     sync.Mutex
+	targets   map[string]*target
+	// started holds the last run of each target that was ever started.
+	started        map[string]*beryldouble.Target
 	version        int
 	targetsStarted int
 }
@@ -88,7 +92,7 @@
 	}
 	world := &World{
 		size: size, program: program, folder: folder, store: store, judge: newJudge(),
-		targets: make(map[string]*target),
+		targets: make(map[string]*target), started: make(map[string]*beryldouble.Target),
 	}
 	if err := world.publish(configState{}); err != nil {
 		return nil, err
@@ -273,7 +277,7 @@
 	added.Target = started
 	world.mutex.Lock()
 	defer world.mutex.Unlock()
-	world.targets[options.ID] = added
+	world.targets[options.ID], world.started[options.ID] = added, started
 	return nil
 }
 
