--- a/io/beryledge/era_test.go
+++ b/io/beryledge/era_test.go
@@ -170,6 +170,29 @@
 	require.EqualValues(t, 1, reached.position(berylfeed.Targets).Era)
 }
 
+// Guards against a fleet that lists the store as one after its return: only the watchers do,
+// once for each feed or twice if they are slow, and the others take copies from their peers.
+func TestReturnIsListedByTheWatchersAlone(t *testing.T) {
+	const perRegion = 10
+	store := newTestStore()
+	store.put("c/1", "catalog @0.50")
+	daemons := startRegions(t, store, perRegion)
+	older := store.copy()
+	store.put("c/1", "catalog @0.54")
+	for _, daemon := range daemons {
+		awaitVersion(t, daemon, 54)
+	}
+	// The watches end that daemons began before they knew the watchers.
+	time.Sleep(2 * watchTimeout)
+	before := store.lists.Load()
+	store.returnFrom(older)
+	for _, daemon := range daemons {
+		awaitEra(t, daemon, 1)
+		awaitVersion(t, daemon, 54)
+	}
+	require.LessOrEqual(t, store.lists.Load()-before, int64(2*watcherCount*int(berylfeed.Count)))
+}
+
 // awayStore is a store that one daemon cannot reach while it is away.
 type awayStore struct {
 	berylspoke.Store
--- a/io/beryledge/fakes_test.go
+++ b/io/beryledge/fakes_test.go
@@ -136,6 +136,8 @@
 	changed  chan struct{}
 	down     atomic.Bool
 	calls    atomic.Int64
+	// lists counts the calls that were lists.
+	lists atomic.Int64
 }
 
 // at returns a position in the first era.
@@ -205,6 +207,7 @@
 
 func (store *testStore) List(_ context.Context, prefix string) (berylspoke.StoreAnswer, error) {
 	store.calls.Add(1)
+	store.lists.Add(1)
 	if store.down.Load() {
 		return berylspoke.StoreAnswer{}, errors.New("store is down")
 	}
