--- a/core/berylfeed/feed.go
+++ b/core/berylfeed/feed.go
@@ -267,13 +267,19 @@
 
 // remember completes the record of a removed item with what is known of its last value.
 func (feed *Feed) remember(now time.Time, old, next *record) {
-	next.removed = old.removed
-	if old.withheld(now) {
-		return
-	}
-	next.lastValue = old.item.Value
-	if sequence, known := feed.sequence(old.item); known && !old.item.Deleted {
-		next.removed = &sequence
+	switch {
+	case old.item.Deleted:
+		next.lastValue, next.removed = old.lastValue, old.removed
+		if old.graceUntil.Before(next.graceUntil) {
+			next.graceUntil = old.graceUntil
+		}
+	case old.withheld(now):
+		next.removed = old.removed
+	default:
+		next.lastValue = old.item.Value
+		if sequence, known := feed.sequence(old.item); known {
+			next.removed = &sequence
+		}
 	}
 }
 
@@ -285,26 +291,30 @@
 	switch {
 	case next.item.Deleted:
 	case !old.item.Deleted && (next.carried || old.carried || returned):
-		if returned && old.withheld(now) {
+		if returned && old.withheld(now) && feed.endedRun(old, next) {
 			feed.withhold(now, old, next)
 		}
 		return feed.carry(old, next)
-	case old.item.Deleted && returned && old.visible(now):
-		feed.carry(&record{item: old.shown()}, next)
-	case old.item.Deleted && returned:
+	case old.item.Deleted && returned && !old.visible(now) && feed.endedRun(old, next):
 		feed.withhold(now, old, next)
+	case old.item.Deleted && old.lastValue != nil:
+		feed.carry(&record{item: old.shown()}, next)
 	}
 	return order > 0 || order == 0 && next.item.Deleted != old.item.Deleted
 }
 
-// withhold keeps an item from being served if the run of its writer that wrote it was known
-// to have removed it. If the writer is alive, it writes the item again or the item outlives
-// the lifetime of those whose writers have ended.
+// endedRun reports whether an item was written by a run of its writer that was known to have
+// removed it. Writers without runs may write an item again.
+func (feed *Feed) endedRun(old, next *record) bool {
+	sequence, known := feed.sequence(next.item)
+	return known && sequence.Run != 0 && old.removed != nil && sequence.Run <= old.removed.Run
+}
+
+// withhold keeps an item from being served for a while. If its writer is alive, it writes the
+// item again or the item outlives the lifetime of those whose writers have ended.
 func (feed *Feed) withhold(now time.Time, old, next *record) {
-	if sequence, known := feed.sequence(next.item); known && old.removed != nil && sequence.Run <= old.removed.Run {
-		next.removed = old.removed
-		next.withheldUntil = now.Add(feed.lifetime)
-	}
+	next.removed = old.removed
+	next.withheldUntil = now.Add(feed.lifetime)
 }
 
 // carry completes a record with the value of the present one if that is the later one of its
@@ -314,7 +324,10 @@
 	position := old.item.Position.Later(next.item.Position)
 	switch {
 	case bytes.Equal(old.item.Value, next.item.Value):
-		next.carried = next.carried && old.carried
+		// A peer that is ahead may know that the store holds an earlier value.
+		next.carried = next.carried && (old.carried || next.item.Position.After(old.item.Position))
+	case !next.carried && writtenSince(old, next) && feed.runsDiffer(old.item, next.item):
+		// A run that is alive wrote in this era.
 	case feed.precedes(next.item, old.item), next.carried && !feed.precedes(old.item, next.item):
 		next.item.Value, next.carried = old.item.Value, true
 	}
@@ -322,6 +335,18 @@
 	return position != old.item.Position || !bytes.Equal(old.item.Value, next.item.Value)
 }
 
+// writtenSince reports whether a record was written in the era of another, after it.
+func writtenSince(old, next *record) bool {
+	return next.item.Position.Era == old.item.Position.Era && next.item.Position.After(old.item.Position)
+}
+
+// runsDiffer reports whether two values are known to be of different runs of their writer.
+func (feed *Feed) runsDiffer(item, other berylspoke.Item) bool {
+	one, oneKnown := feed.sequence(item)
+	two, twoKnown := feed.sequence(other)
+	return oneKnown && twoKnown && one.Run != two.Run
+}
+
 // precedes reports whether a value is known to be an earlier one of its writer than another.
 func (feed *Feed) precedes(item, other berylspoke.Item) bool {
 	one, known := feed.sequence(item)
--- a/core/berylfeed/writers_test.go
+++ b/core/berylfeed/writers_test.go
@@ -48,6 +48,30 @@
 	store.changes[len(store.changes)-1].Value = fmt.Appendf(nil, "%d.%d %d", writer.sequence.Run, writer.sequence.Number, writer.state)
 }
 
+// operator writes the versions of one key. What the store has lost it writes again, one version
+// after the other.
+type operator struct {
+	key     string
+	version int
+}
+
+func (operator *operator) next(store *history) {
+	version := 0
+	for _, item := range store.list() {
+		if item.Key == operator.key {
+			_, _ = fmt.Sscanf(string(item.Value), "0.%d", &version)
+		}
+	}
+	version++
+	operator.version = max(operator.version, version)
+	operator.write(store, version)
+}
+
+func (operator *operator) write(store *history, version int) {
+	store.write(operator.key, false)
+	store.changes[len(store.changes)-1].Value = fmt.Appendf(nil, "0.%d", version)
+}
+
 // Guards against a target that is taken for ready though its run is known to leave or to have
 // ended, and against an older configuration that takes a newer one's place: the store returns
 // from older copies, in any order with lists, watches and deltas of peers. Once the writers
@@ -57,6 +81,7 @@
 		now := time.Unix(1000, 0)
 		store := new(history)
 		writers := []*writer{{key: "a"}, {key: "b"}, {key: "c"}}
+		operator := &operator{key: "d"}
 		feeds := []*Feed{New(sequenceOf), New(sequenceOf), New(sequenceOf)}
 		readAt := make([]time.Time, len(feeds))
 		taken := make([]map[string]berylspoke.Item, len(feeds))
@@ -75,7 +100,7 @@
 				}
 			}
 			i := rapid.IntRange(0, len(feeds)-1).Draw(t, "feed")
-			switch rapid.IntRange(0, 6).Draw(t, "step") {
+			switch rapid.IntRange(0, 8).Draw(t, "step") {
 			case 0, 1:
 				writers[rapid.IntRange(0, len(writers)-1).Draw(t, "writer")].next(store)
 			case 2:
@@ -90,6 +115,8 @@
 			case 5:
 				store.returnFrom(berylspoke.Revision(rapid.IntRange(0, len(store.changes)).Draw(t, "copy")))
 				returned = now
+			case 7, 8:
+				operator.next(store)
 			case 6:
 				if writer := writers[rapid.IntRange(0, len(writers)-1).Draw(t, "writer")]; writer.sequence.Run > 0 {
 					writer.write(store)
@@ -105,6 +132,7 @@
 				writer.write(store)
 			}
 		}
+		operator.write(store, operator.version+1)
 		for _, feed := range feeds {
 			readStore(now, feed, store)
 			requireStore(t, now.Add(time.Minute), feed, store)
