--- a/core/berylfeed/doc.go
+++ b/core/berylfeed/doc.go
@@ -11,6 +11,10 @@
 // its own. A replica enters an era only by a full list, of the store or of a peer that has
 // one, as nothing tells where the copy departs from what the replica holds.
 //
+// By the store's order the copy is newer than what was lost, so across eras the order of the
+// writers decides: a value that is later by it is carried over until the store holds it again,
+// and an item that its writer's run had removed is withheld until it is written again.
+//
 // A Puller decides when changes are pulled from peers, so that few copies of them cross the
 // link to a region. Currency tells as of when a replica is complete, which contact with the
 // store alone does not.
--- a/core/berylfeed/messages.go
+++ b/core/berylfeed/messages.go
@@ -40,8 +40,8 @@
 	Carried bool
 }
 
-// Delta holds all changes after one position up to another in the same era. A full delta holds all items
-// instead; items that it does not contain are removed.
+// Delta holds all changes after one position up to another of the same era. A full delta
+// holds all items instead; items that it does not contain are removed.
 type Delta struct {
 	Feed    Name
 	Full    bool
