The simulated reader compares positions, not revisions

The comparison held within one era, which the condition before it ensures; positions say it without that reasoning.

--- a/core/berylmodel/store.go
+++ b/core/berylmodel/store.go
@@ -215,7 +215,7 @@
 		if delta, newer := store.feeds[entry%store.options.Watchers].Since(now, berylfeed.Targets, feed.AsOf()); newer {
 			feed.Merge(now, delta)
 		}
-	case !feed.Known() || feed.AsOf().Era != asOf.Era || feed.AsOf().Revision > asOf.Revision:
+	case !feed.Known() || feed.AsOf().Era != asOf.Era || feed.AsOf().After(asOf):
 		feed.Replace(now, store.list(), asOf)
 	default:
 		feed.ApplyChanges(now, store.after(feed.AsOf().Revision), asOf)
