--- /dev/null
+++ b/review/stand/desk.go
@@ -0,0 +1,171 @@
+package main
+
+// This file defines a target of a plain service that speaks the wire itself, so that it can send
+// one of its answers twice.
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// deskOptions are the options of a desk.
+type deskOptions struct {
+	id, service, zone string
+	// slots is the number of requests that run at once, queue the number of those that wait.
+	slots, queue int
+	// work is the time that one request takes.
+	work func(path string) time.Duration
+	// duplicate is the number of answers after which one is sent twice, zero for never.
+	duplicate int
+}
+
+// desk is a target of a plain service.
+type desk struct {
+	deskOptions
+	log      *record
+	listener net.Listener
+	born     int64
+	slot     chan struct{}
+	mutex    sync.Mutex
+	admitted int
+	answers  int
+	copies   int
+	// runs are the numbers of runs by attempt.
+	runs map[string]int
+}
+
+func startDesk(fleet *fleet, log *record, options deskOptions) (*desk, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	desk := &desk{
+		deskOptions: options, log: log, listener: listener, born: time.Now().UnixMilli(),
+		slot: make(chan struct{}, options.slots), runs: make(map[string]int),
+	}
+	go desk.accept()
+	body, err := json.Marshal(map[string]any{
+		"service": options.service, "address": listener.Addr().String(), "zone": options.zone, "version": "v1",
+		"slots": options.slots, "state": "ready", "coldLeftMs": 0, "seq": 1, "born": desk.born,
+	})
+	if err != nil {
+		return nil, err
+	}
+	fleet.store.Put("servers/"+options.id, body)
+	return desk, nil
+}
+
+func (desk *desk) accept() {
+	for {
+		conn, err := desk.listener.Accept()
+		if err != nil {
+			return
+		}
+		go desk.serve(conn)
+	}
+}
+
+// serve answers the requests of one connection one after the other.
+func (desk *desk) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	// late is the copy of an answer that is sent once the next request has been read.
+	late := ""
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+			return
+		}
+		if late != "" {
+			desk.log.line("%s: sends the copy of its answer as attempt %s arrives", desk.id, request.Header.Get("Attempt-Id"))
+			if _, err := io.WriteString(conn, late); err != nil {
+				return
+			}
+			late = ""
+		}
+		answer := desk.answer(request)
+		if _, err := io.WriteString(conn, answer); err != nil {
+			return
+		}
+		if request.Header.Get("Attempt-Id") != "" && desk.sendsTwice() {
+			late = answer
+		}
+	}
+}
+
+// sendsTwice reports whether the answer that was just sent is one of those that are sent twice.
+func (desk *desk) sendsTwice() bool {
+	desk.mutex.Lock()
+	defer desk.mutex.Unlock()
+	desk.answers++
+	if desk.duplicate == 0 || desk.answers%desk.duplicate != 0 {
+		return false
+	}
+	desk.copies++
+	return true
+}
+
+// answer runs a request unless the desk is full, and returns the answer.
+func (desk *desk) answer(request *http.Request) string {
+	if request.URL.Path == "/report" {
+		return answerText("200 OK", "", fmt.Sprintf(`{"born":%d}`, desk.born))
+	}
+	id := request.Header.Get("Attempt-Id")
+	if expected := request.Header.Get("Expect-Instance"); expected != "" && expected != desk.id {
+		return answerText("421 Misdirected Request", "Instance-Id: "+desk.id+"\r\n", "")
+	}
+	if !desk.admit() {
+		desk.log.line("%s: rejects attempt %s, which does not run", desk.id, id)
+		return answerText("503 Service Unavailable", "Not-Executed: 1\r\n", "")
+	}
+	desk.slot <- struct{}{}
+	desk.log.line("%s: runs attempt %s", desk.id, id)
+	desk.recordRun(id)
+	time.Sleep(desk.work(request.URL.Path))
+	<-desk.slot
+	desk.release()
+	return answerText("200 OK", "Attempt-Id: "+id+"\r\nServer-Seal: sealed-"+id+"\r\n", "answer to "+id)
+}
+
+func answerText(status, headers, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %s\r\n%sContent-Length: %d\r\n\r\n%s", status, headers, len(body), body)
+}
+
+// admit admits a request unless the slots and the queue are full.
+func (desk *desk) admit() bool {
+	desk.mutex.Lock()
+	defer desk.mutex.Unlock()
+	if desk.admitted >= desk.slots+desk.queue {
+		return false
+	}
+	desk.admitted++
+	return true
+}
+
+func (desk *desk) release() {
+	desk.mutex.Lock()
+	defer desk.mutex.Unlock()
+	desk.admitted--
+}
+
+func (desk *desk) recordRun(id string) {
+	desk.mutex.Lock()
+	defer desk.mutex.Unlock()
+	desk.runs[id]++
+}
+
+// ran returns how often an attempt ran here.
+func (desk *desk) ran(id string) int {
+	desk.mutex.Lock()
+	defer desk.mutex.Unlock()
+	return desk.runs[id]
+}
