--- a/review/stand/desk.go
+++ b/review/stand/desk.go
@@ -21,6 +21,9 @@
 	slots, queue int
 	// work is the time that one request takes.
 	work func(path string) time.Duration
+	// unframed is the number of answers after which one comes with neither a length nor chunks and
+	// ends with its channel, zero for never.
+	unframed int
 	// duplicate is the number of answers after which one is sent twice, zero for never.
 	duplicate int
 }
@@ -34,8 +37,10 @@
 	slot     chan struct{}
 	mutex    sync.Mutex
 	admitted int
-	answers  int
-	copies   int
+	// answers counts all answers, ran those of requests that ran; due is set while an answer is due
+	// to be sent twice, and copies counts those that were.
+	answers, ran, copies int
+	due                  bool
 	// runs are the numbers of runs by attempt.
 	runs map[string]int
 }
@@ -86,54 +91,69 @@
 			return
 		}
 		if late != "" {
-			desk.log.line("%s: sends the copy of its answer as attempt %s arrives", desk.id, request.Header.Get("Attempt-Id"))
+			desk.log.line("%s: sends the copy of its last answer as attempt %s arrives", desk.id, request.Header.Get("Attempt-Id"))
 			if _, err := io.WriteString(conn, late); err != nil {
 				return
 			}
 			late = ""
 		}
-		answer := desk.answer(request)
-		if _, err := io.WriteString(conn, answer); err != nil {
+		answer, framed := desk.answer(request)
+		if _, err := io.WriteString(conn, answer); err != nil || !framed {
 			return
 		}
-		if request.Header.Get("Attempt-Id") != "" && desk.sendsTwice() {
+		if desk.sendsTwice() {
 			late = answer
 		}
 	}
 }
 
-// sendsTwice reports whether the answer that was just sent is one of those that are sent twice.
+// sendsTwice counts an answer after which the channel stays open, and reports whether it is sent twice.
 func (desk *desk) sendsTwice() bool {
 	desk.mutex.Lock()
 	defer desk.mutex.Unlock()
-	desk.answers++
-	if desk.duplicate == 0 || desk.answers%desk.duplicate != 0 {
-		return false
+	twice := desk.due
+	if twice {
+		desk.due = false
+		desk.copies++
 	}
-	desk.copies++
-	return true
+	return twice
 }
 
-// answer runs a request unless the desk is full, and returns the answer.
-func (desk *desk) answer(request *http.Request) string {
-	if request.URL.Path == "/report" {
-		return answerText("200 OK", "", fmt.Sprintf(`{"born":%d}`, desk.born))
-	}
+// countAnswer counts an answer.
+func (desk *desk) countAnswer() {
+	desk.mutex.Lock()
+	defer desk.mutex.Unlock()
+	desk.answers++
+	desk.due = desk.due || desk.duplicate > 0 && desk.answers%desk.duplicate == 0
+}
+
+// answer runs a request unless the desk is full. It returns the answer, and false if that ends with
+// the channel.
+func (desk *desk) answer(request *http.Request) (string, bool) {
+	defer desk.countAnswer()
 	id := request.Header.Get("Attempt-Id")
-	if expected := request.Header.Get("Expect-Instance"); expected != "" && expected != desk.id {
-		return answerText("421 Misdirected Request", "Instance-Id: "+desk.id+"\r\n", "")
-	}
-	if !desk.admit() {
+	echo := "Attempt-Id: " + id + "\r\n"
+	switch expected := request.Header.Get("Expect-Instance"); {
+	case id == "":
+		desk.log.line("%s: rejects %s without an id", desk.id, request.URL.Path)
+		return answerText("400 Bad Request", "Not-Executed: 1\r\n", ""), true
+	case expected != "" && expected != desk.id:
+		return answerText("421 Misdirected Request", echo+"Instance-Id: "+desk.id+"\r\n", ""), true
+	case !desk.admit():
 		desk.log.line("%s: rejects attempt %s, which does not run", desk.id, id)
-		return answerText("503 Service Unavailable", "Not-Executed: 1\r\n", "")
+		return answerText("503 Service Unavailable", echo+"Not-Executed: 1\r\n", ""), true
 	}
 	desk.slot <- struct{}{}
 	desk.log.line("%s: runs attempt %s", desk.id, id)
-	desk.recordRun(id)
+	ran := desk.recordRun(id)
 	time.Sleep(desk.work(request.URL.Path))
 	<-desk.slot
 	desk.release()
-	return answerText("200 OK", "Attempt-Id: "+id+"\r\nServer-Seal: sealed-"+id+"\r\n", "answer to "+id)
+	headers, body := echo+"Server-Seal: sealed-"+id+"\r\n", "answer to "+id
+	if desk.unframed > 0 && ran%desk.unframed == 0 {
+		return "HTTP/1.1 200 OK\r\n" + headers + "Connection: close\r\n\r\n" + body, false
+	}
+	return answerText("200 OK", headers, body), true
 }
 
 func answerText(status, headers, body string) string {
@@ -157,14 +177,17 @@
 	desk.admitted--
 }
 
-func (desk *desk) recordRun(id string) {
+// recordRun records a run and returns the number of runs.
+func (desk *desk) recordRun(id string) int {
 	desk.mutex.Lock()
 	defer desk.mutex.Unlock()
 	desk.runs[id]++
+	desk.ran++
+	return desk.ran
 }
 
-// ran returns how often an attempt ran here.
-func (desk *desk) ran(id string) int {
+// runsOf returns how often an attempt ran here.
+func (desk *desk) runsOf(id string) int {
 	desk.mutex.Lock()
 	defer desk.mutex.Unlock()
 	return desk.runs[id]
--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -48,6 +49,9 @@
 	store   *beryldouble.Store
 	folder  string
 	daemons []*daemon
+	// mutex guards closed and the starts of daemons after the first.
+	mutex  sync.Mutex
+	closed bool
 }
 
 func newFleet() (*fleet, error) {
@@ -121,7 +125,7 @@
 	if err := os.WriteFile(path, settings, 0o600); err != nil {
 		return err
 	}
-	log, err := os.Create(filepath.Join(fleet.folder, daemon.Name+".log"))
+	log, err := os.OpenFile(filepath.Join(fleet.folder, daemon.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
@@ -159,8 +163,21 @@
 	return errors.New("the daemons are not ready")
 }
 
-// terminate sends a daemon SIGTERM.
-func (daemon *daemon) terminate() { _ = daemon.process.Process.Signal(syscall.SIGTERM) }
+// restart sends a daemon SIGTERM and starts it again once it has exited, as the platform does.
+func (fleet *fleet) restart(daemon *daemon) {
+	_ = daemon.process.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-daemon.exited:
+	case <-time.After(graceSeconds * time.Second):
+		_ = daemon.process.Process.Kill()
+		<-daemon.exited
+	}
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	if !fleet.closed {
+		_ = fleet.startDaemon(daemon)
+	}
+}
 
 // keepLogs copies the logs of the daemons to the folder that REVIEW_LOGS names, if it is set.
 func (fleet *fleet) keepLogs() {
@@ -177,6 +194,9 @@
 
 // close kills the daemons and removes their files.
 func (fleet *fleet) close() {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	fleet.closed = true
 	for _, daemon := range fleet.daemons {
 		if daemon.process != nil {
 			_ = daemon.process.Process.Kill()
--- a/review/stand/rejections.go
+++ b/review/stand/rejections.go
@@ -36,12 +36,15 @@
 }
 
 const (
-	// rejectionRate is the number of filings a second, some more than the desks bear.
-	rejectionRate = 120
+	// rejectionRate is the number of filings a second, about a third of what the desks bear.
+	rejectionRate = 60
 	rejectionTime = 35 * time.Second
-	deskSlots     = 3
-	deskQueue     = 3
-	deskWork      = 60 * time.Millisecond
+	// deskSlots, deskQueue and deskWork are those of the sheet.
+	deskSlots = 6
+	deskQueue = 24
+	deskWork  = 60 * time.Millisecond
+	// unframedInterval makes each second answer come without a length.
+	unframedInterval = 2
 	// copyInterval makes the faulty desk send one in forty answers twice.
 	copyInterval = 40
 )
@@ -63,7 +66,7 @@
 	var desks []*desk
 	for i, zone := range []string{"sapporo-a", "sapporo-b"} {
 		options := deskOptions{
-			id: fmt.Sprintf("desk-%d", i+1), service: deskName, zone: zone, slots: deskSlots, queue: deskQueue,
+			id: fmt.Sprintf("desk-%d", i+1), service: deskName, zone: zone, slots: deskSlots, queue: deskQueue, unframed: unframedInterval,
 			work: func(string) time.Duration { return deskWork },
 		}
 		if trouble && i == 0 {
@@ -125,7 +128,7 @@
 		counts[attempt.status]++
 		runs := 0
 		for _, desk := range desks {
-			runs += desk.ran(attempt.id)
+			runs += desk.runsOf(attempt.id)
 		}
 		if runs > 1 {
 			twice++
