--- a/review/stand/desk.go
+++ b/review/stand/desk.go
@@ -1,7 +1,7 @@
 package main
 
-// This file defines a target of a plain service that speaks the wire itself, so that it can send
-// one of its answers twice.
+// This file defines a target of a plain service that writes its answers byte by byte, so that it can
+// send one of them twice.
 
 import (
 	"bufio"
@@ -62,7 +62,7 @@
 	if err != nil {
 		return nil, err
 	}
-	fleet.store.Put("servers/"+options.id, body)
+	fleet.store.Put(names.Entries+options.id, body)
 	return desk, nil
 }
 
@@ -91,7 +91,7 @@
 			return
 		}
 		if late != "" {
-			desk.log.line("%s: sends the copy of its last answer as attempt %s arrives", desk.id, request.Header.Get("Attempt-Id"))
+			desk.log.line("%s: sends the copy of its last answer as attempt %s arrives", desk.id, request.Header.Get(names.RequestID))
 			if _, err := io.WriteString(conn, late); err != nil {
 				return
 			}
@@ -131,17 +131,17 @@
 // the channel.
 func (desk *desk) answer(request *http.Request) (string, bool) {
 	defer desk.countAnswer()
-	id := request.Header.Get("Attempt-Id")
-	echo := "Attempt-Id: " + id + "\r\n"
-	switch expected := request.Header.Get("Expect-Instance"); {
+	id := request.Header.Get(names.RequestID)
+	echo, notRun := names.RequestID+": "+id+"\r\n", names.NotRun+": 1\r\n"
+	switch expected := request.Header.Get(names.Target); {
 	case id == "":
 		desk.log.line("%s: rejects %s without an id", desk.id, request.URL.Path)
-		return answerText("400 Bad Request", "Not-Executed: 1\r\n", ""), true
+		return answerText("400 Bad Request", notRun, ""), true
 	case expected != "" && expected != desk.id:
 		return answerText("421 Misdirected Request", echo+"Instance-Id: "+desk.id+"\r\n", ""), true
 	case !desk.admit():
 		desk.log.line("%s: rejects attempt %s, which does not run", desk.id, id)
-		return answerText("503 Service Unavailable", echo+"Not-Executed: 1\r\n", ""), true
+		return answerText("503 Service Unavailable", echo+notRun, ""), true
 	}
 	desk.slot <- struct{}{}
 	desk.log.line("%s: runs attempt %s", desk.id, id)
@@ -149,7 +149,7 @@
 	time.Sleep(desk.work(request.URL.Path))
 	<-desk.slot
 	desk.release()
-	headers, body := echo+"Server-Seal: sealed-"+id+"\r\n", "answer to "+id
+	headers, body := echo+names.Seal+": sealed-"+id+"\r\n", "answer to "+id
 	if desk.unframed > 0 && ran%desk.unframed == 0 {
 		return "HTTP/1.1 200 OK\r\n" + headers + "Connection: close\r\n\r\n" + body, false
 	}
@@ -186,6 +186,13 @@
 	return desk.ran
 }
 
+// counts returns the number of answers, and of those that were sent twice.
+func (desk *desk) counts() (answers, copies int) {
+	desk.mutex.Lock()
+	defer desk.mutex.Unlock()
+	return desk.answers, desk.copies
+}
+
 // runsOf returns how often an attempt ran here.
 func (desk *desk) runsOf(id string) int {
 	desk.mutex.Lock()
--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -15,6 +15,7 @@
 	"syscall"
 	"time"
 
+	berylbinding "berylspoke/platform"
 	"berylspoke/platform/beryldouble"
 )
 
@@ -131,7 +132,7 @@
 	}
 	defer func() { _ = log.Close() }()
 	process := exec.Command(command[0], command[1:]...)
-	process.Env = append(os.Environ(), "BERYLSPOKE_CONFIG="+path)
+	process.Env = append(os.Environ(), berylbinding.SettingsVariable+"="+path)
 	process.Stdout, process.Stderr = log, log
 	if err := process.Start(); err != nil {
 		return err
--- a/review/stand/hidden.go
+++ b/review/stand/hidden.go
@@ -101,7 +101,7 @@
 	})
 	time.AfterFunc(lapseAfter, func() {
 		log.print("the store drops the entry of %s", engine.ID())
-		fleet.store.Delete("servers/" + engine.ID())
+		fleet.store.Delete(names.Entries + engine.ID())
 	})
 	return nil
 }
--- a/review/stand/latecalls.go
+++ b/review/stand/latecalls.go
@@ -21,7 +21,8 @@
 	stopGap = time.Second
 	// shortWork and longWork are the times that the two kinds of filings take.
 	shortWork, longWork = 60 * time.Millisecond, 3800 * time.Millisecond
-	// longAfter are the times after the SIGTERM of the first daemon at which long filings are sent to it.
+	// Long filings are sent to the first daemon from longFrom to longUntil after its SIGTERM, one each
+	// longEvery.
 	longFrom, longUntil, longEvery = 3200 * time.Millisecond, 4800 * time.Millisecond, 200 * time.Millisecond
 	// usualEvery is the time between two of the filings that are sent all the while.
 	usualEvery = 100 * time.Millisecond
--- a/review/stand/rejections.go
+++ b/review/stand/rejections.go
@@ -140,7 +140,8 @@
 		}
 	}
 	for _, desk := range desks {
-		log.print("%s: %d answers, %d of them sent twice", desk.id, desk.answers, desk.copies)
+		answers, copies := desk.counts()
+		log.print("%s: %d answers, %d of them sent twice", desk.id, answers, copies)
 	}
 	log.print("%d attempts, by status %v; %d ran more than once; %d ran and were answered 503", len(all), counts, twice, refused)
 	return twice == 0 && refused == 0
