--- a/review/stand/hidden.go
+++ b/review/stand/hidden.go
@@ -4,6 +4,7 @@
 // and under its id, while it is cut off from the store.
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net/http"
@@ -26,6 +27,10 @@
 	// earlierStreams are sent first; no stream runs for a moment after them.
 	earlierStreams = 300
 	streamLimit    = 10 * time.Second
+	// Each prompt begins with one of a few parts that it shares with others, so that all daemons send
+	// streams with the same part to the same engine.
+	firstPart, sharedParts  = 0x1000, 3
+	sharedTokens, ownTokens = 1200, 600
 	// crashAfter is the time from the restart of the engine until it crashes once more.
 	crashAfter = 2300 * time.Millisecond
 	// lapseAfter is the time without heartbeats after which the store drops the entry.
@@ -44,9 +49,11 @@
 	if err := publishStreams(fleet); err != nil {
 		return false, err
 	}
+	recent := new(recentRuns)
 	observer := beryldouble.Observer{
 		OnRun: func(run beryldouble.Run) {
 			log.line("engine %s: runs attempt %s after event %d", run.Target, run.RequestID, run.LastEvent)
+			recent.add(run.Target)
 		},
 		OnArrival: func(beryldouble.Arrival) {},
 	}
@@ -69,7 +76,7 @@
 	fleet.sendStreams(&calls, log, results, "early", earlierStreams)
 	calls.Wait()
 	if trouble {
-		if err := hideRestart(fleet, log, engines[len(engines)-1], observer); err != nil {
+		if err := hideRestart(fleet, log, recent.busiest(engines), observer); err != nil {
 			return false, err
 		}
 	}
@@ -78,6 +85,33 @@
 	return judgeStreams(log, results.all), nil
 }
 
+// recentRuns holds the names of the engines that ran the last streams.
+type recentRuns struct {
+	mutex   sync.Mutex
+	engines []string
+}
+
+// maxRecentRuns is the number of runs that are held.
+const maxRecentRuns = 60
+
+func (recent *recentRuns) add(engine string) {
+	recent.mutex.Lock()
+	defer recent.mutex.Unlock()
+	recent.engines = append(recent.engines, engine)
+	recent.engines = recent.engines[max(len(recent.engines)-maxRecentRuns, 0):]
+}
+
+// busiest returns the engine that ran most of the last streams.
+func (recent *recentRuns) busiest(engines []*beryldouble.Target) *beryldouble.Target {
+	recent.mutex.Lock()
+	defer recent.mutex.Unlock()
+	counts := make(map[string]int)
+	for _, engine := range recent.engines {
+		counts[engine]++
+	}
+	return slices.MaxFunc(engines, func(one, other *beryldouble.Target) int { return cmp.Compare(counts[one.Name()], counts[other.Name()]) })
+}
+
 // hideRestart cuts an engine off from the store and restarts it behind the cut with another version.
 // Some time later it crashes for good.
 func hideRestart(fleet *fleet, log *record, engine *beryldouble.Target, observer beryldouble.Observer) error {
@@ -129,7 +163,8 @@
 			defer caller.Close()
 			request := beryldouble.Request{
 				ID: fmt.Sprintf("%s-%d", name, i), Host: host, Path: "/draft/revise", APIKey: tenantKey, Method: http.MethodPost,
-				BodyBytes: 1700, InputTokens: 826, OutputTokens: 288, TimeRemaining: streamLimit,
+				BodyBytes: 1700, InputTokens: sharedTokens + ownTokens, OutputTokens: 288, TimeRemaining: streamLimit,
+				Segments: fmt.Sprintf("%x:%d,%x:%d", firstPart+i%sharedParts, sharedTokens, firstPart+sharedParts+i, ownTokens),
 			}
 			log.line("caller: sends attempt %s to %s", request.ID, daemon.Name)
 			result := caller.Send(context.Background(), daemon.CallersAddress(), request)
