--- a/io/beryledge/admission.go
+++ b/io/beryledge/admission.go
@@ -318,6 +318,7 @@
 	}
 	cause := admission.reject(demand)
 	if cause == beryladmission.NotRejected {
+		call.stage = awaitingSlot
 		if call.slot = admission.wait(demand); call.slot != nil {
 			return true
 		}
--- a/io/beryledge/attempt.go
+++ b/io/beryledge/attempt.go
@@ -57,6 +57,7 @@
 		call.logResumption(decision)
 	}
 	call.slot.release()
+	call.stage = connecting
 	exchange, err := call.daemon.pool.Send(ctx, berylconn.SendOptions{
 		Address: target.Address, MaxConnections: decision.Connections, Request: request,
 		StillWanted: func() bool { return call.stillWanted(target) }, Matches: call.answersRequest,
@@ -110,7 +111,11 @@
 // target may have announced that it is draining, or asked for rest: a request that is sent
 // after the other daemons have stopped sending would be run by a target that is about to exit.
 func (call *call) stillWanted(target berylspoke.Target) bool {
-	return call.daemon.sendable.accepts(time.Now(), target.Run()) && !call.blamed() && !callerDisconnected(call.incoming.Context())
+	wanted := call.daemon.sendable.accepts(time.Now(), target.Run()) && !call.blamed() && !callerDisconnected(call.incoming.Context())
+	if wanted {
+		call.stage = atTarget
+	}
+	return wanted
 }
 
 // sendFailed handles an attempt that got no answer.
--- a/io/beryledge/callers.go
+++ b/io/beryledge/callers.go
@@ -64,7 +64,10 @@
 	served      bool
 	crashChecks []closedCheck
 	// slot is held from the admission of the request until it is sent.
-	slot *slot
+	slot  *slot
+	stage stage
+	// cancel ends the request whatever it waits for.
+	cancel context.CancelCauseFunc
 }
 
 // serveCaller handles one request of a caller.
@@ -77,6 +80,11 @@
 		writer.Header().Set("Connection", "close")
 	}
 	call := &call{daemon: daemon, writer: writer, incoming: incoming, arrived: arrived}
+	base, cancelBase := context.WithCancelCause(incoming.Context())
+	defer cancelBase(nil)
+	call.ctx, call.cancel = base, cancelBase
+	daemon.calls.add(call)
+	defer daemon.calls.remove(call)
 	admitted := releaseAdmitted(incoming.Context())
 	if !call.prepare(daemon.index.Load()) || !call.readBody() || !call.findOrigin() || !call.takeSlot(admitted) {
 		return
@@ -89,7 +97,7 @@
 	}
 	call.request.Digests = call.digests()
 	defer call.reportCrashes()
-	ctx, cancel := context.WithDeadline(incoming.Context(), call.request.Deadline)
+	ctx, cancel := context.WithDeadline(base, call.request.Deadline)
 	defer cancel()
 	call.ctx = ctx
 	if callerDisconnected(incoming.Context()) {
@@ -177,6 +185,7 @@
 		call.body = make([]byte, 0, call.incoming.ContentLength+bytes.MinRead)
 	}
 	buffer := bytes.NewBuffer(call.body)
+	call.stage = readingBody
 	_ = http.NewResponseController(call.writer).SetReadDeadline(call.request.Deadline)
 	_, err := io.Copy(buffer, call.incoming.Body)
 	_ = http.NewResponseController(call.writer).SetReadDeadline(time.Time{})
@@ -261,8 +270,13 @@
 	call.answer(status, refusal.Reason, retryAfter)
 }
 
-// timeOut ends a request whose caller disconnected or whose deadline has passed.
+// timeOut ends a request whose caller disconnected, whose deadline has passed, or which the end of
+// a planned stop cuts.
 func (call *call) timeOut() {
+	if errors.Is(context.Cause(call.ctx), errStopEnded) {
+		call.logCut(time.Now())
+		panic(http.ErrAbortHandler)
+	}
 	if call.incoming.Context().Err() != nil {
 		call.disconnected()
 	}
--- a/io/beryledge/daemon.go
+++ b/io/beryledge/daemon.go
@@ -71,6 +71,7 @@
 	stopStarted atomic.Int64
 	active      atomic.Int64
 	lastRequest atomic.Int64
+	calls       *activeCalls
 	// positions are those up to which the feeds are complete, nil before the first list.
 	positions [berylfeed.Count]atomic.Pointer[berylspoke.Position]
 	known     [berylfeed.Count]atomic.Bool
@@ -100,7 +101,7 @@
 		settings: settings, dialect: dialect, store: store,
 		log:         log.With(zap.String("vm", settings.Name)),
 		incarnation: berylspoke.Incarnation(now.UnixMicro()), started: now,
-		pool: berylconn.NewPool(), idle: newIdleConns(), sendable: newSendableTargets(),
+		pool: berylconn.NewPool(), idle: newIdleConns(), sendable: newSendableTargets(), calls: newActiveCalls(),
 	}
 	daemon.readDue = newReadDue()
 	daemon.origins = newOrigins(daemon)
--- a/io/beryledge/fakes_test.go
+++ b/io/beryledge/fakes_test.go
@@ -364,19 +364,24 @@
 
 // startIn runs a daemon in a failure domain.
 func startIn(t *testing.T, store berylspoke.Store, dialect berylspoke.Dialect, domain berylspoke.FailureDomain, regions map[berylspoke.FailureDomain]berylspoke.Region, seeds ...berylspoke.VMID) *Daemon {
+	return startLogged(t, zap.NewNop(), 8*time.Second, store, dialect, domain, regions, seeds...)
+}
+
+// startLogged runs a daemon with a log and a time to stop within.
+func startLogged(t *testing.T, log *zap.Logger, stopTimeout time.Duration, store berylspoke.Store, dialect berylspoke.Dialect, domain berylspoke.FailureDomain, regions map[berylspoke.FailureDomain]berylspoke.Region, seeds ...berylspoke.VMID) *Daemon {
 	host := uniqueHost()
 	settings := &Settings{
 		Name: t.Name(), VM: berylspoke.VMID(host + ":7001"),
 		FailureDomain: domain, Region: regions[domain], RegionOf: regions,
 		Seeds: seeds, CallersAddress: host + ":7002", ReadyAddress: host + ":7003", ResolveAddress: host + ":7004",
-		OperatorsAddress: host + ":7005", MaxDescriptors: 1000, Capacity: 19, StopTimeout: 8 * time.Second,
+		OperatorsAddress: host + ":7005", MaxDescriptors: 1000, Capacity: 19, StopTimeout: stopTimeout,
 		RetryRatio: 1, RetrySlack: 1000, StoreAddress: "127.0.0.1:1", FleetKey: "a key of the tests only",
 	}
 	require.NoError(t, settings.Check())
 	endpoints := func(*Daemon) Endpoints {
 		return Endpoints{Resolve: http.NotFoundHandler(), Ready: http.NotFoundHandler()}
 	}
-	daemon, err := Start(settings, dialect, store, endpoints, zap.NewNop())
+	daemon, err := Start(settings, dialect, store, endpoints, log)
 	require.NoError(t, err)
 	t.Cleanup(daemon.Kill)
 	return daemon
--- a/io/beryledge/meters.go
+++ b/io/beryledge/meters.go
@@ -29,7 +29,9 @@
 	streamsAborted                                             *metrics.Counter
 	callersDisconnected                                        *metrics.Counter
 	shed                                                       *metrics.Counter
-	rejections                                                 *rejections
+	// requestsCut counts the requests that ended without an answer because the daemon stopped.
+	requestsCut *metrics.Counter
+	rejections  *rejections
 	// pulls and pulledBytes count the requests for changes of the feeds and what they
 	// brought, by link.
 	pulls, pulledBytes [berylpeer.LinkCount]*metrics.Counter
@@ -68,6 +70,7 @@
 		streamsAborted:      set.NewCounter("berylspoke_streams_broken_off_total"),
 		callersDisconnected: set.NewCounter("berylspoke_callers_left_total"),
 		shed:                set.NewCounter("berylspoke_connections_shed_total"),
+		requestsCut:         set.NewCounter("berylspoke_requests_cut_total"),
 		rejections:          newRejections(set),
 		otherProcesses:      set.NewCounter("berylspoke_target_other_runs_total"),
 		unidentified:        set.NewCounter("berylspoke_target_runs_unknown_total"),
--- a/io/beryledge/stop.go
+++ b/io/beryledge/stop.go
@@ -31,6 +31,10 @@
 	stopRetryAfter = 20 * time.Millisecond
 	// stopPollInterval is the time between two checks of whether callers have left.
 	stopPollInterval = 50 * time.Millisecond
+	// cutTimeout bounds the wait for the requests that the end of the stop cancels, and
+	// cutPollInterval is the time between two checks of whether they have ended.
+	cutTimeout      = 100 * time.Millisecond
+	cutPollInterval = 5 * time.Millisecond
 )
 
 // Stop leaves the fleet without interrupting requests: the daemon announces that it is
@@ -39,7 +43,7 @@
 	started := time.Now()
 	daemon.stopStarted.Store(started.UnixNano())
 	daemon.stopping.Store(true)
-	daemon.log.Info("stopping", zap.Int64("active", daemon.active.Load()))
+	daemon.log.Info("stopping", zap.Int64("active", daemon.active.Load()), zap.Duration("timeout", daemon.settings.StopTimeout))
 	daemon.inspectCore(func(now time.Time, core *core) {
 		core.table.Leave(now)
 		core.tick(now)
@@ -51,16 +55,23 @@
 	ctx, cancel := context.WithDeadline(context.Background(), deadline.Add(stopReserve/2))
 	defer cancel()
 	err := daemon.callerServer.Shutdown(ctx)
+	daemon.calls.each(func(call *call) { call.cancel(errStopEnded) })
+	for limit := time.Now().Add(cutTimeout); daemon.active.Load() > 0 && time.Now().Before(limit); {
+		time.Sleep(cutPollInterval)
+	}
 	daemon.log.Info("stopped", zap.Int64("active", daemon.active.Load()), cause(err))
 	daemon.Kill()
 }
 
+// stopBegan returns when the planned stop began.
+func (daemon *Daemon) stopBegan() time.Time { return time.Unix(0, daemon.stopStarted.Load()) }
+
 // tooLate reports whether a stopping daemon no longer accepts a request of a kind.
 func (daemon *Daemon) tooLate(now time.Time, kind berylspoke.Kind) bool {
 	if !daemon.stopping.Load() {
 		return false
 	}
-	since := now.Sub(time.Unix(0, daemon.stopStarted.Load()))
+	since := now.Sub(daemon.stopBegan())
 	if kind == berylspoke.Streaming {
 		return since > acceptStreams
 	}
