--- a/io/beryledge/active.go
+++ b/io/beryledge/active.go
@@ -3,11 +3,11 @@
 // This file defines the set of requests that a daemon is processing.
 
 import (
+	"maps"
+	"net/http"
+	"slices"
 	"sync"
 	"time"
-
-	"github.com/pkg/errors"
-	"go.uber.org/zap"
 )
 
 // activeCalls are the requests that a daemon is processing.
@@ -30,13 +30,11 @@
 	delete(active.calls, call)
 }
 
-// each calls a function for each request; none of them ends meanwhile.
-func (active *activeCalls) each(function func(*call)) {
+// all returns the requests, which may end meanwhile.
+func (active *activeCalls) all() []*call {
 	active.mutex.Lock()
 	defer active.mutex.Unlock()
-	for call := range active.calls {
-		function(call)
-	}
+	return slices.Collect(maps.Keys(active.calls))
 }
 
 // stage is what a request waits for.
@@ -49,21 +47,35 @@
 	atTarget     stage = "atTarget"
 )
 
-// errStopEnded is why the requests that are active at the end of a planned stop are cancelled.
-var errStopEnded = errors.New("the planned stop has ended")
+// bodyReader says whether the handler of a request reads its body, which others may bound then.
+type bodyReader struct {
+	mutex   sync.Mutex
+	reading bool
+}
+
+// wholeRequest is what others may know of a request that is complete.
+type wholeRequest struct {
+	route string
+	at    time.Time
+}
+
+// beginBody begins to read the body and bounds the time that it may take.
+func (call *call) beginBody() {
+	call.stage = readingBody
+	call.reader.mutex.Lock()
+	call.reader.reading = true
+	call.reader.mutex.Unlock()
+	call.boundBody()
+}
+
+// endBody ends the reading of the body.
+func (call *call) endBody() {
+	call.reader.mutex.Lock()
+	defer call.reader.mutex.Unlock()
+	call.reader.reading = false
+	call.setReadDeadline(time.Time{})
+}
 
-// logCut logs and counts a request that a planned stop ends before its time.
-func (call *call) logCut(now time.Time) {
-	call.daemon.meters.requestsCut.Inc()
-	fields := []zap.Field{
-		zap.String("stage", string(call.stage)), zap.Bool("mayHaveRun", call.mayHaveRun), zap.Bool("begun", call.stream.started),
-		zap.Duration("sinceStop", now.Sub(call.daemon.stopBegan())),
-	}
-	if call.request != nil {
-		fields = append(fields, zap.Duration("remaining", call.request.Deadline.Sub(now)))
-	}
-	if !call.sent.IsZero() {
-		fields = append(fields, zap.Duration("sinceSent", now.Sub(call.sent)))
-	}
-	call.log("request cut by the planned stop", fields...)
+func (call *call) setReadDeadline(deadline time.Time) {
+	_ = http.NewResponseController(call.writer).SetReadDeadline(deadline)
 }
--- a/io/beryledge/attempt.go
+++ b/io/beryledge/attempt.go
@@ -41,7 +41,7 @@
 		timeout := max(minFirstByteTimeout, firstByteTimeoutFactor*decision.Expected)
 		timer := time.AfterFunc(timeout, func() {
 			// The last allowed attempt continues for as long as its caller waits.
-			if call.daemon.reserve(call.request) {
+			if call.endsInTime(time.Now()) && call.daemon.reserve(call.request) {
 				cancel(errFirstByteTimeout)
 			}
 		})
@@ -107,11 +107,12 @@
 
 // stillWanted reports whether a request should still be sent once its connection is
 // open. Opening a connection takes over a second if packets are lost. Meanwhile the
-// caller may have disconnected, the request may be refused as it crashes targets, and the
-// target may have announced that it is draining, or asked for rest: a request that is sent
+// caller may have disconnected, the request may be refused as it crashes targets, this daemon
+// may have to stop before the request would end, and the target may have announced that it is draining, or asked for rest: a request that is sent
 // after the other daemons have stopped sending would be run by a target that is about to exit.
 func (call *call) stillWanted(target berylspoke.Target) bool {
-	wanted := call.daemon.sendable.accepts(time.Now(), target.Run()) && !call.blamed() && !callerDisconnected(call.incoming.Context())
+	now := time.Now()
+	wanted := call.daemon.sendable.accepts(now, target.Run()) && call.endsInTime(now) && !call.blamed() && !callerDisconnected(call.incoming.Context())
 	if wanted {
 		call.stage = atTarget
 	}
@@ -293,6 +294,9 @@
 // retry tries to place a repeatable request at another target instead of forwarding the
 // first target's failure, and reports whether it did.
 func (call *call) retry(first berylgate.Decision) bool {
+	if !call.endsInTime(time.Now()) {
+		return false
+	}
 	decision := call.askCore()
 	if decision.Refusal != nil {
 		return false
@@ -321,6 +325,9 @@
 func (call *call) copyHeader(response *http.Response) {
 	header := call.writer.Header()
 	closing := header["Connection"]
+	if call.daemon.stopping() {
+		closing = []string{"close"}
+	}
 	call.daemon.dialect.CopyResponseHeaders(header, response.Header)
 	if closing != nil {
 		header["Connection"] = closing
--- a/io/beryledge/callers.go
+++ b/io/beryledge/callers.go
@@ -7,8 +7,10 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -64,8 +66,13 @@
 	served      bool
 	crashChecks []closedCheck
 	// slot is held from the admission of the request until it is sent.
-	slot  *slot
-	stage stage
+	slot *slot
+	// stage is what the processing waits for, and reader and whole what others may know of it.
+	stage  stage
+	reader bodyReader
+	whole  atomic.Pointer[wholeRequest]
+	// unlimitedBody is the body without the limit on its size.
+	unlimitedBody io.Reader
 	// cancel ends the request whatever it waits for.
 	cancel context.CancelCauseFunc
 }
@@ -76,9 +83,6 @@
 	daemon.active.Add(1)
 	defer daemon.active.Add(-1)
 	daemon.lastRequest.Store(arrived.UnixNano())
-	if daemon.stopping.Load() {
-		writer.Header().Set("Connection", "close")
-	}
 	call := &call{daemon: daemon, writer: writer, incoming: incoming, arrived: arrived}
 	base, cancelBase := context.WithCancelCause(incoming.Context())
 	defer cancelBase(nil)
@@ -86,11 +90,12 @@
 	daemon.calls.add(call)
 	defer daemon.calls.remove(call)
 	admitted := releaseAdmitted(incoming.Context())
-	if !call.prepare(daemon.index.Load()) || !call.readBody() || !call.findOrigin() || !call.takeSlot(admitted) {
+	if !call.prepare(daemon.index.Load()) || !call.readBody() || call.rejectsLate() || !call.findOrigin() || !call.takeSlot(admitted) {
 		return
 	}
 	defer call.endStream()
 	defer call.slot.release()
+	defer call.observeDuration()
 	if daemon.admission.mostlyRejected(call.organisation) {
 		// The next request on this connection would be parsed before it is rejected.
 		writer.Header().Set("Connection", "close")
@@ -131,11 +136,10 @@
 		call.refuse(http.StatusUnauthorized, berylspoke.ReasonUnauthorised, 0)
 		return false
 	}
-	if call.daemon.tooLate(call.arrived, call.route.Kind) {
-		call.refuse(http.StatusServiceUnavailable, berylspoke.ReasonDraining, stopRetryAfter)
+	call.request = call.newRequest(index)
+	if call.rejectsLate() {
 		return false
 	}
-	call.request = call.newRequest(index)
 	if call.info.HasLastEvent {
 		call.stream.last, call.stream.numbered = call.info.LastEvent, true
 	}
@@ -163,6 +167,7 @@
 	if bodyLimit <= 0 {
 		bodyLimit = defaultBodyBytes
 	}
+	call.unlimitedBody = call.incoming.Body
 	call.incoming.Body = http.MaxBytesReader(call.writer, call.incoming.Body, bodyLimit)
 	return &berylgate.Request{
 		ID: call.info.ID, Service: berylcatalog.PickService(call.route, call.info.ID), Organisation: call.organisation,
@@ -185,14 +190,19 @@
 		call.body = make([]byte, 0, call.incoming.ContentLength+bytes.MinRead)
 	}
 	buffer := bytes.NewBuffer(call.body)
-	call.stage = readingBody
-	_ = http.NewResponseController(call.writer).SetReadDeadline(call.request.Deadline)
+	call.beginBody()
 	_, err := io.Copy(buffer, call.incoming.Body)
-	_ = http.NewResponseController(call.writer).SetReadDeadline(time.Time{})
+	call.endBody()
 	call.body = buffer.Bytes()
+	now := time.Now()
 	if err == nil {
+		call.whole.Store(&wholeRequest{call.route.Name, now})
 		return true
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) && now.Before(call.request.Deadline) {
+		call.rejectLate(now)
+		return false
+	}
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
 		call.refuse(http.StatusRequestEntityTooLarge, berylspoke.ReasonMalformed, 0)
@@ -206,6 +216,9 @@
 // deadline passes.
 func (call *call) run() {
 	for {
+		if call.next == nil && call.rejectsLate() {
+			return
+		}
 		decision := call.decide()
 		if decision.Refusal != nil {
 			call.giveUp(decision)
@@ -274,8 +287,8 @@
 // a planned stop cuts.
 func (call *call) timeOut() {
 	if errors.Is(context.Cause(call.ctx), errStopEnded) {
-		call.logCut(time.Now())
-		panic(http.ErrAbortHandler)
+		call.answerCut(time.Now())
+		return
 	}
 	if call.incoming.Context().Err() != nil {
 		call.disconnected()
@@ -320,13 +333,15 @@
 	// A caller that was served keeps its connection even while the CPU pressure is high,
 	// as a new connection costs half as much as a request. A caller that was refused
 	// would retry and be refused again, which costs less on a new connection.
-	if call.daemon.tooManyConns() || call.daemon.pressure.high() || reason == berylspoke.ReasonCPUStarved {
+	if call.daemon.stopping() || call.daemon.tooManyConns() || call.daemon.pressure.high() || reason == berylspoke.ReasonCPUStarved {
 		header.Set("Connection", "close")
 	}
+	body := string(reason) + "\n"
 	header.Set("Content-Type", "text/plain; charset=utf-8")
+	header.Set("Content-Length", strconv.Itoa(len(body)))
 	call.daemon.meters.refusal(reason).Inc()
 	call.writer.WriteHeader(status)
-	_, _ = io.WriteString(call.writer, string(reason)+"\n")
+	_, _ = io.WriteString(call.writer, body)
 }
 
 // log logs a message with the fields of this request.
--- a/io/beryledge/cpupressure.go
+++ b/io/beryledge/cpupressure.go
@@ -59,7 +59,7 @@
 // its connections alone would make it return over new ones.
 func (core *core) withdraw(now time.Time) {
 	daemon := core.daemon
-	if !daemon.ready.Load() || daemon.stopping.Load() || now.Before(core.withdrawnUntil) {
+	if !daemon.ready.Load() || daemon.stopping() || now.Before(core.withdrawnUntil) {
 		return
 	}
 	starved := daemon.pressure.high() && core.announcedInDomain() >= minOtherEntries
--- a/io/beryledge/daemon.go
+++ b/io/beryledge/daemon.go
@@ -20,6 +20,7 @@
 	"berylspoke/core/berylcatalog"
 	"berylspoke/core/berylfeed"
 	"berylspoke/core/berylquarantine"
+	"berylspoke/core/berylstop"
 	"berylspoke/io/berylconn"
 	"berylspoke/io/berylpeer"
 )
@@ -67,11 +68,13 @@
 	origins     *origins
 	crashChecks *crashChecks
 	ready       atomic.Bool
-	stopping    atomic.Bool
-	stopStarted atomic.Int64
+	// stop is the planned stop, nil before it begins; stopNanos is the time to stop within.
+	stop        atomic.Pointer[berylstop.Stop]
+	stopNanos   atomic.Int64
 	active      atomic.Int64
 	lastRequest atomic.Int64
 	calls       *activeCalls
+	durations   routeDurations
 	// positions are those up to which the feeds are complete, nil before the first list.
 	positions [berylfeed.Count]atomic.Pointer[berylspoke.Position]
 	known     [berylfeed.Count]atomic.Bool
@@ -104,6 +107,8 @@
 		pool: berylconn.NewPool(), idle: newIdleConns(), sendable: newSendableTargets(), calls: newActiveCalls(),
 	}
 	daemon.readDue = newReadDue()
+	daemon.stopNanos.Store(int64(settings.StopTimeout))
+	daemon.durations.observed = berylstop.NewDurations(now)
 	daemon.origins = newOrigins(daemon)
 	daemon.crashChecks = newCrashChecks(daemon)
 	daemon.verdicts.Store(new(berylquarantine.Verdicts))
@@ -240,7 +245,7 @@
 }
 
 // Ready reports whether the daemon accepts callers' requests.
-func (daemon *Daemon) Ready() bool { return daemon.ready.Load() && !daemon.stopping.Load() }
+func (daemon *Daemon) Ready() bool { return daemon.ready.Load() && !daemon.stopping() }
 
 // Kill stops the daemon at once, without finishing requests, as a crash would.
 func (daemon *Daemon) Kill() {
--- /dev/null
+++ b/io/beryledge/late.go
@@ -0,0 +1,167 @@
+package beryledge
+
+// This file defines how requests are rejected that might not end before a planned stop does, and
+// how those are ended that have not.
+
+import (
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"berylspoke"
+	"berylspoke/core/berylstop"
+)
+
+const (
+	// bodyDrainTimeout and maxDrainedBytes bound what is read of the body of a rejected request.
+	// A connection that is closed while its caller still sends is reset, and the answer may be lost.
+	bodyDrainTimeout = 500 * time.Millisecond
+	maxDrainedBytes  = 1 << 20
+)
+
+// errStopEnded is why the requests that are active at the end of a planned stop are cancelled.
+var errStopEnded = errors.New("the planned stop has ended")
+
+// routeDurations are the times that the repeatable requests of each route took.
+type routeDurations struct {
+	mutex    sync.Mutex
+	observed *berylstop.Durations
+}
+
+// observeDuration records how long a request took that a target may have run.
+func (call *call) observeDuration() {
+	if !call.mayHaveRun || !call.repeatable() {
+		return
+	}
+	now, durations := time.Now(), &call.daemon.durations
+	durations.mutex.Lock()
+	defer durations.mutex.Unlock()
+	durations.observed.Observe(now, call.route.Name, now.Sub(call.whole.Load().at))
+}
+
+// longestDuration returns the longest time that requests of a route lately took, zero if it is
+// not known. An active one that is older than all of them is taken to be half done.
+func (daemon *Daemon) longestDuration(now time.Time, route string) time.Duration {
+	durations := &daemon.durations
+	durations.mutex.Lock()
+	longest := durations.observed.Longest(now, route)
+	durations.mutex.Unlock()
+	if longest == 0 {
+		return 0
+	}
+	oldest := time.Duration(0)
+	for _, other := range daemon.calls.all() {
+		if whole := other.whole.Load(); whole != nil && whole.route == route {
+			oldest = max(oldest, now.Sub(whole.at))
+		}
+	}
+	if oldest > longest {
+		return 2 * oldest
+	}
+	return longest
+}
+
+// work returns what is known of the time that the request takes.
+func (call *call) work(now time.Time) berylstop.Work {
+	work := berylstop.Work{Deadline: call.request.Deadline, Repeatable: call.repeatable()}
+	if work.Repeatable {
+		work.Longest = call.daemon.longestDuration(now, call.route.Name)
+	}
+	return work
+}
+
+// endsInTime reports whether the request, if it is sent to a target now, ends before the daemon
+// stops. It is asked whenever the request is about to go on.
+func (call *call) endsInTime(now time.Time) bool {
+	stop := call.daemon.stop.Load()
+	return stop == nil || stop.Accepts(now, call.work(now))
+}
+
+// boundBody bounds the time to read the body, if it is being read: a request that is not whole
+// when it has to be sent at the latest is rejected then.
+func (call *call) boundBody() {
+	call.reader.mutex.Lock()
+	defer call.reader.mutex.Unlock()
+	if !call.reader.reading {
+		return
+	}
+	now, latest := time.Now(), call.request.Deadline
+	if stop := call.daemon.stop.Load(); stop != nil {
+		latest = stop.Latest(call.work(now))
+	}
+	if latest.Before(now) {
+		latest = now
+	}
+	call.setReadDeadline(latest)
+}
+
+// rejectsLate rejects the request, and reports it, if it might not end before the daemon stops.
+func (call *call) rejectsLate() bool {
+	now := time.Now()
+	if call.endsInTime(now) {
+		return false
+	}
+	call.rejectLate(now)
+	return true
+}
+
+// rejectLate answers a request that might not end before the daemon stops.
+func (call *call) rejectLate(now time.Time) {
+	stop, work := call.daemon.stop.Load(), call.work(now)
+	fields := []zap.Field{
+		zap.Duration("sinceStop", now.Sub(stop.Began)), zap.Duration("untilEnd", stop.End.Sub(now)),
+		zap.Duration("remaining", work.Deadline.Sub(now)), zap.Duration("longest", work.Longest),
+		zap.String("stage", string(call.stage)), zap.Bool("mayHaveRun", call.mayHaveRun),
+	}
+	if call.stream.started {
+		call.log("stream aborted", append(fields, zap.String("reason", string(berylspoke.ReasonDraining)))...)
+		call.abortStream()
+	}
+	if call.mayHaveRun {
+		call.refuse(http.StatusBadGateway, berylspoke.ReasonDraining, 0, fields...)
+		return
+	}
+	control := http.NewResponseController(call.writer)
+	// The server would otherwise read the body before it sends the answer.
+	_ = control.EnableFullDuplex()
+	retryAfter := stop.RetryAfter(now, call.daemon.knowsOthers(), rand.Float64())
+	call.refuse(http.StatusServiceUnavailable, berylspoke.ReasonDraining, retryAfter, fields...)
+	_ = control.Flush()
+	call.setReadDeadline(now.Add(bodyDrainTimeout))
+	_, _ = io.CopyN(io.Discard, call.unlimitedBody, maxDrainedBytes)
+}
+
+// knowsOthers reports whether another daemon accepts callers' requests.
+func (daemon *Daemon) knowsOthers() bool {
+	for _, vm := range daemon.entries.Load().live {
+		if vm != daemon.settings.VM {
+			return true
+		}
+	}
+	return false
+}
+
+// cut ends a request that is active at the end of a stop.
+func (call *call) cut() {
+	call.cancel(errStopEnded)
+	call.reader.mutex.Lock()
+	defer call.reader.mutex.Unlock()
+	if call.reader.reading {
+		call.setReadDeadline(time.Now())
+	}
+}
+
+// answerCut answers a request that was sent to a target and is cut by the end of a stop.
+func (call *call) answerCut(now time.Time) {
+	call.daemon.meters.requestsCut.Inc()
+	call.log("request cut by the planned stop",
+		zap.String("stage", string(call.stage)), zap.Bool("mayHaveRun", call.mayHaveRun), zap.Bool("begun", call.stream.started),
+		zap.Duration("sinceStop", now.Sub(call.daemon.stop.Load().Began)), zap.Duration("sinceSent", now.Sub(call.sent)),
+		zap.Duration("remaining", call.request.Deadline.Sub(now)))
+	call.rejectLate(now)
+}
--- a/io/beryledge/stop.go
+++ b/io/beryledge/stop.go
@@ -8,7 +8,7 @@
 
 	"go.uber.org/zap"
 
-	"berylspoke"
+	"berylspoke/core/berylstop"
 )
 
 const (
@@ -17,67 +17,48 @@
 	stopNotice = 1500 * time.Millisecond
 	// stopQuiet is the time without a request after which callers count as having left.
 	stopQuiet = 800 * time.Millisecond
-	// stopReserve is the end of the stop timeout that is reserved for the last answers
-	// to arrive before the process is killed.
-	stopReserve = 500 * time.Millisecond
-	// acceptStreams and acceptCalls are the times after the announcement up to which
-	// streams and other requests are still accepted. A later caller has not noticed the
-	// announcement. Its request might not end in time, and another daemon accepts it at
-	// once.
-	acceptStreams = 2500 * time.Millisecond
-	acceptCalls   = 5 * time.Second
-	// stopRetryAfter is the delay after which such a caller may retry, which it does at
-	// another daemon.
-	stopRetryAfter = 20 * time.Millisecond
 	// stopPollInterval is the time between two checks of whether callers have left.
 	stopPollInterval = 50 * time.Millisecond
-	// cutTimeout bounds the wait for the requests that the end of the stop cancels, and
-	// cutPollInterval is the time between two checks of whether they have ended.
-	cutTimeout      = 100 * time.Millisecond
-	cutPollInterval = 5 * time.Millisecond
 )
 
 // Stop leaves the fleet without interrupting requests: the daemon announces that it is
-// leaving and continues to serve until its callers have left.
+// leaving and continues to serve until its callers have left. Requests that might not end in
+// time are rejected.
 func (daemon *Daemon) Stop() {
-	started := time.Now()
-	daemon.stopStarted.Store(started.UnixNano())
-	daemon.stopping.Store(true)
-	daemon.log.Info("stopping", zap.Int64("active", daemon.active.Load()), zap.Duration("timeout", daemon.settings.StopTimeout))
+	stop := berylstop.New(time.Now(), daemon.stopTimeout())
+	daemon.stop.Store(&stop)
+	daemon.log.Info("stopping", zap.Int64("active", daemon.active.Load()), zap.Time("end", stop.End))
+	for _, call := range daemon.calls.all() {
+		call.boundBody()
+	}
 	daemon.inspectCore(func(now time.Time, core *core) {
 		core.table.Leave(now)
 		core.tick(now)
 	})
-	deadline := started.Add(daemon.settings.StopTimeout - stopReserve)
-	for time.Now().Before(deadline) && !daemon.quiet(started) {
-		time.Sleep(stopPollInterval)
+	for time.Now().Before(stop.End) && !daemon.quiet(stop.Began) {
+		time.Sleep(min(stopPollInterval, time.Until(stop.End)))
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), deadline.Add(stopReserve/2))
-	defer cancel()
-	err := daemon.callerServer.Shutdown(ctx)
-	daemon.calls.each(func(call *call) { call.cancel(errStopEnded) })
-	for limit := time.Now().Add(cutTimeout); daemon.active.Load() > 0 && time.Now().Before(limit); {
-		time.Sleep(cutPollInterval)
-	}
-	daemon.log.Info("stopped", zap.Int64("active", daemon.active.Load()), cause(err))
+	daemon.endRequests(stop)
 	daemon.Kill()
 }
 
-// stopBegan returns when the planned stop began.
-func (daemon *Daemon) stopBegan() time.Time { return time.Unix(0, daemon.stopStarted.Load()) }
-
-// tooLate reports whether a stopping daemon no longer accepts a request of a kind.
-func (daemon *Daemon) tooLate(now time.Time, kind berylspoke.Kind) bool {
-	if !daemon.stopping.Load() {
-		return false
-	}
-	since := now.Sub(daemon.stopBegan())
-	if kind == berylspoke.Streaming {
-		return since > acceptStreams
+// endRequests ends the requests that are active at the end of a stop and waits until their
+// callers have their answers.
+func (daemon *Daemon) endRequests(stop berylstop.Stop) {
+	ctx, cancel := context.WithDeadline(context.Background(), stop.Answered())
+	defer cancel()
+	active := daemon.calls.all()
+	for _, call := range active {
+		call.cut()
 	}
-	return since > acceptCalls
+	err := daemon.callerServer.Shutdown(ctx)
+	daemon.log.Info("stopped", zap.Int("active", len(active)), zap.Int64("left", daemon.active.Load()), cause(err))
 }
 
+func (daemon *Daemon) stopTimeout() time.Duration { return time.Duration(daemon.stopNanos.Load()) }
+
+func (daemon *Daemon) stopping() bool { return daemon.stop.Load() != nil }
+
 // quiet reports whether callers have stopped sending requests and none is active.
 func (daemon *Daemon) quiet(started time.Time) bool {
 	now := time.Now()
@@ -86,12 +67,13 @@
 }
 
 // Reload applies the settings that may change while the process runs: the seeds and the
-// time to stop within. Changes of addresses need a new process.
+// time to stop within, which does not change for a stop that has begun. Changes of addresses
+// need a new process.
 func (daemon *Daemon) Reload(settings *Settings) {
+	daemon.stopNanos.Store(int64(settings.StopTimeout))
 	daemon.inspectCore(func(now time.Time, core *core) {
 		daemon.settings.Seeds = settings.Seeds
-		daemon.settings.StopTimeout = settings.StopTimeout
 		core.table.Join(now, settings.Seeds)
 	})
-	daemon.log.Info("settings reloaded", zap.Int("seeds", len(settings.Seeds)))
+	daemon.log.Info("settings reloaded", zap.Int("seeds", len(settings.Seeds)), zap.Duration("stopTimeout", settings.StopTimeout))
 }
