--- a/core/berylstop/stop.go
+++ b/core/berylstop/stop.go
@@ -10,7 +10,10 @@
 	// within that it takes if that is short.
 	maxReserve      = 250 * time.Millisecond
 	reserveFraction = 1. / 8
-	// durationMargin is how many times as long as the longest before it a request may take.
+	// noticePeriod is the time after the beginning in which callers may not know of the stop, as
+	// they keep the addresses that they resolved.
+	noticePeriod = 2500 * time.Millisecond
+	// durationMargin is how many times as long as the longest before it a request is assumed to take.
 	durationMargin = 1.25
 )
 
@@ -30,28 +33,44 @@
 // Answered returns when the last answers must have been sent.
 func (stop Stop) Answered() time.Time { return stop.End.Add(stop.Killed.Sub(stop.End) / 2) }
 
-// Work is what is known of the time that a request takes.
+// Risk is what a caller loses if its request is cut.
+type Risk uint8
+
+const (
+	// Unknown means that the caller cannot tell whether the request took effect.
+	Unknown Risk = iota
+	// Incomplete means that the caller has an answer that it cannot use.
+	Incomplete
+	// Repeated means that the caller can send the request again.
+	Repeated
+)
+
+// Work is what is known of a request and of the time that it takes.
 type Work struct {
 	// Deadline is when the request is ended if it has no answer by then.
 	Deadline time.Time
-	// Repeatable is set if the request may run more than once.
-	Repeatable bool
-	// Longest is the longest time that such requests were seen to take once they were whole,
-	// zero if it is not known.
-	Longest time.Duration
+	Risk     Risk
+	// Duration is how long such requests take once they are whole.
+	Duration Duration
 }
 
 // Latest returns the latest time at which work may be sent to a target, zero if it is not to be
 // sent at all.
 func (stop Stop) Latest(work Work) time.Time {
-	switch {
-	case !work.Deadline.After(stop.End):
+	if !work.Deadline.After(stop.End) {
 		return work.Deadline
-	case work.Repeatable && work.Longest > 0:
-		return stop.End.Add(-time.Duration(durationMargin * float64(work.Longest)))
-	default:
+	}
+	if work.Risk == Unknown || work.Duration.Longest == 0 {
 		return time.Time{}
 	}
+	latest := stop.End.Add(-work.Duration.Usual)
+	if noticed := stop.Began.Add(noticePeriod); noticed.Before(latest) {
+		latest = noticed
+	}
+	if safe := stop.End.Add(-time.Duration(durationMargin * float64(work.Duration.Longest))); work.Risk == Repeated && safe.After(latest) {
+		latest = safe
+	}
+	return latest
 }
 
 // Accepts reports whether work may be sent to a target now.
--- a/io/beryledge/late.go
+++ b/io/beryledge/late.go
@@ -27,7 +27,7 @@
 // errStopEnded is why the requests that are active at the end of a planned stop are cancelled.
 var errStopEnded = errors.New("the planned stop has ended")
 
-// routeDurations are the times that the repeatable requests of each route took.
+// routeDurations are the times that the requests of each route took.
 type routeDurations struct {
 	mutex    sync.Mutex
 	observed *berylstop.Durations
@@ -35,7 +35,7 @@
 
 // observeDuration records how long a request took that a target may have run.
 func (call *call) observeDuration() {
-	if !call.mayHaveRun || !call.repeatable() {
+	if !call.mayHaveRun || call.risk() == berylstop.Unknown {
 		return
 	}
 	now, durations := time.Now(), &call.daemon.durations
@@ -44,33 +44,41 @@
 	durations.observed.Observe(now, call.route.Name, now.Sub(call.whole.Load().at))
 }
 
-// longestDuration returns the longest time that requests of a route lately took, zero if it is
-// not known. An active one that is older than all of them is taken to be half done.
-func (daemon *Daemon) longestDuration(now time.Time, route string) time.Duration {
+// durationOf returns how long requests of a route take.
+func (daemon *Daemon) durationOf(now time.Time, route string) berylstop.Duration {
 	durations := &daemon.durations
 	durations.mutex.Lock()
-	longest := durations.observed.Longest(now, route)
+	found := durations.observed.Of(now, route)
 	durations.mutex.Unlock()
-	if longest == 0 {
-		return 0
+	if found.Longest == 0 {
+		return found
 	}
-	oldest := time.Duration(0)
+	var ages []time.Duration
 	for _, other := range daemon.calls.all() {
 		if whole := other.whole.Load(); whole != nil && whole.route == route {
-			oldest = max(oldest, now.Sub(whole.at))
+			ages = append(ages, now.Sub(whole.at))
 		}
 	}
-	if oldest > longest {
-		return 2 * oldest
+	return found.WithActive(ages)
+}
+
+// risk returns what the caller loses if the request is cut.
+func (call *call) risk() berylstop.Risk {
+	switch {
+	case call.repeatable():
+		return berylstop.Repeated
+	case call.route.Kind == berylspoke.Streaming:
+		return berylstop.Incomplete
+	default:
+		return berylstop.Unknown
 	}
-	return longest
 }
 
 // work returns what is known of the time that the request takes.
 func (call *call) work(now time.Time) berylstop.Work {
-	work := berylstop.Work{Deadline: call.request.Deadline, Repeatable: call.repeatable()}
-	if work.Repeatable {
-		work.Longest = call.daemon.longestDuration(now, call.route.Name)
+	work := berylstop.Work{Deadline: call.request.Deadline, Risk: call.risk()}
+	if work.Risk != berylstop.Unknown {
+		work.Duration = call.daemon.durationOf(now, call.route.Name)
 	}
 	return work
 }
@@ -115,7 +123,7 @@
 	stop, work := call.daemon.stop.Load(), call.work(now)
 	fields := []zap.Field{
 		zap.Duration("sinceStop", now.Sub(stop.Began)), zap.Duration("untilEnd", stop.End.Sub(now)),
-		zap.Duration("remaining", work.Deadline.Sub(now)), zap.Duration("longest", work.Longest),
+		zap.Duration("remaining", work.Deadline.Sub(now)), zap.Duration("usual", work.Duration.Usual), zap.Duration("longest", work.Duration.Longest),
 		zap.String("stage", string(call.stage)), zap.Bool("mayHaveRun", call.mayHaveRun),
 	}
 	if call.stream.started {
