--- a/cmd/berylspoke/edge.go
+++ b/cmd/berylspoke/edge.go
@@ -88,29 +88,33 @@
 }
 
 // reloadUntilStopped applies changes of the settings until a signal asks the process
-// to stop.
+// to stop, and those that the file holds by then: the stop ends by its settings.
 func (command *edgeCommand) reloadUntilStopped(path string, daemon *beryledge.Daemon, signals <-chan os.Signal, log *zap.Logger) {
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
 	seen, _ := os.ReadFile(path)
 	for {
+		var received os.Signal
 		select {
-		case received := <-signals:
-			if received != syscall.SIGHUP {
-				return
-			}
+		case received = <-signals:
 		case <-ticker.C:
 		}
-		body, err := os.ReadFile(path)
-		if err != nil || bytes.Equal(body, seen) {
-			continue
+		if body, err := os.ReadFile(path); err == nil && !bytes.Equal(body, seen) {
+			seen = body
+			command.reload(path, daemon, log)
 		}
-		seen = body
-		settings, err := berylbinding.LoadSettings(path)
-		if err != nil {
-			log.Warn("changed settings cannot be loaded; the previous ones stay in use", zap.String("error", err.Error()))
-			continue
+		if received != nil && received != syscall.SIGHUP {
+			return
 		}
-		daemon.Reload(settings)
 	}
 }
+
+// reload applies the settings in the file.
+func (command *edgeCommand) reload(path string, daemon *beryledge.Daemon, log *zap.Logger) {
+	settings, err := berylbinding.LoadSettings(path)
+	if err != nil {
+		log.Warn("changed settings cannot be loaded; the previous ones stay in use", zap.String("error", err.Error()))
+		return
+	}
+	daemon.Reload(settings)
+}
