--- a/io/beryledge/daemon.go
+++ b/io/beryledge/daemon.go
@@ -93,8 +93,10 @@
 	meters       *meters
 	servers      []*http.Server
 	callerServer *http.Server
-	ctx          context.Context
-	cancel       context.CancelFunc
+	// callerListener accepts the connections of callerServer.
+	callerListener *admissionListener
+	ctx            context.Context
+	cancel         context.CancelFunc
 }
 
 // Start starts a daemon, which runs until Stop or Kill.
@@ -183,7 +185,8 @@
 		return nil, errors.Wrapf(err, "cannot listen on address %s", address)
 	}
 	if callers {
-		listener = newAdmissionListener(listener.(*net.TCPListener), daemon)
+		daemon.callerListener = newAdmissionListener(listener.(*net.TCPListener), daemon)
+		listener = daemon.callerListener
 	}
 	server := &http.Server{
 		Handler: handler, MaxHeaderBytes: maxHeaderBytes,
--- a/io/beryledge/listener.go
+++ b/io/beryledge/listener.go
@@ -55,6 +55,8 @@
 	// server without its decision.
 	admitted chan net.Conn
 	bypassed []net.Conn
+	// closed is set once the server accepts no more connections.
+	closed atomic.Bool
 }
 
 // pendingConn is a connection with the number of polls that found no data on it.
@@ -188,12 +190,33 @@
 
 // rejectPending rejects the requests that a stopping server no longer accepts.
 func (listener *admissionListener) rejectPending() {
+	listener.closed.Store(true)
 	for _, conn := range listener.pending {
 		listener.daemon.rejectConn(conn.descriptor, make([]byte, headBytes), demand{}, beryladmission.Overload)
 	}
 	listener.pending = nil
-	for len(listener.admitted) > 0 {
-		_ = (<-listener.admitted).Close()
+	listener.rejectAdmitted()
+}
+
+// rejectAdmitted rejects the admitted requests that the server has not accepted.
+func (listener *admissionListener) rejectAdmitted() {
+	for {
+		select {
+		case conn := <-listener.admitted:
+			_, _ = conn.Write(rejection(nil, demand{}))
+			_ = conn.Close()
+		default:
+			return
+		}
+	}
+}
+
+// rejectQueued waits until the requests in the admission queue are decided, which does not take
+// longer than a bound, and rejects them.
+func (listener *admissionListener) rejectQueued(until time.Time) {
+	for listener.queued.Load() > 0 && time.Now().Before(until) {
+		time.Sleep(pollInterval)
+		listener.daemon.admission.expire()
 	}
 }
 
@@ -208,7 +231,7 @@
 
 func (waiter *connWaiter) decided(admitted bool) {
 	defer waiter.listener.queued.Add(-1)
-	if !admitted {
+	if !admitted || waiter.listener.closed.Load() {
 		waiter.listener.daemon.rejectConn(waiter.descriptor, waiter.head, waiter.demand, beryladmission.Overload)
 		return
 	}
@@ -220,6 +243,9 @@
 	}
 	select {
 	case waiter.listener.admitted <- conn:
+		if waiter.listener.closed.Load() {
+			waiter.listener.rejectAdmitted()
+		}
 	default:
 		_ = conn.Close()
 	}
@@ -234,13 +260,18 @@
 	for count := len(head); count == headBytes; {
 		count, _ = unix.Read(descriptor, head)
 	}
-	answer := append(head[:0], rejectionPrefix...)
-	answer = strconv.AppendFloat(answer, demand.retryAfter().Seconds(), 'f', 2, 64)
 	// The error is ignored: a caller that has disconnected needs no answer.
-	_, _ = unix.Write(descriptor, append(answer, "\r\n\r\n"...))
+	_, _ = unix.Write(descriptor, rejection(head[:0], demand))
 	_ = unix.Close(descriptor)
 }
 
+// rejection appends the answer to an unparsed request.
+func rejection(answer []byte, demand demand) []byte {
+	answer = append(answer, rejectionPrefix...)
+	answer = strconv.AppendFloat(answer, demand.retryAfter().Seconds(), 'f', 2, 64)
+	return append(answer, "\r\n\r\n"...)
+}
+
 // rejectionPrefix is the answer to an unparsed request up to the value of Retry-After.
 const rejectionPrefix = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\nRetry-After: "
 
--- a/io/beryledge/rejection_test.go
+++ b/io/beryledge/rejection_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"runtime"
 	"sync/atomic"
@@ -171,3 +173,60 @@
 		require.Equal(t, closes, response.Close, "key %s", key)
 	}
 }
+
+// Guards against requests that wait in the admission queue, or for the server, as the server closes, and
+// whose connections are closed without an answer.
+func TestQueuedRequestsAreAnsweredAsTheServerCloses(t *testing.T) {
+	daemon, _ := startServing(t, map[string]*testTarget{"desk": newTestTarget(t, "d1", sealed(http.StatusOK, "done"))})
+	free := holdSlots(daemon)
+	defer free()
+	listener := newAdmissionListener(nil, daemon)
+	request := []byte("POST /file/x HTTP/1.1\r\nHost: h.example\r\nX-Key: u\r\n\r\n")
+	answer := func(act func(waiter *connWaiter)) string {
+		server, client := connPair(t)
+		listener.queued.Add(1)
+		act(&connWaiter{listener: listener, descriptor: server, head: bytes.Clone(request)})
+		text, err := io.ReadAll(client)
+		require.NoError(t, err)
+		return string(text)
+	}
+	for name, act := range map[string]func(*connWaiter){
+		"queued": func(waiter *connWaiter) {
+			daemon.admission.offer(demand{organisation: "union"}, waiter)
+			listener.rejectPending()
+			listener.rejectQueued(time.Now().Add(time.Second))
+		},
+		"admitted": func(waiter *connWaiter) {
+			listener.closed.Store(false)
+			waiter.decided(true)
+			listener.rejectPending()
+		},
+		"admitted later": func(waiter *connWaiter) {
+			listener.rejectPending()
+			waiter.decided(true)
+		},
+	} {
+		require.Contains(t, answer(act), "503 Service Unavailable", name)
+	}
+	require.Zero(t, listener.queued.Load())
+}
+
+// connPair returns the descriptor of one end of a connection, and the other end.
+func connPair(t *testing.T) (server int, client net.Conn) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	client, err = net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = client.Close() })
+	require.NoError(t, client.SetDeadline(time.Now().Add(5*time.Second)))
+	accepted, err := listener.Accept()
+	require.NoError(t, err)
+	file, err := accepted.(*net.TCPConn).File()
+	require.NoError(t, err)
+	defer func() { _ = file.Close() }()
+	require.NoError(t, accepted.Close())
+	server, err = unix.Dup(int(file.Fd()))
+	require.NoError(t, err)
+	return server, client
+}
--- a/io/beryledge/stop.go
+++ b/io/beryledge/stop.go
@@ -52,6 +52,7 @@
 		call.cut()
 	}
 	err := daemon.callerServer.Shutdown(ctx)
+	daemon.callerListener.rejectQueued(stop.Answered())
 	daemon.log.Info("stopped", zap.Int("active", len(active)), zap.Int64("left", daemon.active.Load()), cause(err))
 }
 
