--- a/soak/declared.go
+++ b/soak/declared.go
@@ -61,6 +61,9 @@
 			Name: "added", Prefix: pathAdded, Kind: "idempotent", Service: deskService, TimeoutMillis: 3000, FirstByteObjectiveMillis: 300, MaxAttempts: 2,
 		})
 	}
+	if world.size.Stops {
+		world.drawTimeouts(configuration.Routes)
+	}
 	for i := range organisationCount {
 		keys := []string{callerKey(i, 0)}
 		if i >= state.revokedKeys {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -97,7 +97,10 @@
 func newPlan(random *rand.Rand, size Size) []step {
 	var plan []step
 	var last *fault
-	kinds := faults
+	kinds, plannedFraction := faults, plannedFraction
+	if size.Stops {
+		kinds, plannedFraction = slices.Concat(faults, stopFaults, stopFaults, stopFaults), 1
+	}
 	if size.Advice {
 		kinds = slices.Concat(faults, adviceFaults, adviceFaults)
 	}
@@ -267,9 +270,17 @@
 	if !process.claimStop() {
 		return
 	}
-	world.judge.recordDisturbed(process.vm.Name, time.Now().Add((stopSeconds+1)*time.Second+downtime))
+	grace := process.grace()
+	world.judge.recordDisturbed(process.vm.Name, time.Now().Add(grace+killSlack+downtime))
+	if signal == syscall.SIGTERM {
+		world.judge.recordStop(world.currentRun(process.vm.CallersAddress()), time.Now(), grace)
+	}
 	process.signal(signal)
-	process.awaitExit((stopSeconds + 1) * time.Second)
+	killAfter := grace + killSlack
+	if world.size.Stops {
+		killAfter = grace
+	}
+	process.awaitExit(killAfter)
 	time.Sleep(downtime)
 	if err := world.start(process); err != nil {
 		world.judge.recordExit(process.vm.Name, err)
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -55,6 +55,9 @@
 	// what a sound request shares with such ones.
 	badPart string
 	shares  sharing
+	// limit is the time limit of the caller, bodyDelay the time until the request is whole, and work
+	// the time that it takes, where processes are stopped in series.
+	limit, bodyDelay, work time.Duration
 }
 
 // repeatable reports whether the request may run more than once.
@@ -85,6 +88,11 @@
 	streams streamCounts
 	// parts holds what became of parts that crash engines.
 	parts partsRecord
+	// stops are the planned stops by the run of a process, stopCounts what became of the requests that
+	// they met, and timeouts the timeouts of routes.
+	stops      map[string]stopRecord
+	stopCounts stopCounts
+	timeouts   []timeoutRecord
 	// answerCounts are the numbers of answers by outcomeLabel.
 	answerCounts map[string]int
 }
@@ -93,7 +101,7 @@
 	return &Judge{
 		started: time.Now(), attempts: make(map[string]*attempt), drainingSince: make(map[string]time.Time),
 		observed: make(map[string]observedConfig), answerCounts: make(map[string]int),
-		advice: newAdviceRecord(), parts: newPartsRecord(),
+		stops: make(map[string]stopRecord), advice: newAdviceRecord(), parts: newPartsRecord(),
 	}
 }
 
@@ -199,9 +207,10 @@
 	}
 	// A caller that left, or whose own deadline has passed, ended the request itself. On a CPU-starved
 	// machine this happens without a fault of the fleet.
-	cut := answer.Err != nil && !errors.Is(answer.Err, context.DeadlineExceeded) && !left(answer)
-	if cut && attempt.planned && !judge.unplanned && len(attempt.runs) > 0 {
-		judge.addViolation("planned operations cut no request", "%s ran at %s and failed: %v", answer.Request.ID, attempt.runs[0].Target, answer.Err)
+	cut := answer.Err != nil && !errors.Is(answer.Err, context.DeadlineExceeded) && !left(answer) || answer.Status == http.StatusBadGateway
+	judge.checkStop(attempt, answer)
+	if cut && attempt.limit == 0 && attempt.planned && !judge.unplanned && len(attempt.runs) > 0 {
+		judge.addViolation("planned operations cut no request", "%s ran at %s and failed: %d, %v", answer.Request.ID, attempt.runs[0].Target, answer.Status, answer.Err)
 	}
 	if answer.Leaving {
 		judge.recordLeavingTold(attempt, answer)
@@ -284,6 +293,7 @@
 	Served       int
 	AnswerCounts map[string]int
 	Streams      streamCounts
+	Stops        stopCounts
 	// Parts says what became of parts that crash engines.
 	Parts []string
 }
@@ -294,7 +304,7 @@
 	judge.checkAdvice()
 	judge.checkShares()
 	judge.checkParts()
-	return Result{judge.violations, len(judge.attempts), judge.served, judge.answerCounts, judge.streams, judge.parts.summary}
+	return Result{judge.violations, len(judge.attempts), judge.served, judge.answerCounts, judge.streams, judge.stopCounts, judge.parts.summary}
 }
 
 // servedCount returns the number of requests served so far.
--- a/soak/load.go
+++ b/soak/load.go
@@ -32,6 +32,9 @@
 		domain := domains[i%len(domains)]
 		caller := beryldouble.NewCaller(seed+uint64(i), domain.name, domain.region, generator.world.resolveAddresses(domain.name), generator.world.relayAddress)
 		defer caller.Close()
+		if generator.world.size.Stops {
+			caller.KeepAddresses(keptTTLs)
+		}
 		callers = append(callers, caller)
 	}
 	for ctx.Err() == nil {
@@ -46,7 +49,10 @@
 				continue
 			}
 			request, organisation := generator.nextRequest()
-			if generator.world.size.Versions && request.Path == pathResume {
+			if generator.world.size.Stops {
+				request = generator.ofAnyLength(request)
+			}
+			if generator.world.size.Versions && !generator.world.size.Stops && request.Path == pathResume {
 				random := rand.New(rand.NewPCG(seed, uint64(generator.requestCount)))
 				generator.calls.Go(func() { generator.world.takeUp(caller, request, organisation, random) })
 				continue
@@ -99,6 +105,9 @@
 			continue
 		}
 		attempt := &attempt{path: request.Path, organisation: organisation, processRun: world.currentRun(address), sent: time.Now()}
+		if world.size.Stops {
+			attempt.limit, attempt.bodyDelay, attempt.work = request.TimeRemaining, request.BodyDelay, workOf(request.Path)
+		}
 		world.judge.recordSent(request.ID, attempt)
 		answer := caller.Send(ctx, address, request)
 		world.judge.recordAnswer(answer)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -27,6 +27,7 @@
 	built    = flag.String("program", "", "program to soak, built from this repository if empty")
 	returns  = flag.Bool("returns", true, "whether the store returns from older copies with a fresh seed")
 	parts    = flag.Bool("parts", true, "whether parts of prompts crash engines with a fresh seed")
+	stops    = flag.Bool("stops", false, "whether a fresh seed has planned operations only, with stops in series")
 	memoryMB = flag.Int("memoryMB", 134, "memory limit in the settings of each process")
 )
 
@@ -65,6 +66,7 @@
 // soak runs one seed and fails the test for each violated guarantee.
 func soak(t *testing.T, seed uint64, size Size) {
 	t.Helper()
+	size.Seed = seed
 	folder, err := os.MkdirTemp("", "soak")
 	require.NoError(t, err)
 	world, err := NewWorld(program, folder, size)
@@ -81,6 +83,9 @@
 	if size.Versions {
 		t.Logf("seed %d: streams at processes in touch: %+v", seed, result.Streams)
 	}
+	if size.Stops {
+		t.Logf("seed %d: requests that met a planned stop: %+v", seed, result.Stops)
+	}
 	for _, violation := range result.Violations {
 		t.Errorf("seed %d: %s", seed, violation)
 	}
@@ -139,6 +144,16 @@
 	soak(t, 5, size)
 }
 
+// Processes are stopped in series, with signals in between, while callers keep their addresses and send
+// short and long requests with slow bodies, and timeouts change. Guards against requests that a stop
+// cuts, and against those that it rejects though they would end in time.
+func TestStopSoak(t *testing.T) {
+	size := shortSize
+	size.Stops = true
+	size.Seconds, size.RequestsPerSecond = 16, 50
+	soak(t, 6, size)
+}
+
 // Runs the seeds that failed before; each entry names the cause of its failure.
 func TestRegressionSeeds(t *testing.T) {
 	regressions := []struct {
@@ -157,6 +172,9 @@
 // TestFreshSoak runs fresh seeds; see -seeds.
 func TestFreshSoak(t *testing.T) {
 	size := Size{VMs: *vms, Engines: *vms, Desks: 3, MemoryMB: *memoryMB, RequestsPerSecond: *rate, Seconds: *seconds, Advice: *advice, Returns: *returns, Versions: *versions, Parts: *parts}
+	if *stops {
+		size.Stops, size.Advice, size.Returns, size.Versions, size.Parts = true, false, false, false, false
+	}
 	first := *from
 	if first == 0 {
 		first = uint64(time.Now().UnixNano() / 1e6 % 1e9)
--- a/soak/world.go
+++ b/soak/world.go
@@ -24,8 +24,8 @@
 	// startTimeout bounds the wait for a process to be ready. It is far above the
 	// usual time, so that a busy machine causes no failure.
 	startTimeout = 60 * time.Second
-	// stopSeconds is the stop timeout in the settings of each process.
-	stopSeconds = 8
+	// usualStopSeconds is the stop timeout in the settings of each process.
+	usualStopSeconds = 8
 )
 
 // Size is the size of a world.
@@ -43,6 +43,10 @@
 	Versions bool
 	// Returns adds returns of the store from an older copy.
 	Returns bool
+	// Stops leaves only planned operations, draws the times to stop within, the timeouts and the
+	// work, and stops processes in series. Seed draws what the world consists of.
+	Stops bool
+	Seed  uint64
 	// Parts adds requests with parts of prompts that crash engines, and engines that answer with
 	// neither a length nor chunks.
 	Parts bool
@@ -126,16 +130,19 @@
 	return world, world.awaitReady(world.processes)
 }
 
-// networkOctet returns the second byte of the loopback addresses. It is derived from
-// the process id so that concurrent soaks on one machine rarely share addresses.
-func networkOctet() int { return 64 + os.Getpid()%128 }
+// host returns the loopback address of a process. It is derived from the id of the soak's own process,
+// so that concurrent soaks on one machine share no addresses.
+func host(i int) string {
+	const perNetwork = 200
+	own := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 64+own%128, (own/128+i/perNetwork)%256, 1+i%perNetwork)
+}
 
 func (world *World) addProcess(i int) error {
 	regions := make(map[string]string)
 	for _, domain := range domains {
 		regions[domain.name] = domain.region
 	}
-	host := func(i int) string { return fmt.Sprintf("127.%d.%d.%d", networkOctet(), 1+i/200, 1+i%200) }
 	ownDomain := domains[i%len(domains)]
 	store, err := berylstand.NewStreamRelay("127.0.0.1:0", world.store.Address())
 	if err != nil {
@@ -144,7 +151,7 @@
 	vm := beryldouble.VM{
 		Name: fmt.Sprintf("vm-%d", i+1), Host: host(i), FailureDomain: ownDomain.name, Region: ownDomain.region,
 		RegionOf: regions, StoreAddress: store.Address(), BasePort: basePort, Cores: 0.4,
-		MemoryMB: world.size.MemoryMB, StopSeconds: stopSeconds,
+		MemoryMB: world.size.MemoryMB, StopSeconds: world.stopSeconds(),
 	}
 	for seed := range min(len(domains), world.size.VMs) {
 		vm.SeedHosts = append(vm.SeedHosts, host(seed))
@@ -267,10 +274,13 @@
 			return added.relay.Address()
 		},
 	}
+	if world.size.Stops {
+		options.Slots, options.Work = stopSlots, workOf
+	}
 	if added.service == engineService {
 		options.Slots, options.Events, options.EventInterval = 16, 12, 30*time.Millisecond
 		options.Version = versionName(0)
-		if world.size.Versions {
+		if world.size.Versions && !world.size.Stops {
 			options.Events = streamEvents
 		}
 		if world.size.Parts {
