--- a/io/berylconn/exchange.go
+++ b/io/berylconn/exchange.go
@@ -60,8 +60,9 @@
 	StillWanted func() bool
 	// Matches reports whether a response belongs to the request. Others are skipped: a
 	// target may send a response twice, and the duplicate arrives in place of the
-	// next response.
-	Matches func(*http.Response) bool
+	// next response. After a question (Identity) on the same connection, asked is set: a response
+	// without the id of a request may be a duplicate of that to the question.
+	Matches func(response *http.Response, asked bool) bool
 	// Traffic counts the bytes of the exchange; it may be nil.
 	Traffic *Traffic
 	// Identity is what to ask the target first on a connection that may lead to another process
@@ -142,7 +143,7 @@
 	exchange.written <- request.Write(exchange.conn)
 }
 
-func (exchange *Exchange) readHeader(request *http.Request, matches func(*http.Response) bool) error {
+func (exchange *Exchange) readHeader(request *http.Request, matches func(*http.Response, bool) bool) error {
 	for range maxResponses {
 		response, err := http.ReadResponse(exchange.conn.reader, request)
 		if err != nil {
@@ -151,7 +152,7 @@
 		if response.StatusCode >= 100 && response.StatusCode < 200 {
 			continue
 		}
-		if matches(response) {
+		if matches(response, exchange.conn.asked) {
 			exchange.Response = response
 			exchange.conn.setIdleTimeout(response.Header)
 			return nil
--- a/io/berylconn/pool.go
+++ b/io/berylconn/pool.go
@@ -64,6 +64,8 @@
 	idleSince   time.Time
 	// openedAt is a time before the connection was open.
 	openedAt time.Time
+	// asked is set once a question without the id of a request was sent.
+	asked bool
 	// traffic counts the bytes of the current exchange; it may be nil.
 	traffic *Traffic
 }
@@ -143,9 +145,10 @@
 	pool.idle[conn.address] = append(pool.idle[conn.address], conn)
 }
 
-// Probe asks a target over a new connection, which is kept for the next request. Refused is set if
-// the target refuses the connection, as the address of a process that has ended does. It has no
-// status if the target does not answer.
+// Probe asks a target over a connection of its own. Refused is set if the target refuses the
+// connection, as the address of a process that has ended does. It has no status if the target does
+// not answer. The connection is not kept: a late duplicate of the response, which has no id, would
+// be taken for the response to the next request.
 func (pool *Pool) Probe(ctx context.Context, address string, request *http.Request) (probed Probed) {
 	pool.mutex.Lock()
 	pool.open[address]++
@@ -156,12 +159,9 @@
 		return Probed{Refused: errors.Is(err, syscall.ECONNREFUSED)}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	status, body, keep, err := conn.ask(request)
-	if !stop() || err != nil || !keep {
-		pool.discard(conn)
-	} else {
-		pool.put(time.Now(), conn)
-	}
+	status, body, _, err := conn.ask(request)
+	stop()
+	pool.discard(conn)
 	if err != nil {
 		return Probed{}
 	}
@@ -177,6 +177,7 @@
 
 // ask sends a small request and returns its response, and whether the connection can be used again.
 func (conn *conn) ask(request *http.Request) (status int, body []byte, keep bool, err error) {
+	conn.asked = true
 	if err := request.Write(conn); err != nil {
 		return 0, nil, false, err
 	}
--- a/io/beryledge/attempt.go
+++ b/io/beryledge/attempt.go
@@ -74,7 +74,12 @@
 	call.status, call.unframed = exchange.Response.StatusCode, !exchange.Framed() && request.Method != http.MethodHead
 	call.recordAdvice(decision.Target, info)
 	if info.NotRun {
-		call.drain(exchange)
+		if info.ID == "" {
+			// A late copy of it would be taken for the answer to the next request.
+			exchange.Discard()
+		} else {
+			call.drain(exchange)
+		}
 		call.endAttempt(decision, berylgate.Rejected, nil)
 		return false
 	}
@@ -228,10 +233,11 @@
 }
 
 // answersRequest reports whether an answer belongs to this request. One without an id and
-// seal does too, as a target may refuse a request before it has read the id.
-func (call *call) answersRequest(response *http.Response) bool {
+// seal does too, as a target may refuse a request before it has read the id, unless the target was
+// asked something without an id before.
+func (call *call) answersRequest(response *http.Response, asked bool) bool {
 	info := call.daemon.dialect.ParseResponse(response.StatusCode, response.Header)
-	return info.ID == call.info.ID || info.ID == "" && !info.Sealed
+	return info.ID == call.info.ID || !asked && info.ID == "" && !info.Sealed
 }
 
 // reportFirstByte reports the first byte of an answer to the core.
--- a/io/beryledge/stop_test.go
+++ b/io/beryledge/stop_test.go
@@ -336,3 +336,18 @@
 	require.Equal(t, began, *daemon.stop.Load())
 	<-stopped
 }
+
+// Guards against a stop that waits for its end, or does not reject requests, before the daemon was ever
+// ready.
+func TestDaemonThatWasNeverReadyStops(t *testing.T) {
+	store := newTestStore()
+	store.down.Store(true)
+	daemon := startDaemon(t, store)
+	began := time.Now()
+	stopped := stop(daemon)
+	response, _, err := send(t, daemon, http.MethodPost, "/file/x", "id-1", "a letter")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	<-stopped
+	require.Less(t, time.Since(began), 4*time.Second)
+}
