--- a/core/berylquarantine/notice.go
+++ b/core/berylquarantine/notice.go
@@ -141,7 +141,11 @@
 
 // holders returns the other daemons that are told of every crash under a suspect.
 func (quarantine *Quarantine) holders(digest Digest) []berylspoke.VMID {
-	ranked := berylmember.Ranked(fmt.Sprint("suspect ", uint64(digest)), quarantine.members, holderCount)
+	count := holderCount
+	if quarantine.allHold() {
+		count = len(quarantine.members)
+	}
+	ranked := berylmember.Ranked(fmt.Sprint("suspect ", uint64(digest)), quarantine.members, count)
 	return slices.DeleteFunc(ranked, func(vm berylspoke.VMID) bool { return vm == quarantine.self })
 }
 
--- a/core/berylquarantine/quarantine.go
+++ b/core/berylquarantine/quarantine.go
@@ -39,8 +39,10 @@
 	// spreadThreshold is the number of successive crashes under a suspect from which all daemons
 	// are told of it. Others are known to those that saw them and to holders.
 	spreadThreshold = 2
-	// holderCount is the number of daemons that are told of every crash under a suspect.
+	// holderCount is the number of daemons that are told of every crash under a suspect. In a fleet
+	// of up to maxHolders, all are.
 	holderCount = 2
+	maxHolders  = 16
 )
 
 // Digest identifies a suspect: a part of prompts, or a whole request, whatever its id.
@@ -145,14 +147,17 @@
 			}
 		}
 	}
-	for digest := range quarantine.repeated {
-		if clearing, known := quarantine.cleared[digest]; known {
+	for digest, clearing := range quarantine.cleared {
+		if quarantine.repeated[digest] || quarantine.allHold() && len(quarantine.index[digest]) > 0 {
 			clearing.unsent = max(clearing.unsent, 1)
 			quarantine.cleared[digest] = clearing
 		}
 	}
 }
 
+// allHold reports whether all daemons are holders of all suspects.
+func (quarantine *Quarantine) allHold() bool { return len(quarantine.members) <= maxHolders }
+
 // counts reports whether a crash counts against a suspect.
 func (quarantine *Quarantine) counts(crash *crash, digest Digest) bool {
 	cleared := quarantine.clearedAt(digest)
@@ -201,11 +206,25 @@
 		if len(quarantine.begun) >= maxBegun/2 {
 			quarantine.begunBefore, quarantine.begun = quarantine.begun, make(map[Digest]time.Time, maxBegun/2)
 		}
+		if quarantine.allHold() {
+			quarantine.tellCleared(at, digest)
+		}
 		quarantine.begun[digest] = latest(at, quarantine.begunAt(digest))
 		quarantine.changed = quarantine.changed || quarantine.repeated[digest]
 	}
 }
 
+// tellCleared makes peers hear that an answer began under a suspect if a crash counts against it: this
+// daemon may restart before another one makes them ask.
+func (quarantine *Quarantine) tellCleared(at time.Time, digest Digest) {
+	for _, crash := range quarantine.index[digest] {
+		if quarantine.counts(crash, digest) && !crash.at.After(at.Add(datingError)) {
+			quarantine.addCleared(digest, at, true)
+			return
+		}
+	}
+}
+
 // begunAt returns when an answer under a suspect last began at this daemon, zero if it is not
 // known.
 func (quarantine *Quarantine) begunAt(digest Digest) time.Time {
