--- a/io/beryledge/attempt.go
+++ b/io/beryledge/attempt.go
@@ -112,9 +112,10 @@
 
 // stillWanted reports whether a request should still be sent once its connection is
 // open. Opening a connection takes over a second if packets are lost. Meanwhile the
-// caller may have disconnected, the request may be refused as it crashes targets, this daemon
-// may have to stop before the request would end, and the target may have announced that it is draining, or asked for rest: a request that is sent
-// after the other daemons have stopped sending would be run by a target that is about to exit.
+// caller may have disconnected, the request may be refused as it crashes targets, this
+// daemon may stop before the request would end, and the target may have announced that it
+// is draining, or asked for rest: a request that is sent after the other daemons have
+// stopped sending would be run by a target that is about to exit.
 func (call *call) stillWanted(target berylspoke.Target) bool {
 	now := time.Now()
 	wanted := call.daemon.sendable.accepts(now, target.Run()) && call.endsInTime(now) && !call.blamed() && !callerDisconnected(call.incoming.Context())
--- a/io/beryledge/callers.go
+++ b/io/beryledge/callers.go
@@ -199,7 +199,7 @@
 		call.whole.Store(&wholeRequest{call.route.Name, now})
 		return true
 	}
-	if errors.Is(err, os.ErrDeadlineExceeded) && now.Before(call.request.Deadline) {
+	if call.daemon.stopping() && errors.Is(err, os.ErrDeadlineExceeded) && now.Before(call.request.Deadline) {
 		call.rejectLate(now)
 		return false
 	}
--- a/io/beryledge/late.go
+++ b/io/beryledge/late.go
@@ -164,12 +164,16 @@
 	}
 }
 
-// answerCut answers a request that was sent to a target and is cut by the end of a stop.
+// answerCut answers a request that is cut by the end of a stop.
 func (call *call) answerCut(now time.Time) {
 	call.daemon.meters.requestsCut.Inc()
-	call.log("request cut by the planned stop",
+	fields := []zap.Field{
 		zap.String("stage", string(call.stage)), zap.Bool("mayHaveRun", call.mayHaveRun), zap.Bool("begun", call.stream.started),
-		zap.Duration("sinceStop", now.Sub(call.daemon.stop.Load().Began)), zap.Duration("sinceSent", now.Sub(call.sent)),
-		zap.Duration("remaining", call.request.Deadline.Sub(now)))
+		zap.Duration("sinceStop", now.Sub(call.daemon.stop.Load().Began)), zap.Duration("remaining", call.request.Deadline.Sub(now)),
+	}
+	if !call.sent.IsZero() {
+		fields = append(fields, zap.Duration("sinceSent", now.Sub(call.sent)))
+	}
+	call.log("request cut by the planned stop", fields...)
 	call.rejectLate(now)
 }
