--- a/core/berylmember/table.go
+++ b/core/berylmember/table.go
@@ -56,6 +56,8 @@
 	Listed   bool
 	LastSeen time.Time
 	Changed  time.Time
+	// LeavingSince is when this daemon learned that the member leaves, zero if it does not.
+	LeavingSince time.Time
 	// ConfigNumber is the last configuration entry that the member reported to have.
 	ConfigNumber berylspoke.PatchNumber
 	Serving      bool
@@ -109,7 +111,7 @@
 
 // Leave announces that this daemon takes no new roles.
 func (table *Table) Leave(now time.Time) {
-	table.self.Rumour.Leaving = true
+	table.self.Rumour.Leaving, table.self.LeavingSince = true, now
 	table.self.Rumour.Counter++
 	table.enqueue(table.self.VM.ID)
 	table.changed(now)
@@ -384,6 +386,12 @@
 	if member == nil || !rumour.overrides(member.Rumour) {
 		return
 	}
+	switch {
+	case !rumour.Leaving:
+		member.LeavingSince = time.Time{}
+	case !member.Rumour.Leaving:
+		member.LeavingSince = now
+	}
 	member.Rumour, member.Changed = rumour, now
 	table.setStatus(member, rumour.Status)
 	if rumour.Attributes.FailureDomain != "" {
--- a/io/beryledge/entries.go
+++ b/io/beryledge/entries.go
@@ -39,9 +39,27 @@
 			entries.byDomain[domain] = append(entries.byDomain[domain], member.VM.CallAddress)
 		}
 	}
+	if len(entries.byDomain) == 0 {
+		if last := lastLeaving(table); last != nil {
+			entries.byDomain[last.VM.FailureDomain] = []string{last.VM.CallAddress}
+		}
+	}
 	return entries
 }
 
+// lastLeaving returns the daemon that began to leave last, nil if none does. While no other accepts
+// callers' requests, it does so for the longest time.
+func lastLeaving(table *berylmember.Table) *berylmember.Member {
+	var last *berylmember.Member
+	for _, member := range table.Members() {
+		leaving := !member.LeavingSince.IsZero() && member.Rumour.Status != berylmember.Dead && member.VM.CallAddress != ""
+		if leaving && (last == nil || member.LeavingSince.After(last.LeavingSince)) {
+			last = member
+		}
+	}
+	return last
+}
+
 // maxWeight bounds how often one address is listed.
 const maxWeight = 5
 
