--- a/io/beryledge/overload_test.go
+++ b/io/beryledge/overload_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 	"github.com/tailscale/hujson"
 
@@ -87,7 +88,7 @@
 	target := newTestTarget(t, "d1", sealed(http.StatusOK, "done"))
 	daemon, _ := startServingWith(t, map[string]*testTarget{"desk": target}, costlyDialect{testDialect{testCatalog()}, cpu})
 	go cpu.contend(daemon)
-	run := &overloadRun{address: daemon.settings.CallersAddress}
+	run := &overloadRun{address: daemon.settings.CallersAddress, unanswered: make(map[string]int)}
 	defer run.closePartial()
 	for number, phase := range script.Phases {
 		cpu.cost.Store(phase.CostMillis * int64(time.Millisecond))
@@ -101,16 +102,25 @@
 		}
 	}
 	run.callers.Wait()
-	require.Zero(t, run.unanswered.Load(), "requests were rejected without a Retry-After")
+	require.Empty(t, run.unanswered, "requests were rejected without a Retry-After")
 	require.Equal(t, run.served.Load(), target.seen.Load(), "rejected requests reached the target")
 }
 
 // overloadRun is one run of a script.
 type overloadRun struct {
-	address            string
-	callers            sync.WaitGroup
-	served, unanswered atomic.Int64
-	partial            []net.Conn
+	address string
+	callers sync.WaitGroup
+	served  atomic.Int64
+	partial []net.Conn
+	// unanswered counts the requests without a valid answer by what came instead.
+	mutex      sync.Mutex
+	unanswered map[string]int
+}
+
+func (run *overloadRun) countUnanswered(what string) {
+	run.mutex.Lock()
+	defer run.mutex.Unlock()
+	run.unanswered[what]++
 }
 
 // tally counts one organisation's requests in one phase.
@@ -158,12 +168,15 @@
 	run.callers.Add(1)
 	go func() {
 		defer run.callers.Done()
-		switch status, retryAfter := sendRaw(run.address, organisationKeys[organisation], id); {
+		status, retryAfter, err := tryRaw(run.address, "/file/x", organisationKeys[organisation], id)
+		switch {
 		case status == http.StatusOK:
 			tally.served.Add(1)
 			run.served.Add(1)
+		case err != nil:
+			run.countUnanswered(err.Error())
 		case status != http.StatusServiceUnavailable || retryAfter == "":
-			run.unanswered.Add(1)
+			run.countUnanswered(fmt.Sprintf("status %d, Retry-After %q", status, retryAfter))
 		}
 	}()
 }
@@ -189,22 +202,32 @@
 
 // sendRawTo is sendRaw with a path.
 func sendRawTo(address, path, key, id string) (status int, retryAfter string) {
+	status, retryAfter, _ = tryRaw(address, path, key, id)
+	return status, retryAfter
+}
+
+// tryRaw is sendRawTo with the error; what differs between connections is left out of it.
+func tryRaw(address, path, key, id string) (status int, retryAfter string, err error) {
 	conn, err := net.DialTimeout("tcp", address, time.Second)
 	if err != nil {
-		return 0, ""
+		return 0, "", errors.Errorf("cannot connect: %v", errors.Cause(err))
 	}
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(4 * time.Second))
 	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h.example\r\nX-Id: %s\r\nX-Key: %s\r\nX-Left: 4000\r\nContent-Length: 8\r\n\r\na letter", path, id, key)
 	if err != nil {
-		return 0, ""
+		return 0, "", errors.New("cannot send")
 	}
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	if err != nil {
-		return 0, ""
+	var timeout net.Error
+	switch {
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return 0, "", errors.New("no answer in time")
+	case err != nil:
+		return 0, "", errors.New("connection closed without an answer")
 	}
 	_ = response.Body.Close()
-	return response.StatusCode, response.Header.Get("Retry-After")
+	return response.StatusCode, response.Header.Get("Retry-After"), nil
 }
 
 // Guards against a CPU-starved VM that rejects requests regardless of their organisation:
