--- a/io/beryledge/meters.go
+++ b/io/beryledge/meters.go
@@ -29,7 +29,7 @@
 	streamsAborted                                             *metrics.Counter
 	callersDisconnected                                        *metrics.Counter
 	shed                                                       *metrics.Counter
-	// requestsCut counts the requests that ended without an answer because the daemon stopped.
+	// requestsCut counts the requests that the end of a planned stop cut.
 	requestsCut *metrics.Counter
 	rejections  *rejections
 	// pulls and pulledBytes count the requests for changes of the feeds and what they
--- a/soak/stops.go
+++ b/soak/stops.go
@@ -18,7 +18,7 @@
 	// killSlack is how long after its time to stop a process is killed where that is not what is
 	// judged.
 	killSlack = time.Second
-	// keptTTLs is how many times as long as told some callers keep addresses.
+	// keptTTLs is how many times as long as told callers keep addresses.
 	keptTTLs = 3
 	// stopSlots are the slots of targets; long requests hold them for seconds.
 	stopSlots = 64
