--- a/review/stand-2/storm.go
+++ b/review/stand-2/storm.go
@@ -106,8 +106,7 @@
 	if err := configuration.Publish(world.store); err != nil {
 		return err
 	}
-	size := len(world.store.Value("op/config"))
-	world.note("configuration %d of %d bytes is confirmed, key %v", version, size, withKey)
+	world.note("configuration %d with %d tenants is confirmed, key %v", version, len(configuration.Organisations), withKey)
 	return nil
 }
 
--- a/review/stand-2/world.go
+++ b/review/stand-2/world.go
@@ -16,6 +16,7 @@
 
 	"github.com/pkg/errors"
 
+	berylbinding "berylspoke/platform"
 	"berylspoke/platform/beryldouble"
 )
 
@@ -156,7 +157,7 @@
 	}
 	defer func() { _ = log.Close() }()
 	command := exec.Command(daemon.world.program, "edge", "-metrics", fmt.Sprint(metricsPort))
-	command.Env = append(os.Environ(), "BERYLSPOKE_CONFIG="+daemon.settings)
+	command.Env = append(os.Environ(), berylbinding.SettingsVariable+"="+daemon.settings)
 	command.Stdout, command.Stderr = log, log
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := command.Start(); err != nil {
