Streams of no certain build go on at no other target

While the store is unread after a cut, all engines are doubtful; a stream that begins at one has no certain build, and when its engine broke it went on at any other doubtful engine: NoBuild was an ordinary value, and the gate compared it with ==.

Build has one value for 'not certain', which Fits nothing, and a request says by a field of its own that it continues a stream, so that zero no longer means 'any'. Related paths: KV cache isn't fetched between engines that are not certainly of one build (both were compared by the published one); the label of a resumption compares builds, not version strings that may be empty; a peer's record without a build is uncertain instead of invalid.

Tests that set the needed build now say that the request continues; their checks are as they were.

--- a/catalog.go
+++ b/catalog.go
@@ -182,7 +182,7 @@
 	} else {
 		_, _ = fmt.Fprintf(digest, "\x00version\x00%s", target.Version)
 	}
-	return Build(max(digest.Sum64(), uint64(NoBuild)+1))
+	return Build(max(digest.Sum64(), 1))
 }
 
 // Revision counts the changes of the store within one era.
--- a/core/berylgate/builds_test.go
+++ b/core/berylgate/builds_test.go
@@ -37,7 +37,7 @@
 			gate.Tick(now)
 			began := rapid.SampledFrom(gate.sorted).Draw(t, "began")
 			request := newRequest(now, "o", berylspoke.PromptSegment{ID: 1, Tokens: 3000}, berylspoke.PromptSegment{ID: 2, Tokens: 100})
-			request.Build, request.MaxAttempts = began.build, 4
+			request.Continues, request.Build, request.MaxAttempts = true, began.build, 4
 			for range 4 {
 				decision := gate.Submit(now, request)
 				if decision.Refusal != nil {
@@ -61,7 +61,7 @@
 	gate := newGate(now, 1, 0, false)
 	declareBuilds(now, gate, "v1", "v2")
 	request := newRequest(now, "o")
-	request.Build = gate.targets["t-0"].build
+	request.Continues, request.Build = true, gate.targets["t-0"].build
 	declareBuilds(now, gate, "v3", "v2")
 	refusal := gate.Submit(now, request).Refusal
 	require.Equal(t, berylspoke.ReasonBuildGone, refusal.Reason)
@@ -83,17 +83,40 @@
 	now = now.Add(maxPause)
 	gate.Tick(now)
 	begins, goesOn := newRequest(now, "o"), newRequest(now, "o")
-	goesOn.Build = build
+	goesOn.Continues, goesOn.Build = true, build
 	require.NotNil(t, gate.Submit(now, goesOn).Refusal)
-	require.Equal(t, berylspoke.NoBuild, gate.Submit(now, begins).Build, "a stream that begins there cannot go on elsewhere")
+	require.False(t, gate.Submit(now, begins).Build.Certain(), "a stream that begins there cannot go on elsewhere")
 	gate.AttemptEnded(now, begins, Succeeded)
 	gate.SetTargetsAsOf(now)
 	require.Equal(t, build, gate.Submit(now, newRequest(now, "o")).Build)
 	goesOn = newRequest(now, "o")
-	goesOn.Build = build
+	goesOn.Continues, goesOn.Build = true, build
 	require.Nil(t, gate.Submit(now, goesOn).Refusal)
 }
 
+// Guards against a stream of no certain build that goes on at another target of none, whatever the
+// versions of both: what is not certain is not the same.
+func TestStreamOfADoubtfulTargetGoesOnAtNone(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		gate := newGate(now, 1, 0, false)
+		declareBuilds(now, gate, rapid.SliceOfN(rapid.SampledFrom([]berylspoke.SoftwareVersion{"", "v1", "v2"}), 1, 6).Draw(t, "versions")...)
+		for _, target := range gate.sorted {
+			target.refusedAt = now
+		}
+		request := newRequest(now, "o")
+		request.MaxAttempts = 3
+		decision := gate.Submit(now, request)
+		require.Nil(t, decision.Refusal)
+		gate.AttemptEnded(now, request, Broken)
+		request.Continues, request.Build = true, decision.Build
+		require.NotNil(t, gate.Submit(now, request).Refusal)
+		again := newRequest(now, "o")
+		again.Continues, again.Build = true, decision.Build
+		require.NotNil(t, gate.Submit(now, again).Refusal)
+	})
+}
+
 // Guards against streams at a doubtful target while another can serve them.
 func TestDoubtfulTargetGetsStreamsOnlyIfNoOtherCan(t *testing.T) {
 	now := time.Unix(1000, 0)
@@ -120,7 +143,7 @@
 		require.EqualValues(t, "t-0", gate.Submit(now, newRequest(now, "o")).Target.ID)
 	}
 	goesOn := newRequest(now, "o")
-	goesOn.Build = held
+	goesOn.Continues, goesOn.Build = true, held
 	require.EqualValues(t, "t-1", gate.Submit(now, goesOn).Target.ID)
 	gate.targets["t-0"].pausedUntil = now.Add(time.Second)
 	require.EqualValues(t, "t-1", gate.Submit(now, newRequest(now, "o")).Target.ID)
@@ -145,10 +168,10 @@
 		require.Less(t, i, 1000, "no request is refused")
 	}
 	goesOn := newRequest(now, "o", segment(i+1))
-	goesOn.Build = gate.targets["t-0"].build
+	goesOn.Continues, goesOn.Build = true, gate.targets["t-0"].build
 	require.NotNil(t, gate.Submit(now, goesOn).Refusal)
 	goesOn = newRequest(now, "o", segment(i+1))
-	goesOn.Build, goesOn.Claimed = gate.targets["t-0"].build, true
+	goesOn.Continues, goesOn.Build, goesOn.Claimed = true, gate.targets["t-0"].build, true
 	decision := gate.Submit(now, goesOn)
 	require.Nil(t, decision.Refusal)
 	require.Equal(t, goesOn.Build, decision.Target.Build())
--- a/core/berylgate/choose.go
+++ b/core/berylgate/choose.go
@@ -50,7 +50,7 @@
 	// Target is where the request is sent; Refusal is set if it is not sent.
 	Target  berylspoke.Target
 	Refusal *berylspoke.Refusal
-	// Build is the target's build, or NoBuild if it may have restarted with another.
+	// Build is the target's build, zero if it may have restarted with another.
 	Build berylspoke.Build
 	// CertainBefore is the time before which connections were opened that lead to this run of
 	// the target.
@@ -246,9 +246,9 @@
 		gate.allows(request.Regions, target) && gate.withinColdBudget(now, target)
 }
 
-// fits reports whether a target is certainly of the build that the request needs.
+// fits reports whether a target may go on with the stream that the request continues, if any.
 func (gate *Gate) fits(target *target, request *Request) bool {
-	return request.Build == 0 || request.Build == gate.certainBuild(target)
+	return !request.Continues || request.Build.Fits(gate.certainBuild(target))
 }
 
 // preferred reports whether a target is usable and, for a stream, not doubtful: if it breaks, a
--- a/core/berylgate/doubt.go
+++ b/core/berylgate/doubt.go
@@ -29,10 +29,10 @@
 	return gate.targetsAsOf.Add(-publishDelay)
 }
 
-// certainBuild returns the build of a target, or NoBuild if it is doubtful.
+// certainBuild returns the build of a target, zero if it is doubtful.
 func (gate *Gate) certainBuild(target *target) berylspoke.Build {
 	if gate.doubtful(target) {
-		return berylspoke.NoBuild
+		return 0
 	}
 	return target.build
 }
--- a/core/berylgate/gate.go
+++ b/core/berylgate/gate.go
@@ -48,9 +48,10 @@
 	Segments []berylspoke.PromptSegment
 	// Regions are the regions whose targets may serve the request.
 	Regions berylspoke.Regions
-	// Build is the build of the only targets that may serve the request, zero for all: it
-	// continues a stream that a target of this build began.
-	Build berylspoke.Build
+	// Continues is set if the request continues a stream. Only targets of the build that began the
+	// stream may serve it, and none if that is not certain.
+	Continues bool
+	Build     berylspoke.Build
 	// Claimed requests continue a stream that is known to have begun: they are not limited by
 	// the queue at targets, nor by the usage of their organisation, which paid for the stream.
 	Claimed bool
@@ -298,7 +299,7 @@
 
 // holds reports whether a target gets a request only if no other can serve it.
 func (gate *Gate) holds(now time.Time, target *target, request *Request) bool {
-	return request.Kind == berylspoke.Streaming && request.Build == 0 && now.Before(gate.held[target.build])
+	return request.Kind == berylspoke.Streaming && !request.Continues && now.Before(gate.held[target.build])
 }
 
 // expireHeld drops the builds that are no longer held.
--- a/core/berylgate/parts.go
+++ b/core/berylgate/parts.go
@@ -112,14 +112,14 @@
 	return nil
 }
 
-// worthFetching reports whether fetching tokens from another target of the same build costs less
-// than computing them.
+// worthFetching reports whether fetching tokens from another target, which is certainly of the same
+// build, costs less than computing them.
 func (gate *Gate) worthFetching(now time.Time, to, from *target, tokens berylspoke.Tokens) bool {
 	minTokens := minFetchTokens
 	if gate.targetScope(to, from) == fleetScope {
 		minTokens = minCrossRegionFetchTokens
 	}
-	return from != to && from.build == to.build && tokens >= minTokens && from.responsive(now) && !from.resting
+	return from != to && gate.certainBuild(to).Fits(gate.certainBuild(from)) && tokens >= minTokens && from.responsive(now) && !from.resting
 }
 
 func (gate *Gate) targetScope(one, other *target) scope {
--- a/core/berylgate/parts_test.go
+++ b/core/berylgate/parts_test.go
@@ -66,13 +66,27 @@
 		gate.SetTarget(now, changed)
 	}
 	request := newRequest(now, "o", segments...)
-	request.Build = berylspoke.Target{Service: drafts, Version: "v2"}.Build()
+	request.Continues, request.Build = true, berylspoke.Target{Service: drafts, Version: "v2"}.Build()
 	decision := gate.Submit(now, request)
 	require.Nil(t, decision.Refusal)
 	require.NotEqual(t, home.ID, decision.Target.ID)
 	require.Nil(t, decision.CacheSource)
 }
 
+// Guards against KV cache that another build wrote, as two doubtful engines count as alike.
+func TestCacheIsNotFetchedFromADoubtfulEngine(t *testing.T) {
+	now := time.Unix(0, 0)
+	gate := newSpreadGate(now)
+	prompt := gate.prompt(gate.pools[drafts], &Request{Segments: []berylspoke.PromptSegment{{ID: 7, Tokens: 5000}, {ID: 8, Tokens: 3000}}})
+	to, from := gate.targets["t-2"], gate.targets["t-4"]
+	prompt.homes = [scopeCount]*target{fleetScope: from}
+	require.NotNil(t, gate.cacheSource(now, to, prompt))
+	from.refusedAt = now
+	require.Nil(t, gate.cacheSource(now, to, prompt))
+	to.refusedAt = now
+	require.Nil(t, gate.cacheSource(now, to, prompt))
+}
+
 // Of several engines that have a prefix cached, the nearest is the source: between
 // regions the latency is high and the link narrow. A silent or failed engine is not used,
 // as the request would wait for it; a draining one still has its cache.
--- a/core/berylgate/rest.go
+++ b/core/berylgate/rest.go
@@ -101,9 +101,9 @@
 // caller is told to return when the first of them is back; if all of the build that it needs
 // have left, it is told no time.
 func (gate *Gate) refuseUnplaced(now time.Time, pool *pool, request *Request) Decision {
-	wait, found, gone := time.Duration(0), false, request.Build != 0
+	wait, found, gone := time.Duration(0), false, request.Continues
 	for _, target := range pool.targets {
-		gone = gone && request.Build != target.build
+		gone = gone && !request.Build.Fits(target.build)
 		if !gate.fits(target, request) || target.Draining || request.tried[target.ID] || !gate.allows(request.Regions, target) {
 			continue
 		}
--- a/core/berylmodel/streams.go
+++ b/core/berylmodel/streams.go
@@ -311,7 +311,7 @@
 func (streams *streams) begins(now time.Time, stream *modelStream, entry int, engine berylspoke.TargetID) {
 	state, tally := streams.entries[entry], &streams.fleet.result.Streams
 	build := streams.engines[engine].Build()
-	if stream.build == 0 {
+	if !stream.build.Certain() {
 		tally.Began++
 		stream.build = build
 	} else {
@@ -408,12 +408,13 @@
 	})
 }
 
-// goOn sends what remains of a stream to an engine of a build, or of any if it is zero.
+// goOn sends what remains of a stream to an engine of a build, or of any if the options say so.
 func (streams *streams) goOn(now time.Time, stream *modelStream, entry int, build berylspoke.Build) {
 	arrival := stream.arrival
 	arrival.Entry = entry
 	streams.fleet.send(now, arrival, stream, func(request *berylgate.Request) {
-		request.Build, request.Claimed = build, build != 0
+		request.Continues = stream.build.Certain() && !streams.options.AnyBuild
+		request.Build, request.Claimed = build, build.Certain()
 	})
 }
 
--- a/core/berylorigin/origin_test.go
+++ b/core/berylorigin/origin_test.go
@@ -36,7 +36,7 @@
 	records.Add(now.Add(Memory), Record{one, 7})
 	build, found = records.Find(now.Add(Memory), one)
 	require.True(t, found)
-	require.Equal(t, berylspoke.NoBuild, build)
+	require.False(t, build.Certain())
 	_, found = records.Find(now, other)
 	require.False(t, found)
 }
--- a/core/berylorigin/records.go
+++ b/core/berylorigin/records.go
@@ -15,8 +15,8 @@
 	maxRecords = 1 << 14
 )
 
-// Record says which build began a stream. It is berylspoke.NoBuild if that is not certain, which
-// no later record changes.
+// Record says which build began a stream. It is zero if that is not certain, which no later
+// record changes.
 type Record struct {
 	Key   Key
 	Build berylspoke.Build
@@ -38,8 +38,8 @@
 // Add adds a record. If the key is known with another build, the build is not certain.
 func (records *Records) Add(now time.Time, record Record) {
 	records.expire(now)
-	if known, found := records.find(record.Key); found && known != record.Build {
-		record.Build = berylspoke.NoBuild
+	if known, found := records.find(record.Key); found && !known.Fits(record.Build) {
+		record.Build = 0
 	}
 	records.young[record.Key] = record.Build
 }
--- a/ids.go
+++ b/ids.go
@@ -31,11 +31,15 @@
 type SoftwareVersion string
 
 // Build identifies a version of the software of one service. What targets of two builds write
-// does not fit together. Zero means unknown.
+// does not fit together. The zero value is a build that is not certain. It is not comparable with
+// ==, by which two builds that are not certain would be the same: use Fits.
 type Build uint64
 
-// NoBuild is the build of no target: what is not certain fits none.
-const NoBuild Build = 1
+// Certain reports whether it is known which build it is.
+func (build Build) Certain() bool { return build != 0 }
+
+// Fits reports whether what targets of both builds write is certain to fit together.
+func (build Build) Fits(other Build) bool { return build.Certain() && build == other }
 
 // String returns the build in hexadecimal.
 func (build Build) String() string { return strconv.FormatUint(uint64(build), 16) }
--- a/io/beryledge/actor.go
+++ b/io/beryledge/actor.go
@@ -59,9 +59,10 @@
 	}
 	submit struct {
 		request *berylgate.Request
-		// build is the build that the request needs from now on, zero for any.
-		build    berylspoke.Build
-		decision chan berylgate.Decision
+		// continues and build say which targets may serve the request from now on.
+		continues bool
+		build     berylspoke.Build
+		decision  chan berylgate.Decision
 	}
 	reserve struct {
 		request *berylgate.Request
@@ -233,7 +234,7 @@
 		// The daemon's address of the actor is not set when Started arrives.
 		return
 	case submit:
-		message.request.Build = message.build
+		message.request.Continues, message.request.Build = message.continues, message.build
 		message.decision <- core.submit(now, message.request)
 	case reserve:
 		message.granted <- core.gate.ReserveRetry(now, message.request)
--- a/io/beryledge/callers.go
+++ b/io/beryledge/callers.go
@@ -248,7 +248,7 @@
 func (call *call) askCore() berylgate.Decision {
 	submitted := time.Now()
 	reply := make(chan berylgate.Decision, 1)
-	call.daemon.send(submit{call.request, call.stream.build, reply})
+	call.daemon.send(submit{call.request, call.stream.continues(), call.stream.build, reply})
 	decision := <-reply
 	call.daemon.pressure.observe(time.Since(submitted))
 	return decision
--- a/io/beryledge/continuation.go
+++ b/io/beryledge/continuation.go
@@ -48,7 +48,7 @@
 func (call *call) logResumption(decision berylgate.Decision) {
 	began, next := call.stream.began, decision.Target
 	kind := resumedAtOtherVersion
-	if next.Version == began.Version {
+	if next.Build().Fits(began.Build()) {
 		kind = resumedAtSameVersion
 	}
 	call.daemon.meters.continuations[kind].Inc()
@@ -119,7 +119,7 @@
 		call.refuse(http.StatusServiceUnavailable, berylspoke.ReasonBuildGone, 0, fields...)
 		return false
 	}
-	call.stream.build, call.request.Service = found.build, service
+	call.stream.takenUp, call.stream.build, call.request.Service = true, found.build, service
 	if found.source == ownRecord || found.source == toldRecord {
 		call.request.Claimed = call.daemon.origins.claim(time.Now(), call.streamKey())
 	}
@@ -154,7 +154,7 @@
 		own.Known = false
 	}
 	switch {
-	case own.Known && own.Build == berylspoke.NoBuild:
+	case own.Known && !own.Build.Certain():
 		return origin{source: uncertainOrigin}
 	case own.Known:
 		return origin{build: own.Build, source: ownRecord}
@@ -199,11 +199,11 @@
 	answer := received.answer
 	switch {
 	case answer.Known && call.info.Resumes != "":
-		if answer.Build == berylspoke.NoBuild {
+		if !answer.Build.Certain() {
 			return origin{source: uncertainOrigin, from: received.from}, true
 		}
 		return origin{build: answer.Build, source: toldRecord, from: received.from}, true
-	case answer.Only && answer.Build != 0:
+	case answer.Only && answer.Build.Certain():
 		return origin{build: answer.Build, source: toldOnlyBuild, from: received.from}, true
 	}
 	return origin{}, false
@@ -218,7 +218,7 @@
 	told := call.daemon.origins.begin(time.Now(), key, target, decision.Build, call.onlyService() != "")
 	call.stream.key, call.stream.recorded = key, true
 	call.daemon.log.Debug("stream begins", zap.String("request", string(call.info.ID)), zap.Stringer("key", key),
-		zap.String("version", string(target.Version)), zap.Bool("certain", decision.Build != berylspoke.NoBuild), zap.Bool("told", told))
+		zap.String("version", string(target.Version)), zap.Bool("certain", decision.Build.Certain()), zap.Bool("told", told))
 }
 
 // endStream records that the stream has ended or may be taken up.
@@ -232,7 +232,7 @@
 // its id, with another version, since the targets were known. A target that does not tell is
 // taken for the known one.
 func (call *call) identity(decision berylgate.Decision) *berylconn.Identity {
-	if call.stream.build == 0 {
+	if !call.stream.continues() {
 		return nil
 	}
 	dialect, meters := call.daemon.dialect, call.daemon.meters
--- a/io/beryledge/origins.go
+++ b/io/beryledge/origins.go
@@ -87,8 +87,8 @@
 	started := time.UnixMilli(target.Started)
 	for _, stream := range origins.running {
 		otherRun := stream.target.ID == target.ID && stream.target.Started != target.Started
-		if otherRun && stream.build != target.Build() && !started.After(stream.began.Add(clockSlack)) {
-			stream.build, stream.told = berylspoke.NoBuild, false
+		if otherRun && !stream.build.Fits(target.Build()) && !started.After(stream.began.Add(clockSlack)) {
+			stream.build, stream.told = 0, false
 		}
 	}
 }
@@ -168,7 +168,7 @@
 			known = origins.versions.Settled(now, stream.service)
 			settled[stream.service] = known
 		}
-		if stream.told || known && stream.build != berylspoke.NoBuild {
+		if stream.told || known && stream.build.Certain() {
 			continue
 		}
 		stream.told = true
--- a/io/beryledge/stream.go
+++ b/io/beryledge/stream.go
@@ -32,7 +32,9 @@
 	// last is the id of the last event forwarded, if numbered.
 	last     int64
 	numbered bool
-	// build is the build that began the stream, zero if it has not begun; began is the target
+	// takenUp is set if another answer brought the stream's first events.
+	takenUp bool
+	// build is the build that began the stream, zero if that is not certain; began is the target
 	// that wrote the first event of this answer.
 	build berylspoke.Build
 	began berylspoke.Target
@@ -48,6 +50,9 @@
 	idField  = []byte("id:")
 )
 
+// continues reports whether the next attempt continues a stream.
+func (stream *stream) continues() bool { return stream.started || stream.takenUp }
+
 // forwardStream forwards the events of an answer as they arrive, but only complete ones:
 // an engine may fail in the middle of an event, and the stream is then resumed at
 // another engine after the last complete one.
--- a/io/beryledge/versions_test.go
+++ b/io/beryledge/versions_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"berylspoke"
+	"berylspoke/core/berylgate"
 	"berylspoke/core/berylorigin"
 )
 
@@ -72,6 +73,34 @@
 	}
 }
 
+// Guards against a stream that holds events of two versions: its engine was doubtful, as is the one
+// that goes on with it, so that neither's version is certain.
+func TestStreamOfNoCertainBuildGoesOnAtNoOtherEngine(t *testing.T) {
+	one := newTestTarget(t, "e1", versionedEvents("v1", 2, false))
+	two := newTestTarget(t, "e2", versionedEvents("v2", 2, false))
+	daemon, store := startServing(t, map[string]*testTarget{"engines#1": one})
+	store.putEngine(two, "v2")
+	awaitTargets(t, daemon, 2)
+	refuseConnections := func() {
+		daemon.inspectCore(func(now time.Time, core *core) {
+			request := &berylgate.Request{Service: "engines", Kind: berylspoke.Streaming, Arrived: now, Objective: time.Minute, MaxAttempts: 2}
+			for range 2 {
+				require.Nil(t, core.gate.Submit(now, request).Refusal)
+				core.gate.AttemptEnded(now, request, berylgate.Unreachable)
+			}
+		})
+	}
+	store.down.Store(true)
+	refuseConnections()
+	for i := range 6 {
+		// The pause after a refused connection ends before the store answers again.
+		time.Sleep(300 * time.Millisecond)
+		_, text, err := send(t, daemon, http.MethodPost, "/resume/x", fmt.Sprint("id-", i), "prompt")
+		require.Error(t, err)
+		require.Len(t, versionsIn(text), 1, text)
+	}
+}
+
 // awaitTargets waits until a daemon knows a number of targets.
 func awaitTargets(t *testing.T, daemon *Daemon, count int) {
 	require.Eventually(t, func() bool {
--- a/io/berylpeer/peer_test.go
+++ b/io/berylpeer/peer_test.go
@@ -69,7 +69,7 @@
 			}}},
 			Clearings: []berylquarantine.ClearingNotice{{Digest: 9, Age: 10 * time.Microsecond}},
 		},
-		berylorigin.Began{Records: []berylorigin.Record{{Key: berylorigin.KeyOf("clergy", "9c41"), Build: 1 << 63}, {Key: berylorigin.KeyOf("union", "9c41"), Build: berylspoke.NoBuild}}},
+		berylorigin.Began{Records: []berylorigin.Record{{Key: berylorigin.KeyOf("clergy", "9c41"), Build: 1 << 63}, {Key: berylorigin.KeyOf("union", "9c41"), Build: 0}}},
 		berylorigin.Question{Key: berylorigin.KeyOf("clergy", "9c41"), Service: "pens"},
 		berylorigin.Answer{Key: berylorigin.KeyOf("clergy", "9c41"), Known: true, Build: 1 << 63, Only: true},
 		berylgate.Report{
--- a/io/berylpeer/wireorigin.go
+++ b/io/berylpeer/wireorigin.go
@@ -30,7 +30,7 @@
 	var began berylorigin.Began
 	for _, item := range wire.List {
 		if key, valid := streamKey(item.Key); valid {
-			began.Records = append(began.Records, berylorigin.Record{Key: key, Build: build(item.Build)})
+			began.Records = append(began.Records, berylorigin.Record{Key: key, Build: berylspoke.Build(item.Build)})
 		}
 	}
 	return began
@@ -56,7 +56,6 @@
 
 func (wire *wireOriginAnswer) message(berylspoke.VMID) berylspoke.Message {
 	key, valid := streamKey(wire.Key)
-	valid = valid && wire.Build != 0
 	return berylorigin.Answer{Key: key, Known: wire.Known && valid, Only: wire.Only && valid, Build: berylspoke.Build(wire.Build)}
 }
 
@@ -65,8 +64,3 @@
 	var key berylorigin.Key
 	return key, copy(key[:], body) == len(key) && len(body) == len(key)
 }
-
-// build returns the build of a record; a record of no build is not certain.
-func build(number uint64) berylspoke.Build {
-	return max(berylspoke.Build(number), berylspoke.NoBuild)
-}
