A crash of another cause beside a bad part locks nobody out

Cause: a crash counts against all that its request held, so what all requests share has one crash too many and explains those of the bad part; and the verdict refuses each request that could refute it until retrialInterval.

A suspect with no more than CrashThreshold crashes and one that all but one of them had are now not told apart, so that requests with one of them run one at a time. Requests that a verdict refuses are tried 1 s after its last crash and 6 s after one more, one daemon first, not with a suspect of the last crash. So a wrong verdict falls with the next sound request, and a right one costs at most the two crashes that the bound of five leaves. What is as a whole what crashed engines isn't tried early.

Log lines say what is sent alone and how many rivals a verdict has.

--- a/core/berylquarantine/quarantine_test.go
+++ b/core/berylquarantine/quarantine_test.go
@@ -338,3 +338,79 @@
 		require.Equal(t, 1, tried, fmt.Sprint("interval ", interval))
 	}
 }
+
+// tenant is an organisation whose requests share parts, one of which is bad where it is present, in
+// a fleet of daemons that tell each other what they learn at once.
+type tenant struct {
+	daemons []*Quarantine
+	shared  []Digest
+	next    Digest
+	run     TargetRun
+	crashes int
+	last    time.Time
+}
+
+// bad is the part that crashes targets.
+const bad = Digest(9)
+
+// send sends a request at a daemon and reports whether it began. One with the bad part crashes its
+// target, as any does if other is set.
+func (tenant *tenant) send(now time.Time, daemon int, part Digest, other bool) bool {
+	tenant.next++
+	digests := append(slices.Clone(tenant.shared), part, 1_000_000+tenant.next)
+	ruling, _ := tenant.daemons[daemon].Judge(now, digests, 1)
+	if ruling == Refuse {
+		return false
+	}
+	defer exchangeAll(now, tenant.daemons)
+	defer tenant.daemons[daemon].Ended(digests)
+	if part == bad || other {
+		tenant.run++
+		tenant.last = now.Add(200 * time.Millisecond)
+		if part == bad {
+			tenant.crashes++
+		}
+		tenant.daemons[daemon].Crashed(tenant.last, Crash{Run: tenant.run, At: tenant.last, Sent: now, Organisation: 1, Digests: digests})
+		return false
+	}
+	tenant.daemons[daemon].Begun(now.Add(100*time.Millisecond), digests)
+	return true
+}
+
+// Guards against an organisation that is locked out as one or two targets crashed for other reasons
+// beside a part that crashes them: what all its requests share is blamed, and nothing can clear it.
+func TestCrashesOfOtherCausesBesideABadPartLockNobodyOut(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tenant := &tenant{daemons: newFleet(), next: 0}
+		for i := range rapid.IntRange(1, 3).Draw(t, "shared") {
+			tenant.shared = append(tenant.shared, Digest(1+i))
+		}
+		start := time.Unix(1000, 0)
+		soundGap := time.Duration(rapid.IntRange(400, 5000).Draw(t, "sound gap")) * time.Millisecond
+		others := rapid.IntRange(1, 2).Draw(t, "other causes")
+		nextSound, nextBad := start, start.Add(time.Duration(rapid.IntRange(0, 6000).Draw(t, "bad from"))*time.Millisecond)
+		sent, began := 0, 0
+		for now := start; sent < 20 && now.Before(start.Add(5*time.Minute)); now = now.Add(50 * time.Millisecond) {
+			daemon := rapid.IntRange(0, 2).Draw(t, "daemon")
+			if !now.Before(nextSound) {
+				nextSound = now.Add(soundGap)
+				judged := others == 0 && !tenant.last.IsZero() && now.Sub(tenant.last) >= 8*time.Second
+				begins := tenant.send(now, daemon, 100_000+tenant.next, others > 0)
+				others = max(others-1, 0)
+				if judged {
+					sent++
+				}
+				if judged && begins {
+					began++
+				}
+			}
+			if !now.Before(nextBad) {
+				tenant.send(now, daemon, bad, false)
+				nextBad = now.Add(350 * time.Millisecond)
+			}
+		}
+		require.LessOrEqual(t, tenant.crashes, 5)
+		require.Equal(t, 20, sent)
+		require.GreaterOrEqual(t, float64(began), 0.9*float64(sent))
+	})
+}
--- a/core/berylquarantine/verdicts.go
+++ b/core/berylquarantine/verdicts.go
@@ -17,12 +17,20 @@
 	// maxDoublings times.
 	retrialInterval = Retention
 	maxDoublings    = 4
+	// trialRamp is the time after which twice as many daemons may try a request that a verdict
+	// refuses early. What one of them learns reaches the others within it.
+	trialRamp = time.Second
 	// maxTrial bounds the time for which a request runs alone.
 	maxTrial = 10 * time.Second
 	// trialRetryAfter is the delay after which one that runs alone has ended, most likely.
 	trialRetryAfter = 300 * time.Millisecond
 )
 
+// earlyTrials are the times from the last crash of a verdict after which requests that it refuses are
+// tried, one at a time, by its crashes beyond CrashThreshold. A verdict on what all requests of an
+// organisation hold may be due to crashes of other causes, and only such a request can tell.
+var earlyTrials = [...]time.Duration{time.Second, 6 * time.Second}
+
 // Ruling says what is done with a request.
 type Ruling uint8
 
@@ -41,6 +49,8 @@
 type Verdict struct {
 	// Digests are the suspects that the crashes do not tell apart, in ascending order.
 	Digests []Digest
+	// Rivals are other suspects that most of the crashes had.
+	Rivals []Digest
 	// Crashes is the number of crashes, Newest the time of the last.
 	Crashes int
 	Newest  time.Time
@@ -48,6 +58,7 @@
 	organisations map[OrganisationHash]bool
 	// retrialAfter is the time from Newest until a request is tried.
 	retrialAfter time.Duration
+	crashes      []*crash
 }
 
 // Verdicts are all verdicts of a daemon at a time. They do not change.
@@ -92,14 +103,15 @@
 	return verdict.organisations[organisation] || len(verdict.organisations) > 1
 }
 
-// Judge decides on a request. If it is refused, the duration is when it is worth trying again.
+// Judge decides on a request, whose digests end with that of the request as a whole. If it is refused,
+// the duration is when it is worth trying again.
 func (quarantine *Quarantine) Judge(now time.Time, digests []Digest, organisation OrganisationHash) (Ruling, time.Duration) {
 	verdicts := quarantine.Verdicts(now)
 	if len(verdicts.List) == 0 {
 		return Send, 0
 	}
 	if verdict := verdicts.Refuse(digests, organisation); verdict != nil {
-		if remaining, due := quarantine.retrial(now, verdict); !due {
+		if remaining, due := quarantine.trial(now, verdict, digests); !due {
 			return Refuse, remaining
 		}
 	}
@@ -131,6 +143,59 @@
 	}
 }
 
+// trial reports whether this daemon may try a request that a verdict refuses, or else when one may.
+func (quarantine *Quarantine) trial(now time.Time, verdict *Verdict, digests []Digest) (time.Duration, bool) {
+	remaining, due := quarantine.retrial(now, verdict)
+	if due {
+		return 0, true
+	}
+	after, early := quarantine.earlyTrial(verdict, digests)
+	if !early {
+		return remaining, false
+	}
+	passed := now.Sub(verdict.Newest) - after
+	if passed < 0 {
+		return -passed, false
+	}
+	ramp := int(passed / trialRamp)
+	if count := 1 << min(ramp, 16); count < len(quarantine.members) {
+		key := fmt.Sprint("trial ", verdict.Digests[0], " ", uint64(verdict.crashes[len(verdict.crashes)-1].run))
+		if !slices.Contains(berylmember.Ranked(key, quarantine.members, count), quarantine.self) {
+			return time.Duration(ramp+1)*trialRamp - passed, false
+		}
+	}
+	return 0, true
+}
+
+// earlyTrial returns the time from the last crash of a verdict after which a request that it refuses may
+// tell whether it is wrong, and false if it cannot. What is as a whole what crashed targets tells
+// nothing new, nor does a request with a suspect that could have caused the last crash in place of those
+// that are blamed. One with a suspect of several of the crashes waits for others.
+func (quarantine *Quarantine) earlyTrial(verdict *Verdict, digests []Digest) (time.Duration, bool) {
+	beyond := verdict.Crashes - CrashThreshold
+	if len(verdict.Rivals) > 0 {
+		beyond = min(beyond, len(earlyTrials)-1)
+	}
+	if beyond >= len(earlyTrials) || len(digests) == 0 || slices.Contains(verdict.Digests, digests[len(digests)-1]) {
+		return 0, false
+	}
+	after := earlyTrials[beyond]
+	newest := verdict.crashes[len(verdict.crashes)-1]
+	for _, digest := range digests {
+		if slices.Contains(verdict.Digests, digest) {
+			continue
+		}
+		shared := quarantine.evidence(digest).among(verdict.crashes)
+		if slices.Contains(shared, newest) {
+			return 0, false
+		}
+		if len(shared) > 1 {
+			after = 2 * earlyTrials[beyond]
+		}
+	}
+	return after, true
+}
+
 // retrial reports whether this daemon may try a request that a verdict refuses. In each interval
 // one daemon may.
 func (quarantine *Quarantine) retrial(now time.Time, verdict *Verdict) (time.Duration, bool) {
@@ -247,10 +312,44 @@
 		if len(best) == 0 {
 			return verdicts
 		}
-		verdicts.add(best, most)
+		verdicts.add(best, rivals(best, suspects), most)
 	}
 }
 
+// rivals returns the suspects that may have caused most of the crashes for which others are blamed, if
+// the rest are too few to blame anything: targets crash for other causes too, and what all
+// requests of an organisation hold is there whenever one does.
+func rivals(blamed, suspects []evidence) []Digest {
+	var found []Digest
+	most := 0
+	crashes := blamed[0].crashes
+	for _, suspect := range suspects {
+		if slices.ContainsFunc(blamed, func(other evidence) bool { return other.digest == suspect.digest }) {
+			continue
+		}
+		shared := len(suspect.among(crashes))
+		if rest := len(crashes) - shared; rest >= shared || rest >= CrashThreshold || shared < most {
+			continue
+		}
+		if shared > most {
+			found, most = nil, shared
+		}
+		found = append(found, suspect.digest)
+	}
+	return found
+}
+
+// among returns those of the given crashes that are evidence.
+func (evidence evidence) among(crashes []*crash) []*crash {
+	var found []*crash
+	for _, crash := range crashes {
+		if slices.Contains(evidence.crashes, crash) {
+			found = append(found, crash)
+		}
+	}
+	return found
+}
+
 func (verdicts *Verdicts) unexplained(crashes []*crash) []*crash {
 	var left []*crash
 	for _, crash := range crashes {
@@ -261,18 +360,27 @@
 	return left
 }
 
-// add adds a verdict on suspects that have the same crashes, of which some were successive.
-func (verdicts *Verdicts) add(suspects []evidence, successive int) {
-	verdict := Verdict{organisations: make(map[OrganisationHash]bool), retrialAfter: retrialInterval << min(successive-CrashThreshold, maxDoublings)}
+// add adds a verdict on suspects that have the same crashes, of which some were successive, and on
+// their rivals.
+func (verdicts *Verdicts) add(suspects []evidence, rivals []Digest, successive int) {
+	verdict := Verdict{
+		Rivals: rivals, organisations: make(map[OrganisationHash]bool),
+		retrialAfter: retrialInterval << min(successive-CrashThreshold, maxDoublings), crashes: suspects[0].crashes,
+	}
 	for _, suspect := range suspects {
 		verdict.Digests = append(verdict.Digests, suspect.digest)
 	}
+	if len(verdict.crashes) == CrashThreshold {
+		// Without one crash of another cause the rivals would be as suspect.
+		verdict.Digests = append(verdict.Digests, rivals...)
+		slices.Sort(verdict.Digests)
+	}
 	for _, crash := range suspects[0].crashes {
 		verdicts.explained[crash.run] = true
 		verdict.Crashes++
 		verdict.Newest = latest(verdict.Newest, crash.at)
 		for suspect := range crash.suspects {
-			if suspect.Digest == verdict.Digests[0] {
+			if suspect.Digest == suspects[0].digest {
 				verdict.organisations[suspect.Organisation] = true
 			}
 		}
--- a/io/beryledge/crashes.go
+++ b/io/beryledge/crashes.go
@@ -295,6 +295,9 @@
 		}}
 	}
 	request.Alone = ruling == berylquarantine.SendAlone
+	if request.Alone {
+		core.daemon.log.Info("request is sent alone to tell suspects apart", zap.String("request", string(request.ID)), digestsField(request.Digests))
+	}
 	decision := core.gate.Submit(now, request)
 	if decision.Refusal != nil {
 		core.endTrial(request)
@@ -328,7 +331,7 @@
 	for _, verdict := range verdicts.List {
 		if !before.Has(verdict) {
 			core.daemon.log.Info("requests are refused as they crash targets", digestsField(verdict.Digests),
-				zap.Int("crashes", verdict.Crashes), zap.Duration("lastCrash", now.Sub(verdict.Newest)))
+				zap.Int("rivals", len(verdict.Rivals)), zap.Int("crashes", verdict.Crashes), zap.Duration("lastCrash", now.Sub(verdict.Newest)))
 		}
 	}
 	for _, verdict := range before.List {
