Watches of any size are read, or else the store is listed

Cause: a watch brings each version in full, and an answer was cut at 8 MiB, so that its JSON was malformed; the same watch was then repeated, whose answer only grows.

After two watches that cannot be read the reader lists.

--- a/cmd/berylspoke/edge.go
+++ b/cmd/berylspoke/edge.go
@@ -78,6 +78,7 @@
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
 	store := berylbinding.NewStore(settings.StoreAddress)
+	store.Limit(settings.StoreValueBytes, settings.MemoryBytes)
 	daemon, err := beryledge.Start(settings, berylbinding.Dialect{}, store, berylbinding.Endpoints, log)
 	if err != nil {
 		return fail(err)
--- a/dialect.go
+++ b/dialect.go
@@ -35,6 +35,9 @@
 	// Era is the era of the answer unless EraUnknown is set.
 	Era        Era
 	EraUnknown bool
+	// Unreadable is set if an answer with items came that could not be read, or not in time or as a
+	// whole. The same call may fail alike for ever.
+	Unreadable bool
 	Cause      error
 }
 
--- a/io/beryledge/meters.go
+++ b/io/beryledge/meters.go
@@ -26,9 +26,11 @@
 	// store could not answer, storeEraUnknown the answers that do not state their era, and
 	// storeEraOld those of an era before the known one, which are not used.
 	storeLists, storeHistoryGone, storeEraUnknown, storeEraOld *metrics.Counter
-	streamsAborted                                             *metrics.Counter
-	callersDisconnected                                        *metrics.Counter
-	shed                                                       *metrics.Counter
+	// storeUnreadable counts the answers to watches that could not be read.
+	storeUnreadable     *metrics.Counter
+	streamsAborted      *metrics.Counter
+	callersDisconnected *metrics.Counter
+	shed                *metrics.Counter
 	// requestsCut counts the requests that the end of a planned stop cut.
 	requestsCut *metrics.Counter
 	rejections  *rejections
@@ -69,6 +71,7 @@
 		storeHistoryGone:    set.NewCounter("berylspoke_store_history_gone_total"),
 		storeEraUnknown:     set.NewCounter("berylspoke_store_era_unknown_total"),
 		storeEraOld:         set.NewCounter("berylspoke_store_era_old_total"),
+		storeUnreadable:     set.NewCounter("berylspoke_store_unreadable_total"),
 		streamsAborted:      set.NewCounter("berylspoke_streams_broken_off_total"),
 		callersDisconnected: set.NewCounter("berylspoke_callers_left_total"),
 		shed:                set.NewCounter("berylspoke_connections_shed_total"),
--- a/io/beryledge/reader_test.go
+++ b/io/beryledge/reader_test.go
@@ -72,6 +72,8 @@
 	switch next.Fails {
 	case "gone":
 		return berylspoke.StoreAnswer{}, &berylspoke.StoreError{Era: era, EraUnknown: next.Era == nil, Cause: berylspoke.ErrHistoryGone}
+	case "unreadable":
+		return berylspoke.StoreAnswer{}, &berylspoke.StoreError{Era: era, EraUnknown: next.Era == nil, Unreadable: true, Cause: errors.New("malformed")}
 	case "busy":
 		return berylspoke.StoreAnswer{}, &berylspoke.StoreError{Era: era, EraUnknown: next.Era == nil, Cause: errors.New("busy")}
 	}
@@ -80,7 +82,8 @@
 }
 
 // Guards against a reader that misses a return of the store from an older copy, or believes
-// one that did not happen, whichever call tells of it.
+// one that did not happen, whichever call tells of it, and against one that repeats a watch whose answer
+// it cannot read.
 func TestStoreReaderScripts(t *testing.T) {
 	body, err := os.ReadFile("testdata/reads.json")
 	require.NoError(t, err)
--- a/io/beryledge/settings.go
+++ b/io/beryledge/settings.go
@@ -44,6 +44,8 @@
 	EntryLifetime time.Duration
 	// StoreAddress is the address of the platform's store.
 	StoreAddress string
+	// StoreValueBytes bounds the value of one item of the store, zero for the usual size.
+	StoreValueBytes int64
 	// FleetKey is the shared key with which daemons authenticate to each other.
 	FleetKey string
 }
--- a/io/beryledge/store.go
+++ b/io/beryledge/store.go
@@ -48,6 +48,9 @@
 	// minRetryPause and maxRetryPause bound the pause after a failed call, so that a
 	// store that rejects calls because it gets too many does not get even more.
 	minRetryPause = 250 * time.Millisecond
+	// maxUnreadable is the number of watches in a row that cannot be read after which the reader
+	// lists: one may have been cut.
+	maxUnreadable = 2
 	maxRetryPause = 1500 * time.Millisecond
 )
 
@@ -135,8 +138,11 @@
 	prefix string
 	// asOf is the position of the last answer.
 	asOf berylspoke.Position
-	// listDue is set once the store has answered in an era that this reader has no list of.
+	// listDue is set once the store has answered in an era that this reader has no list of, or
+	// watches cannot be read.
 	listDue bool
+	// unreadable counts the watches in a row whose answers could not be read.
+	unreadable int
 }
 
 // errOldAnswer means that an answer of the store is older than what is known of it.
@@ -152,11 +158,22 @@
 		message, err = reader.call(true, from, wait)
 	}
 	if err == nil {
-		reader.asOf = message.asOf
+		reader.asOf, reader.unreadable = message.asOf, 0
 	}
 	return message, err
 }
 
+// observeUnreadable counts an answer to a watch that could not be read. A watch from the same position
+// brings the same and more, and a list only what there is now.
+func (reader *storeReader) observeUnreadable(err error) {
+	reader.daemon.meters.storeUnreadable.Inc()
+	if reader.unreadable++; reader.unreadable >= maxUnreadable {
+		reader.listDue = true
+		reader.daemon.log.Warn("store is listed, as its watches cannot be read", zap.Uint8("feed", uint8(reader.feed)),
+			zap.Int("watches", reader.unreadable), cause(err))
+	}
+}
+
 // call makes one watch call, or the calls of one list. An answer that does not state its era
 // counts as of the known one.
 func (reader *storeReader) call(full bool, from berylspoke.Position, wait time.Duration) (storeAnswer, error) {
@@ -177,6 +194,9 @@
 			return storeAnswer{}, err
 		}
 		answered, unknown = failure.Era, failure.EraUnknown
+		if failure.Unreadable && !full {
+			reader.observeUnreadable(err)
+		}
 		if errors.Is(err, berylspoke.ErrHistoryGone) {
 			daemon.meters.storeHistoryGone.Inc()
 		}
