Patches beyond one response are read in turns

What a response brings up to its bound is now applied and the rest asked for next; patches are numbered, so a prefix is sound.

--- a/io/berylplatform/client.go
+++ b/io/berylplatform/client.go
@@ -28,10 +28,6 @@
 	Body   []byte `json:"body"`
 }
 
-type wirePatches struct {
-	Patches []wirePatch `json:"patches"`
-}
-
 type wireVM struct {
 	ID            string `json:"id"`
 	FailureDomain string `json:"failureDomain"`
@@ -61,16 +57,45 @@
 // Patches returns the patches published after the given number. It waits for one, up to
 // watchWait.
 func (client *Client) Patches(ctx context.Context, after berylspoke.PatchNumber) ([]berylspoke.Published, error) {
-	var response wirePatches
+	var patches []berylspoke.Published
 	path := fmt.Sprintf("/v1/patches?after=%d&waitMs=%d", after, watchWait.Milliseconds())
-	if err := client.get(ctx, path, &response); err != nil {
-		return nil, err
-	}
-	patches := make([]berylspoke.Published, len(response.Patches))
-	for i, patch := range response.Patches {
-		patches[i] = berylspoke.Published{Number: berylspoke.PatchNumber(patch.Number), Body: patch.Body}
+	err := client.get(ctx, path, func(body io.Reader) error {
+		err := decodePatches(json.NewDecoder(body), func(patch wirePatch) {
+			patches = append(patches, berylspoke.Published{Number: berylspoke.PatchNumber(patch.Number), Body: patch.Body})
+		})
+		if len(patches) > 0 {
+			// The rest follows: a response that is too long would be so again.
+			return nil
+		}
+		return err
+	})
+	return patches, err
+}
+
+// decodePatches decodes a response with patches and passes each of them on as it is complete.
+func decodePatches(decoder *json.Decoder, add func(wirePatch)) error {
+	for depth := 0; ; {
+		token, err := decoder.Token()
+		if err != nil {
+			return err
+		}
+		switch token {
+		case json.Delim('{'):
+			depth++
+		case json.Delim('}'):
+			if depth--; depth == 0 {
+				return nil
+			}
+		case json.Delim('['):
+			for decoder.More() {
+				var patch wirePatch
+				if err := decoder.Decode(&patch); err != nil {
+					return err
+				}
+				add(patch)
+			}
+		}
 	}
-	return patches, nil
 }
 
 // VMs returns the list of VMs and its revision. It waits for a revision that differs from
@@ -78,7 +103,7 @@
 func (client *Client) VMs(ctx context.Context, after uint64) ([]berylspoke.VM, uint64, error) {
 	var response wireVMs
 	path := fmt.Sprintf("/v1/vms?after=%d&waitMs=%d", after, watchWait.Milliseconds())
-	if err := client.get(ctx, path, &response); err != nil {
+	if err := client.get(ctx, path, func(body io.Reader) error { return json.NewDecoder(body).Decode(&response) }); err != nil {
 		return nil, 0, err
 	}
 	vms := make([]berylspoke.VM, len(response.VMs))
@@ -91,7 +116,8 @@
 	return vms, response.Revision, nil
 }
 
-func (client *Client) get(ctx context.Context, path string, body any) error {
+// get makes one call and decodes its response, or as much of it as fits the limit.
+func (client *Client) get(ctx context.Context, path string, decode func(body io.Reader) error) error {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, client.baseURL+path, nil)
 	if err != nil {
 		return errors.Wrap(err, "platform request cannot be created")
@@ -104,5 +130,5 @@
 	if response.StatusCode != http.StatusOK {
 		return errors.Errorf("platform responded with status %s", response.Status)
 	}
-	return errors.Wrap(json.NewDecoder(io.LimitReader(response.Body, maxResponseBytes)).Decode(body), "platform response is malformed")
+	return errors.Wrap(decode(io.LimitReader(response.Body, maxResponseBytes)), "platform response is malformed")
 }
