Answers without end are cut, and never passed on as whole

Plain calls got 200 with the first 16 MiB of an endless body, framed as whole, and six requests to an engine with an endless status line or header took up to 5 GB.

Cause: the bound on a plain answer was an io.LimitReader, which ends a body as if it were whole, and http.ReadResponse has no bound on heads.

A head is bounded at the connection, a body by ReadAll, which fails. What is buffered of all answers is bounded by a quarter of the memory in the settings, one answer by a sixteenth. The answer to a question for a target's run fails if it is too long; a truncated one had counted as that of a target that does not tell. A Content-Length is no longer allocated beyond the limit on bodies.

--- a/io/berylconn/exchange.go
+++ b/io/berylconn/exchange.go
@@ -145,7 +145,7 @@
 
 func (exchange *Exchange) readHeader(request *http.Request, matches func(*http.Response, bool) bool) error {
 	for range maxResponses {
-		response, err := http.ReadResponse(exchange.conn.reader, request)
+		response, err := exchange.conn.readResponse(request)
 		if err != nil {
 			return errors.Wrap(err, "no response from target")
 		}
@@ -192,6 +192,18 @@
 	exchange.pool.put(time.Now(), exchange.conn)
 }
 
+// Drain reads the rest of a small response within a time and ends the exchange.
+func (exchange *Exchange) Drain(limit int64, timeout time.Duration) {
+	_ = exchange.conn.SetReadDeadline(time.Now().Add(timeout))
+	read, err := io.Copy(io.Discard, io.LimitReader(exchange.Response.Body, limit))
+	if err != nil || read == limit {
+		exchange.Discard()
+		return
+	}
+	_ = exchange.conn.SetReadDeadline(time.Time{})
+	exchange.Release()
+}
+
 // Discard aborts an exchange and closes its connection.
 func (exchange *Exchange) Discard() {
 	exchange.stop()
--- a/io/berylconn/pool.go
+++ b/io/berylconn/pool.go
@@ -5,7 +5,6 @@
 import (
 	"bufio"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -68,6 +67,8 @@
 	asked bool
 	// traffic counts the bytes of the current exchange; it may be nil.
 	traffic *Traffic
+	// headLeft is how much may be read of the head that is being read, unlimited if none is.
+	headLeft int
 }
 
 // Traffic counts bytes exchanged with targets, without headers of packets.
@@ -84,7 +85,7 @@
 
 // Read implements net.Conn.
 func (conn *conn) Read(buffer []byte) (int, error) {
-	count, err := conn.Conn.Read(buffer)
+	count, err := conn.readBounded(buffer)
 	if conn.traffic != nil {
 		conn.traffic.Received.Add(uint64(count))
 	}
@@ -181,16 +182,25 @@
 	if err := request.Write(conn); err != nil {
 		return 0, nil, false, err
 	}
-	response, err := http.ReadResponse(conn.reader, request)
+	response, err := conn.readResponse(request)
 	if err != nil {
 		return 0, nil, false, err
 	}
-	body, err = io.ReadAll(io.LimitReader(response.Body, maxSkippedBytes))
+	body, err = ReadAll(response.Body, maxAskBytes, nil)
 	if err != nil {
 		return 0, nil, false, err
 	}
 	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
-	return response.StatusCode, body, framed && !response.Close && len(body) < maxSkippedBytes, nil
+	return response.StatusCode, body, framed && !response.Close, nil
+}
+
+// readResponse reads the head of a response.
+func (conn *conn) readResponse(request *http.Request) (response *http.Response, err error) {
+	err = conn.readHead(func() error {
+		response, err = http.ReadResponse(conn.reader, request)
+		return err
+	})
+	return response, err
 }
 
 func (pool *Pool) discard(conn *conn) {
@@ -250,7 +260,7 @@
 		pool.release(address)
 		return nil, err
 	}
-	conn := &conn{Conn: opened, address: address, idleTimeout: defaultIdleTimeout, openedAt: dialedAt}
+	conn := &conn{Conn: opened, address: address, idleTimeout: defaultIdleTimeout, openedAt: dialedAt, headLeft: unlimited}
 	conn.reader = bufio.NewReaderSize(conn, readBufferBytes)
 	return conn, nil
 }
--- a/io/beryledge/attempt.go
+++ b/io/beryledge/attempt.go
@@ -21,8 +21,13 @@
 
 const (
 	// maxAnswerBytes bounds the answer of a plain service, which is buffered whole
-	// before any of it is forwarded.
+	// before any of it is forwarded. It takes an answerShare of the process's memory at most, if that
+	// is known, and all buffered answers together an answersShare.
 	maxAnswerBytes = 16 << 20
+	answerShare    = 16
+	answersShare   = 4
+	// drainTimeout bounds the time for the rest of an answer by which a target rejects a request.
+	drainTimeout = time.Second
 	// minFirstByteTimeout and firstByteTimeoutFactor determine the time without a first
 	// byte after which a repeatable request is retried at another target: a multiple of
 	// the expected time, and longer than the retransmission of a lost packet takes.
@@ -250,12 +255,7 @@
 // drain reads the rest of a small answer so that its connection can be reused.
 func (call *call) drain(exchange *berylconn.Exchange) {
 	const limit = 64 << 10
-	read, err := io.Copy(io.Discard, io.LimitReader(exchange.Response.Body, limit))
-	if err != nil || read == limit {
-		exchange.Discard()
-		return
-	}
-	exchange.Release()
+	exchange.Drain(limit, drainTimeout)
 }
 
 // forwardAnswer forwards an answer once it is complete, so that a truncated one never
@@ -263,7 +263,8 @@
 func (call *call) forwardAnswer(decision berylgate.Decision, exchange *berylconn.Exchange, info berylspoke.ResponseInfo) bool {
 	call.reportFirstByte(info)
 	response := exchange.Response
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	body, err := berylconn.ReadAll(response.Body, call.daemon.answerLimit(), call.daemon.answerMemory)
+	defer call.daemon.answerMemory.Release(int64(cap(body)))
 	if err == nil {
 		err = checkAnswer(response, info)
 	}
@@ -298,6 +299,14 @@
 	return true
 }
 
+// answerLimit returns the size of the longest answer of a plain service.
+func (daemon *Daemon) answerLimit() int64 {
+	if daemon.settings.MemoryBytes == 0 {
+		return maxAnswerBytes
+	}
+	return min(maxAnswerBytes, daemon.settings.MemoryBytes/answerShare)
+}
+
 // retry tries to place a repeatable request at another target instead of forwarding the
 // first target's failure, and reports whether it did.
 func (call *call) retry(first berylgate.Decision) bool {
--- a/io/beryledge/callers.go
+++ b/io/beryledge/callers.go
@@ -71,8 +71,9 @@
 	stage  stage
 	reader bodyReader
 	whole  atomic.Pointer[wholeRequest]
-	// unlimitedBody is the body without the limit on its size.
+	// unlimitedBody is the body without the limit on its size, which is bodyLimit.
 	unlimitedBody io.Reader
+	bodyLimit     int64
 	// cancel ends the request whatever it waits for.
 	cancel context.CancelCauseFunc
 }
@@ -167,7 +168,7 @@
 	if bodyLimit <= 0 {
 		bodyLimit = defaultBodyBytes
 	}
-	call.unlimitedBody = call.incoming.Body
+	call.unlimitedBody, call.bodyLimit = call.incoming.Body, bodyLimit
 	call.incoming.Body = http.MaxBytesReader(call.writer, call.incoming.Body, bodyLimit)
 	return &berylgate.Request{
 		ID: call.info.ID, Service: berylcatalog.PickService(call.route, call.info.ID), Organisation: call.organisation,
@@ -187,7 +188,7 @@
 // request can be sent again where that is allowed.
 func (call *call) readBody() bool {
 	if call.incoming.ContentLength > 0 {
-		call.body = make([]byte, 0, call.incoming.ContentLength+bytes.MinRead)
+		call.body = make([]byte, 0, min(call.incoming.ContentLength, call.bodyLimit)+bytes.MinRead)
 	}
 	buffer := bytes.NewBuffer(call.body)
 	call.beginBody()
--- a/io/beryledge/daemon.go
+++ b/io/beryledge/daemon.go
@@ -58,11 +58,13 @@
 	core        *actor.PID
 	transport   *berylpeer.Transport
 	pool        *berylconn.Pool
-	idle        *idleConns
-	pressure    cpuPressure
-	admission   *admission
-	index       atomic.Pointer[berylcatalog.Index]
-	entries     atomic.Pointer[entries]
+	// answerMemory bounds the answers of targets that are buffered.
+	answerMemory *berylconn.Memory
+	idle         *idleConns
+	pressure     cpuPressure
+	admission    *admission
+	index        atomic.Pointer[berylcatalog.Index]
+	entries      atomic.Pointer[entries]
 	// sendable holds the runs of targets that requests may be sent to.
 	sendable    *sendableTargets
 	origins     *origins
@@ -106,7 +108,7 @@
 		settings: settings, dialect: dialect, store: store,
 		log:         log.With(zap.String("vm", settings.Name)),
 		incarnation: berylspoke.Incarnation(now.UnixMicro()), started: now,
-		pool: berylconn.NewPool(), idle: newIdleConns(), sendable: newSendableTargets(), calls: newActiveCalls(),
+		pool: berylconn.NewPool(), answerMemory: berylconn.NewMemory(settings.MemoryBytes / answersShare), idle: newIdleConns(), sendable: newSendableTargets(), calls: newActiveCalls(),
 	}
 	daemon.readDue = newReadDue()
 	daemon.stopNanos.Store(int64(settings.StopTimeout))
--- a/io/beryledge/fakes_test.go
+++ b/io/beryledge/fakes_test.go
@@ -369,6 +369,11 @@
 
 // startLogged runs a daemon with a log and a time to stop within.
 func startLogged(t *testing.T, log *zap.Logger, stopTimeout time.Duration, store berylspoke.Store, dialect berylspoke.Dialect, domain berylspoke.FailureDomain, regions map[berylspoke.FailureDomain]berylspoke.Region, seeds ...berylspoke.VMID) *Daemon {
+	return startConfigured(t, log, stopTimeout, store, dialect, domain, regions, func(*Settings) {}, seeds...)
+}
+
+// startConfigured is startLogged with a change of the settings.
+func startConfigured(t *testing.T, log *zap.Logger, stopTimeout time.Duration, store berylspoke.Store, dialect berylspoke.Dialect, domain berylspoke.FailureDomain, regions map[berylspoke.FailureDomain]berylspoke.Region, change func(*Settings), seeds ...berylspoke.VMID) *Daemon {
 	host := uniqueHost()
 	settings := &Settings{
 		Name: t.Name(), VM: berylspoke.VMID(host + ":7001"),
@@ -377,6 +382,7 @@
 		OperatorsAddress: host + ":7005", MaxDescriptors: 1000, Capacity: 19, StopTimeout: stopTimeout,
 		RetryRatio: 1, RetrySlack: 1000, StoreAddress: "127.0.0.1:1", FleetKey: "a key of the tests only",
 	}
+	change(settings)
 	require.NoError(t, settings.Check())
 	endpoints := func(*Daemon) Endpoints {
 		return Endpoints{Resolve: http.NotFoundHandler(), Ready: http.NotFoundHandler()}
--- a/io/beryledge/meters.go
+++ b/io/beryledge/meters.go
@@ -107,6 +107,7 @@
 	}
 	set.NewGauge("berylspoke_strain_seconds", func() float64 { return daemon.pressure.delay().Seconds() })
 	set.NewGauge("berylspoke_requests_active", func() float64 { return float64(daemon.active.Load()) })
+	set.NewGauge("berylspoke_buffered_answer_bytes", func() float64 { return float64(daemon.answerMemory.Used()) })
 	set.NewGauge("berylspoke_stream_records", func() float64 { return float64(daemon.origins.count()) })
 	set.NewGauge("berylspoke_quarantined_requests", func() float64 { return float64(len(daemon.verdicts.Load().List)) })
 	set.NewGauge("berylspoke_connections_opened_total", func() float64 { return float64(daemon.pool.DialCount()) })
--- a/io/beryledge/stream.go
+++ b/io/beryledge/stream.go
@@ -83,12 +83,17 @@
 func (call *call) copyEvents(decision berylgate.Decision, exchange *berylconn.Exchange, info berylspoke.ResponseInfo) error {
 	buffer := make([]byte, 0, initialBufferBytes)
 	first, proven := true, false
+	memory := call.daemon.answerMemory
+	defer func() { memory.Release(int64(cap(buffer) - initialBufferBytes)) }()
 	for {
 		if len(buffer) == cap(buffer) {
 			if len(buffer) >= maxEventBytes {
 				return errors.New("stream event is too large")
 			}
-			buffer = append(buffer, 0)[:len(buffer)]
+			if err := memory.Reserve(int64(cap(buffer))); err != nil {
+				return err
+			}
+			buffer = append(make([]byte, 0, 2*cap(buffer)), buffer...)
 		}
 		read, err := exchange.Response.Body.Read(buffer[len(buffer):cap(buffer)])
 		buffer = buffer[:len(buffer)+read]
