The own interface passes no cut answer on as whole

Calls of the own interface were cut at 8 MiB, and the client's outcomes at 16 MiB, and taken for whole; headers of answers had net/http's bound of 10 MB, answers to probes and to requests for addresses none. They have bounds, and fail beyond them.

--- a/io/berylcall/calls.go
+++ b/io/berylcall/calls.go
@@ -6,7 +6,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"time"
@@ -14,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"berylspoke"
+	"berylspoke/io/berylconn"
 )
 
 // Outcome is the result of a call.
@@ -70,7 +70,7 @@
 		outcome.Err = readFailure(response)
 		return outcome
 	}
-	outcome.Body, outcome.Err = io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	outcome.Body, outcome.Err = berylconn.ReadAll(response.Body, maxAnswerBytes, nil)
 	return outcome
 }
 
--- a/io/berylcall/client.go
+++ b/io/berylcall/client.go
@@ -22,6 +22,9 @@
 	// resolveTimeout bounds one request for addresses or for the outcome of an id.
 	resolveTimeout = 3 * time.Second
 	maxAnswerBytes = 16 << 20
+	// maxControlBytes bounds an answer with addresses or a refusal, maxHeaderBytes a header.
+	maxControlBytes = 1 << 20
+	maxHeaderBytes  = 64 << 10
 )
 
 type wireResolve struct {
@@ -92,7 +95,7 @@
 
 // New returns a client that resolves addresses on its first request.
 func New(options Options) *Client {
-	transport := &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second}
+	transport := &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: maxHeaderBytes}
 	return &Client{options: options, http: &http.Client{Transport: transport}}
 }
 
@@ -133,7 +136,7 @@
 		return wireResolve{}, readFailure(response)
 	}
 	var resolution wireResolve
-	err = json.NewDecoder(response.Body).Decode(&resolution)
+	err = json.NewDecoder(io.LimitReader(response.Body, maxControlBytes)).Decode(&resolution)
 	return resolution, errors.Wrap(err, "malformed answer to a request for addresses")
 }
 
@@ -180,7 +183,7 @@
 	var wire struct {
 		Error wireError `json:"error"`
 	}
-	body, _ := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	body, _ := io.ReadAll(io.LimitReader(response.Body, maxControlBytes))
 	if json.Unmarshal(body, &wire) == nil && wire.Error.Reason != "" {
 		return wire.Error.failure()
 	}
--- a/io/beryltarget/client.go
+++ b/io/beryltarget/client.go
@@ -6,7 +6,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -16,6 +15,7 @@
 
 	"berylspoke"
 	"berylspoke/core/berylnode"
+	"berylspoke/io/berylconn"
 )
 
 // RequestHeader carries the request id to targets. It is none of the header names that
@@ -27,6 +27,8 @@
 	controlTimeout = 2 * time.Second
 	orderTimeout   = 5 * time.Second
 	maxAnswerBytes = 8 << 20
+	// maxHeaderBytes bounds the header of an answer.
+	maxHeaderBytes = 64 << 10
 	maxReportBytes = 64 << 10
 )
 
@@ -78,13 +80,13 @@
 	// state of a reused one; net/http would then hang or retry the request by itself,
 	// and whether it ran could not be determined.
 	newTransport := func() *http.Transport {
-		return &http.Transport{DialContext: client.dialOpen(dialer), DisableKeepAlives: true, DisableCompression: true}
+		return &http.Transport{DialContext: client.dialOpen(dialer), DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes}
 	}
 	client.streams = &http.Client{Transport: newTransport()}
 	client.calls = &http.Client{Transport: newTransport(), CheckRedirect: useLastResponse}
 	keepAlive := &http.Transport{
 		DialContext:     (&countingDialer{dialer, &client.ControlBytes}).dial,
-		IdleConnTimeout: 30 * time.Second, DisableCompression: true,
+		IdleConnTimeout: 30 * time.Second, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	client.control = &http.Client{Transport: keepAlive}
 	return client
@@ -166,7 +168,7 @@
 	if client.followAdvice(target, call.Request, response) {
 		return berylspoke.Answer{}, closedRefusal(target)
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	body, err := berylconn.ReadAll(response.Body, maxAnswerBytes, nil)
 	if err != nil {
 		return berylspoke.Answer{}, targetRefusal(err)
 	}
@@ -223,7 +225,7 @@
 		return targetRefusal(err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	content, err := io.ReadAll(io.LimitReader(response.Body, maxReportBytes))
+	content, err := berylconn.ReadAll(response.Body, maxReportBytes, nil)
 	if err != nil {
 		return targetRefusal(err)
 	}
--- a/io/beryltarget/stream.go
+++ b/io/beryltarget/stream.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"berylspoke"
+	"berylspoke/io/berylconn"
 )
 
 type wireGeneration struct {
@@ -149,8 +150,12 @@
 		return wireProgress{}, err
 	}
 	defer func() { _ = response.Body.Close() }()
+	content, err := berylconn.ReadAll(response.Body, maxReportBytes, nil)
+	if err != nil {
+		return wireProgress{}, err
+	}
 	var state wireProgress
-	err = json.NewDecoder(response.Body).Decode(&state)
+	err = json.Unmarshal(content, &state)
 	return state, err
 }
 
