--- a/soak/declared.go
+++ b/soak/declared.go
@@ -71,5 +71,10 @@
 		}
 		configuration.Organisations = append(configuration.Organisations, beryldouble.Organisation{Name: organisationName(i), Keys: keys})
 	}
+	for i := range world.padding {
+		configuration.Organisations = append(configuration.Organisations, beryldouble.Organisation{
+			Name: fmt.Sprintf("padding-%05d", i), Keys: []string{fmt.Sprintf("padding-key-%020d", i)},
+		})
+	}
 	return configuration.Publish(world.store)
 }
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -95,6 +95,9 @@
 
 // newPlan draws the faults of a soak at random.
 func newPlan(random *rand.Rand, size Size) []step {
+	if size.Scenes {
+		return newScenePlan(random, size)
+	}
 	var plan []step
 	var last *fault
 	kinds, plannedFraction := faults, plannedFraction
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -27,6 +27,7 @@
 	built    = flag.String("program", "", "program to soak, built from this repository if empty")
 	returns  = flag.Bool("returns", true, "whether the store returns from older copies with a fresh seed")
 	parts    = flag.Bool("parts", true, "whether parts of prompts crash engines with a fresh seed")
+	scenes   = flag.Bool("scenes", false, "whether a fresh seed plays scenes: faults in a set order that meet each other")
 	stops    = flag.Bool("stops", false, "whether a fresh seed has planned operations only, with stops in series")
 	memoryMB = flag.Int("memoryMB", 134, "memory limit in the settings of each process")
 )
@@ -154,6 +155,18 @@
 	soak(t, 6, size)
 }
 
+// Engines become doubtful all at once and one crashes; an engine crashes beside a part that crashes
+// engines; large configurations come while the store is slow; all processes but one restart in turn and that
+// one is killed; targets answer without end; all processes are killed. Engines of several versions serve,
+// and callers take up streams. Guards against streams of two versions, an organisation that is locked out, a
+// configuration that is not followed, streams that do not go on, and processes beyond their memory.
+func TestSceneSoak(t *testing.T) {
+	size := shortSize
+	size.Versions, size.Scenes = true, true
+	size.Seconds, size.RequestsPerSecond = 24, 40
+	soak(t, 7, size)
+}
+
 // Runs the seeds that failed before; each entry names the cause of its failure.
 func TestRegressionSeeds(t *testing.T) {
 	regressions := []struct {
@@ -175,6 +188,9 @@
 	if *stops {
 		size.Stops, size.Advice, size.Returns, size.Versions, size.Parts = true, false, false, false, false
 	}
+	if *scenes {
+		size.Scenes, size.Versions, size.Advice, size.Returns, size.Parts, size.Stops = true, true, false, false, false, false
+	}
 	first := *from
 	if first == 0 {
 		first = uint64(time.Now().UnixNano() / 1e6 % 1e9)
--- a/soak/world.go
+++ b/soak/world.go
@@ -8,7 +8,9 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -50,6 +52,8 @@
 	// Parts adds requests with parts of prompts that crash engines, and engines that answer with
 	// neither a length nor chunks.
 	Parts bool
+	// Scenes plays faults in a set order that meet each other, beside a few others.
+	Scenes bool
 }
 
 // domains are the failure domains and their regions.
@@ -86,6 +90,10 @@
 	started        map[string]*beryldouble.Target
 	version        int
 	targetsStarted int
+	// padding is the number of organisations that make the configuration large, sparse counts the
+	// requests of the one that sends few.
+	padding int
+	sparse  atomic.Int64
 }
 
 // target is a target and the relay in front of it.
@@ -162,7 +170,13 @@
 	}
 	process := &process{vm: vm, path: filepath.Join(world.folder, vm.Name+".toml"), store: store, callers: callers}
 	world.processes = append(world.processes, process)
-	settings, err := vm.Settings()
+	return world.writeSettings(process)
+}
+
+// writeSettings writes the settings of the next run of a process.
+func (world *World) writeSettings(process *process) error {
+	process.vm.Bootstrap = world.size.Scenes && process.runCount == 0
+	settings, err := process.vm.Settings()
 	if err != nil {
 		return err
 	}
@@ -173,6 +187,9 @@
 func (world *World) start(process *process) error {
 	process.mutex.Lock()
 	defer process.mutex.Unlock()
+	if err := world.writeSettings(process); err != nil {
+		return err
+	}
 	log, err := os.OpenFile(filepath.Join(world.folder, process.vm.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
@@ -286,6 +303,10 @@
 		if world.size.Parts {
 			world.makeFragile(&options)
 		}
+		if world.size.Scenes {
+			options.EventInterval = sceneEventInterval
+			options.Crashes = func(parts []string) bool { return slices.Contains(parts, sparseBadPart) }
+		}
 	}
 	return options
 }
