An unframed answer is complete only if its target is known to live

Evidence: the new test, whose targets close in order and then say nothing, failed before.

The end now waits for as long as the check takes, and fails unless the target is known to live.

--- a/io/beryledge/attempt.go
+++ b/io/beryledge/attempt.go
@@ -269,7 +269,7 @@
 		err = checkAnswer(response, info)
 	}
 	if err == nil {
-		err = call.checkEnd(decision, len(body) == 0)
+		err = call.checkEnd(decision)
 	}
 	if err != nil {
 		exchange.Discard()
--- a/io/beryledge/crashes.go
+++ b/io/beryledge/crashes.go
@@ -23,9 +23,11 @@
 
 const (
 	// crashCheckTimeout bounds a check whether a target has crashed, crashCheckWait the time for
-	// which a request waits for it.
+	// which a request waits for it before it is sent to another one, and endCheckWait the time for which
+	// the end of an answer waits.
 	crashCheckTimeout = 2 * time.Second
 	crashCheckWait    = 500 * time.Millisecond
+	endCheckWait      = 2*crashCheckTimeout + 100*time.Millisecond
 	// probeRetryDelay is the delay after which a target is asked once more that took a connection
 	// and did not answer, as one may that is about to end.
 	probeRetryDelay = 30 * time.Millisecond
@@ -73,9 +75,9 @@
 	next *crashCheck
 }
 
-// wait waits for the finding, for a bounded time.
-func (check *crashCheck) wait(ctx context.Context) crashFinding {
-	timer := time.NewTimer(crashCheckWait)
+// wait waits for the finding, at most for the given time.
+func (check *crashCheck) wait(ctx context.Context, most time.Duration) crashFinding {
+	timer := time.NewTimer(most)
 	defer timer.Stop()
 	select {
 	case <-check.done:
@@ -210,7 +212,7 @@
 		call.crashChecks = append(call.crashChecks, closed)
 		return
 	}
-	if closed.check.wait(call.ctx) == foundCrashed {
+	if closed.check.wait(call.ctx, crashCheckWait) == foundCrashed {
 		closed.report(call.daemon, call.request)
 		return
 	}
@@ -244,14 +246,17 @@
 }
 
 // checkEnd returns an error if an answer that ended with its connection was broken off by a crash
-// of its target, or if nothing of it has come and the target is not known to be alive.
-func (call *call) checkEnd(decision berylgate.Decision, empty bool) error {
+// of its target, or may have been: nothing else shows that it is complete. A refusal of the check's
+// connection may come late, so that it waits for as long as the check takes, also behind another one.
+func (call *call) checkEnd(decision berylgate.Decision) error {
 	if !call.unframed {
 		return nil
 	}
-	finding := call.daemon.crashChecks.begin(decision.Target, call.sent).wait(call.ctx)
-	if finding == foundCrashed || empty && finding == foundNothing {
+	switch call.daemon.crashChecks.begin(decision.Target, call.sent).wait(call.ctx, endCheckWait) {
+	case foundCrashed:
 		return errors.Wrap(io.ErrUnexpectedEOF, "answer ended as its target crashed")
+	case foundNothing:
+		return errors.Wrap(io.ErrUnexpectedEOF, "answer ended and its target is not known to be alive")
 	}
 	return nil
 }
--- a/io/beryledge/fakes_test.go
+++ b/io/beryledge/fakes_test.go
@@ -273,8 +273,10 @@
 	id string
 	// started is what the target says of its start.
 	started atomic.Int64
-	seen    atomic.Int64
-	serve   atomic.Pointer[http.HandlerFunc]
+	// silent makes the target not say it.
+	silent atomic.Bool
+	seen   atomic.Int64
+	serve  atomic.Pointer[http.HandlerFunc]
 }
 
 func newTestTarget(t *testing.T, id string, serve http.HandlerFunc) *testTarget {
@@ -282,6 +284,10 @@
 	target.serve.Store(&serve)
 	target.Server = httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		if request.URL.Path == (testDialect{}).IdentityPath() {
+			if target.silent.Load() {
+				<-request.Context().Done()
+				return
+			}
 			_, _ = fmt.Fprintf(writer, "started=%d", target.started.Load())
 			return
 		}
--- a/io/beryledge/parts_test.go
+++ b/io/beryledge/parts_test.go
@@ -230,6 +230,34 @@
 	}
 }
 
+// Guards against answers that a crash cuts and that are passed on as complete, as the check whether their
+// target lives finds nothing in time.
+func TestUnframedAnswerOfATargetThatIsSilentAfterItIsNotComplete(t *testing.T) {
+	begin := func(body string) http.HandlerFunc {
+		return func(writer http.ResponseWriter, request *http.Request) {
+			conn := beginUnframed(writer, request)
+			_, _ = io.WriteString(conn, body)
+			_ = conn.Close()
+		}
+	}
+	desk, engine := newTestTarget(t, "d", begin("half an ans")), newTestTarget(t, "e", begin("id: 1\ndata: text\n\n"))
+	desk.silent.Store(true)
+	engine.silent.Store(true)
+	daemon, _ := startServing(t, map[string]*testTarget{"desk": desk, "engines": engine})
+	for _, path := range []string{"/file/x", "/draft/x"} {
+		response, body, err := send(t, daemon, http.MethodPost, path, "id"+path, "")
+		require.True(t, err != nil || response.StatusCode == http.StatusBadGateway, "%s: %q looks complete", path, body)
+	}
+	desk.silent.Store(false)
+	engine.silent.Store(false)
+	for _, path := range []string{"/file/x", "/draft/x"} {
+		require.Eventually(t, func() bool {
+			response, _, err := send(t, daemon, http.MethodPost, path, "again"+path, "")
+			return err == nil && response.StatusCode == http.StatusOK
+		}, 5*time.Second, 50*time.Millisecond, "an answer of a target that lives is complete")
+	}
+}
+
 // Guards against a plain answer that is cut by a crash of its target and passed on as complete.
 func TestUnframedAnswerThatACrashEndsIsNotComplete(t *testing.T) {
 	var target *testTarget
--- a/io/beryledge/stream.go
+++ b/io/beryledge/stream.go
@@ -64,7 +64,7 @@
 	call.mayHaveRun = true
 	err := call.copyEvents(decision, exchange, info)
 	if err == nil {
-		err = call.checkEnd(decision, call.begunAt.IsZero() && !call.stream.started)
+		err = call.checkEnd(decision)
 	}
 	if err != nil {
 		exchange.Discard()
