--- a/ids.go
+++ b/ids.go
@@ -31,8 +31,8 @@
 type SoftwareVersion string
 
 // Build identifies a version of the software of one service. What targets of two builds write
-// does not fit together. The zero value is a build that is not certain. It is not comparable with
-// ==, by which two builds that are not certain would be the same: use Fits.
+// does not fit together. The zero value is a build that is not certain. Builds are compared with Fits:
+// by ==, two of them that are not certain would be the same.
 type Build uint64
 
 // Certain reports whether it is known which build it is.
--- a/io/beryledge/versions_test.go
+++ b/io/beryledge/versions_test.go
@@ -176,9 +176,15 @@
 		daemon := startDaemon(t, store, seeds...)
 		daemons, seeds = append(daemons, daemon), append(seeds, daemon.settings.VM)
 	}
+	awaitFleet(t, daemons)
+	return daemons
+}
+
+// awaitFleet waits until all daemons are ready and know each other, and fills their retry budgets.
+func awaitFleet(t *testing.T, daemons []*Daemon) {
 	require.Eventually(t, func() bool {
 		for _, daemon := range daemons {
-			if !daemon.Ready() || len(daemon.entries.Load().domains) < count {
+			if !daemon.Ready() || len(daemon.entries.Load().domains) < len(daemons) {
 				return false
 			}
 		}
@@ -187,7 +193,6 @@
 	for _, daemon := range daemons {
 		fillRetryBudget(daemon)
 	}
-	return daemons
 }
 
 // Guards against a stream that holds events of two versions: its caller takes it up at another
@@ -432,17 +437,7 @@
 	for range 2 {
 		daemons = append(daemons, startDaemon(t, store, daemons[0].settings.VM))
 	}
-	require.Eventually(t, func() bool {
-		for _, daemon := range daemons {
-			if !daemon.Ready() || len(daemon.entries.Load().domains) < len(daemons) {
-				return false
-			}
-		}
-		return true
-	}, 20*time.Second, 20*time.Millisecond)
-	for _, daemon := range daemons {
-		fillRetryBudget(daemon)
-	}
+	awaitFleet(t, daemons)
 	time.Sleep(4 * time.Second)
 	var streams []testStream
 	for i := range 12 {
