Early trials of a verdict with rivals end at six crashes

Without any such trial two crashes of another cause lock an organisation out again: TestCrashesOfOtherCausesBesideABadPartLockNobodyOut fails (0 of 20 began). So there is one, 3 s after the fifth crash, and none after the sixth. The new script fails on the code before: it tries again.

--- a/core/berylquarantine/verdicts.go
+++ b/core/berylquarantine/verdicts.go
@@ -28,8 +28,9 @@
 
 // earlyTrials are the times from the last crash of a verdict after which requests that it refuses are
 // tried, one at a time, by its crashes beyond CrashThreshold. A verdict on what all requests of an
-// organisation hold may be due to crashes of other causes, and only such a request can tell.
-var earlyTrials = [...]time.Duration{time.Second, 6 * time.Second}
+// organisation hold may be due to crashes of other causes, and only such a request can tell. The last
+// one is only for verdicts with rivals.
+var earlyTrials = [...]time.Duration{time.Second, 6 * time.Second, 3 * time.Second}
 
 // Ruling says what is done with a request.
 type Ruling uint8
@@ -173,10 +174,10 @@
 // that are blamed. One with a suspect of several of the crashes waits for others.
 func (quarantine *Quarantine) earlyTrial(verdict *Verdict, digests []Digest) (time.Duration, bool) {
 	beyond := verdict.Crashes - CrashThreshold
-	if len(verdict.Rivals) > 0 {
-		beyond = min(beyond, len(earlyTrials)-1)
+	if last := len(earlyTrials) - 1; beyond > last || beyond == last && len(verdict.Rivals) == 0 {
+		return 0, false
 	}
-	if beyond >= len(earlyTrials) || len(digests) == 0 || slices.Contains(verdict.Digests, digests[len(digests)-1]) {
+	if len(digests) == 0 || slices.Contains(verdict.Digests, digests[len(digests)-1]) {
 		return 0, false
 	}
 	after := earlyTrials[beyond]
