Soak: worlds whose size, routes and load a file describes

Planned operations in series and overlapping (stops of all, some, one, together and twice, SIGHUP in series, in bursts and before a stop, configurations alone and in storms, targets that leave and are replaced), and unplanned ones on request.

Each attempt that ends without a target's complete answer is judged and described: stage, who closed, runs, connection and its idle time, time since the last signal or configuration, and the lines of the log.

--- a/soak/declared.go
+++ b/soak/declared.go
@@ -46,6 +46,9 @@
 
 // write writes the present version.
 func (world *World) write(state configState) error {
+	if world.size.Shape != nil {
+		return world.writeShape()
+	}
 	configuration := beryldouble.Configuration{
 		Version: world.version, Host: "h.example", TokensPerSecond: 400_000,
 		Services: []beryldouble.Service{{Name: engineService, Slots: 16, CacheCapacity: 400_000, EventTokens: 8}, {Name: deskService}},
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -98,6 +98,9 @@
 	if size.Scenes {
 		return newScenePlan(random, size)
 	}
+	if size.Shape != nil {
+		return newShapePlan(random, size)
+	}
 	var plan []step
 	var last *fault
 	kinds, plannedFraction := faults, plannedFraction
@@ -185,7 +188,7 @@
 		drain = (*beryldouble.Target).DrainQuietly
 	}
 	if chosen := world.beginDrain(step, drain); chosen != nil {
-		chosen.endDrain()
+		world.endDrain(chosen)
 	}
 }
 
@@ -200,10 +203,11 @@
 }
 
 // endDrain stops a draining target after the grace period.
-func (draining *target) endDrain() {
+func (world *World) endDrain(draining *target) {
 	time.Sleep(drainDuration)
+	world.judge.recordTargetEnd(draining.Name(), time.Now())
 	draining.Deregister()
-	draining.relay.Close()
+	draining.closeRelay()
 }
 
 // crashTarget crashes a target, whose entry stays in the store for a while, and then
@@ -213,8 +217,9 @@
 	if chosen == nil {
 		return
 	}
+	world.judge.recordTargetEnd(chosen.Name(), time.Now())
 	chosen.Crash()
-	chosen.relay.Close()
+	chosen.closeRelay()
 	time.Sleep(step.duration)
 	chosen.Expire()
 	_, _ = world.addTarget(chosen.service)
@@ -224,6 +229,7 @@
 func (world *World) hangTarget(step step) {
 	chosen := world.target(step)
 	world.judge.recordOutOfTouch(chosen.Name(), time.Now().Add(step.duration))
+	world.judge.recordTargetEnd(chosen.Name(), time.Now())
 	chosen.SetHanging(true)
 	time.Sleep(step.duration)
 	chosen.SetHanging(false)
@@ -275,12 +281,15 @@
 	}
 	grace := process.grace()
 	world.judge.recordDisturbed(process.vm.Name, time.Now().Add(grace+killSlack+downtime))
-	if signal == syscall.SIGTERM {
+	if signal != syscall.SIGTERM {
+		world.judge.recordUnplanned(process.vm.Name, time.Now())
+	} else {
+		world.judge.recordEvent(process.vm.Name, "SIGTERM", time.Now())
 		world.judge.recordStop(world.currentRun(process.vm.CallersAddress()), time.Now(), grace)
 	}
 	process.signal(signal)
 	killAfter := grace + killSlack
-	if world.size.Stops {
+	if world.size.Stops || world.size.Shape != nil {
 		killAfter = grace
 	}
 	process.awaitExit(killAfter)
@@ -304,6 +313,7 @@
 func (world *World) suspend(process *process, duration time.Duration) {
 	world.judge.recordDisturbed(process.vm.Name, time.Now().Add(duration))
 	world.judge.recordSuspended(process.vm.Name, time.Now().Add(duration))
+	world.judge.recordUnplanned(process.vm.Name, time.Now().Add(duration))
 	process.signal(syscall.SIGSTOP)
 	time.Sleep(duration)
 	process.signal(syscall.SIGCONT)
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -58,10 +58,15 @@
 	// limit is the time limit of the caller, bodyDelay the time until the request is whole, and work
 	// the time that it takes, where processes are stopped in series.
 	limit, bodyDelay, work time.Duration
+	// route is the route of a shape that the request is sent to, nil if there is no shape.
+	route *shapeRoute
 }
 
 // repeatable reports whether the request may run more than once.
 func (attempt *attempt) repeatable() bool {
+	if attempt.route != nil {
+		return attempt.route.repeatable()
+	}
 	return strings.HasPrefix(attempt.path, pathLook) || strings.HasPrefix(attempt.path, pathResume) || strings.HasPrefix(attempt.path, pathAdded)
 }
 
@@ -93,6 +98,14 @@
 	stops      map[string]stopRecord
 	stopCounts stopCounts
 	timeouts   []timeoutRecord
+	// shaped is set where a file describes the world: then endings are the attempts without a complete
+	// answer of a target, events the signals to processes and the configurations for all, and
+	// targetEnds the times at which targets broke off what they did.
+	shaped     bool
+	endings    []ending
+	events     map[string][]occurrence
+	targetEnds map[string]time.Time
+	summary    []string
 	// answerCounts are the numbers of answers by outcomeLabel.
 	answerCounts map[string]int
 }
@@ -101,6 +114,7 @@
 	return &Judge{
 		started: time.Now(), attempts: make(map[string]*attempt), drainingSince: make(map[string]time.Time),
 		observed: make(map[string]observedConfig), answerCounts: make(map[string]int),
+		events: make(map[string][]occurrence), targetEnds: make(map[string]time.Time),
 		stops: make(map[string]stopRecord), advice: newAdviceRecord(), parts: newPartsRecord(),
 	}
 }
@@ -208,7 +222,11 @@
 	// A caller that left, or whose own deadline has passed, ended the request itself. On a CPU-starved
 	// machine this happens without a fault of the fleet.
 	cut := answer.Err != nil && !errors.Is(answer.Err, context.DeadlineExceeded) && !left(answer) || answer.Status == http.StatusBadGateway
-	judge.checkStop(attempt, answer)
+	if judge.shaped {
+		judge.recordEnding(attempt, answer)
+	} else {
+		judge.checkStop(attempt, answer)
+	}
 	if cut && attempt.limit == 0 && attempt.planned && !judge.unplanned && len(attempt.runs) > 0 {
 		judge.addViolation("planned operations cut no request", "%s ran at %s and failed: %d, %v", answer.Request.ID, attempt.runs[0].Target, answer.Status, answer.Err)
 	}
@@ -294,17 +312,19 @@
 	AnswerCounts map[string]int
 	Streams      streamCounts
 	Stops        stopCounts
-	// Parts says what became of parts that crash engines.
-	Parts []string
+	// Parts says what became of parts that crash engines, Summary of attempts without a complete answer.
+	Parts   []string
+	Summary []string
 }
 
-func (judge *Judge) result() Result {
+func (judge *Judge) result(logs processLogs) Result {
 	judge.mutex.Lock()
 	defer judge.mutex.Unlock()
 	judge.checkAdvice()
 	judge.checkShares()
 	judge.checkParts()
-	return Result{judge.violations, len(judge.attempts), judge.served, judge.answerCounts, judge.streams, judge.stopCounts, judge.parts.summary}
+	judge.checkEndings(logs)
+	return Result{judge.violations, len(judge.attempts), judge.served, judge.answerCounts, judge.streams, judge.stopCounts, judge.parts.summary, judge.summary}
 }
 
 // servedCount returns the number of requests served so far.
--- a/soak/judge_test.go
+++ b/soak/judge_test.go
@@ -122,11 +122,11 @@
 				record(judge, now)
 			}
 			if test.violated == "" {
-				require.Empty(t, judge.result().Violations)
+				require.Empty(t, judge.result(processLogs{}).Violations)
 				return
 			}
-			require.Len(t, judge.result().Violations, 1)
-			require.Equal(t, test.violated, judge.result().Violations[0].Guarantee)
+			require.Len(t, judge.result(processLogs{}).Violations, 1)
+			require.Equal(t, test.violated, judge.result(processLogs{}).Violations[0].Guarantee)
 		})
 	}
 }
--- a/soak/load.go
+++ b/soak/load.go
@@ -37,6 +37,10 @@
 		}
 		callers = append(callers, caller)
 	}
+	if generator.world.size.Shape != nil {
+		generator.runShape(ctx, seed)
+		return
+	}
 	for ctx.Err() == nil {
 		interval := time.Duration(generator.random.ExpFloat64() / generator.world.size.RequestsPerSecond * float64(time.Second))
 		select {
--- a/soak/returns.go
+++ b/soak/returns.go
@@ -59,7 +59,7 @@
 	if step.index%2 == 0 {
 		time.Sleep(quietTime)
 		if leaving := world.beginDrain(step, (*beryldouble.Target).DrainQuietly); leaving != nil {
-			writing.Go(leaving.endDrain)
+			writing.Go(func() { world.endDrain(leaving) })
 		}
 		world.publishAgain()
 		operatorDelay = 0
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -39,7 +39,8 @@
 	recoveryErr := world.awaitRecovery()
 	cancel()
 	sending.Wait()
-	result := world.judge.result()
+	logs := readLogs(world.folder, world.judge.endingIDs())
+	result := world.judge.result(logs)
 	if recoveryErr != nil {
 		result.Violations = append(result.Violations, Violation{time.Since(world.judge.started), "service recovers", recoveryErr.Error()})
 	}
@@ -74,6 +75,9 @@
 		before := world.judge.servedCount()
 		time.Sleep(recoveryWindow)
 		if world.judge.servedCount()-before >= want {
+			if world.size.Shape != nil {
+				return nil
+			}
 			return world.awaitConfiguration(deadline)
 		}
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -7,6 +7,7 @@
 	"os/exec"
 	"os/signal"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -78,7 +79,7 @@
 	var steps strings.Builder
 	result := Run(world, seed, &steps)
 	t.Logf("seed %d: %d requests, %d served, %v", seed, result.Requests, result.Served, result.AnswerCounts)
-	for _, line := range result.Parts {
+	for _, line := range slices.Concat(result.Parts, result.Summary) {
 		t.Logf("seed %d: %s", seed, line)
 	}
 	if size.Versions {
--- a/soak/stops.go
+++ b/soak/stops.go
@@ -61,6 +61,9 @@
 
 // stopSeconds returns the stop timeout in the settings of all processes.
 func (world *World) stopSeconds() float64 {
+	if world.size.Shape != nil {
+		return world.size.Shape.StopSeconds
+	}
 	if !world.size.Stops {
 		return usualStopSeconds
 	}
@@ -227,7 +230,8 @@
 // not run twice.
 func (judge *Judge) mayBeCut(attempt *attempt, stop stopRecord) bool {
 	since := attempt.sent.Sub(stop.at)
-	if len(attempt.runs) == 0 || since > noticeTime || since > signalTime && strings.HasPrefix(attempt.path, pathBook) {
+	once := strings.HasPrefix(attempt.path, pathBook) || attempt.route != nil && attempt.route.Kind == "non_idempotent"
+	if len(attempt.runs) == 0 || since > noticeTime || since > signalTime && once {
 		return false
 	}
 	last := attempt.runs[len(attempt.runs)-1]
--- a/soak/stops_test.go
+++ b/soak/stops_test.go
@@ -60,11 +60,11 @@
 				Sealed: test.status == http.StatusOK,
 			})
 			if test.violated == "" {
-				require.Empty(t, judge.result().Violations)
+				require.Empty(t, judge.result(processLogs{}).Violations)
 				return
 			}
-			require.Len(t, judge.result().Violations, 1)
-			require.Equal(t, test.violated, judge.result().Violations[0].Guarantee)
+			require.Len(t, judge.result(processLogs{}).Violations, 1)
+			require.Equal(t, test.violated, judge.result(processLogs{}).Violations[0].Guarantee)
 		})
 	}
 }
--- a/soak/versions.go
+++ b/soak/versions.go
@@ -69,7 +69,7 @@
 		}
 		time.Sleep(releasePause)
 		if leaving := world.beginDrain(world.engineStep(version), (*beryldouble.Target).Drain); leaving != nil {
-			go leaving.endDrain()
+			go world.endDrain(leaving)
 		}
 	}
 }
--- a/soak/versions_test.go
+++ b/soak/versions_test.go
@@ -82,7 +82,7 @@
 		t.Run(name, func(t *testing.T) {
 			judge := newJudge()
 			test.record(judge)
-			violations := judge.result().Violations
+			violations := judge.result(processLogs{}).Violations
 			if test.violated == "" {
 				require.Empty(t, violations)
 				return
--- a/soak/world.go
+++ b/soak/world.go
@@ -54,6 +54,10 @@
 	Parts bool
 	// Scenes plays faults in a set order that meet each other, beside a few others.
 	Scenes bool
+	// Shape describes the world and its load in place of the fields above, nil for none. Then there are
+	// planned operations only, unless Unplanned is set.
+	Shape     *Shape
+	Unplanned bool
 }
 
 // domains are the failure domains and their regions.
@@ -94,6 +98,9 @@
 	// requests of the one that sends few.
 	padding int
 	sparse  atomic.Int64
+	// shapeState is what the published version of a shape has, idleTimeout its idle timeout.
+	shapeState  shapeState
+	idleTimeout atomic.Int64
 }
 
 // target is a target and the relay in front of it.
@@ -103,6 +110,13 @@
 	relay   *berylstand.StreamRelay
 }
 
+// closeRelay closes the relay in front of a target, if there is one.
+func (target *target) closeRelay() {
+	if target.relay != nil {
+		target.relay.Close()
+	}
+}
+
 // NewWorld starts a world that runs the given program and keeps its files in folder.
 func NewWorld(program, folder string, size Size) (*World, error) {
 	store, err := beryldouble.NewStore()
@@ -113,6 +127,9 @@
 		size: size, ctx: context.Background(), program: program, folder: folder, store: store, judge: newJudge(),
 		targets: make(map[string]*target), started: make(map[string]*beryldouble.Target),
 	}
+	if size.Shape != nil {
+		world.beginShape()
+	}
 	if err := world.publish(configState{}); err != nil {
 		return nil, err
 	}
@@ -125,6 +142,11 @@
 			return nil, err
 		}
 	}
+	if size.Shape != nil {
+		if err := world.addShapeTargets(); err != nil {
+			return nil, err
+		}
+	}
 	for i := range size.VMs {
 		if err := world.addProcess(i); err != nil {
 			return nil, err
@@ -161,6 +183,9 @@
 		RegionOf: regions, StoreAddress: store.Address(), BasePort: basePort, Cores: 0.4,
 		MemoryMB: world.size.MemoryMB, StopSeconds: world.stopSeconds(),
 	}
+	if world.size.Shape != nil {
+		vm.Cores = world.size.Shape.Cores
+	}
 	for seed := range min(len(domains), world.size.VMs) {
 		vm.SeedHosts = append(vm.SeedHosts, host(seed))
 	}
@@ -294,6 +319,10 @@
 	if world.size.Stops {
 		options.Slots, options.Work = stopSlots, workOf
 	}
+	if world.size.Shape != nil {
+		world.shapeTargetOptions(&options)
+		return options
+	}
 	if added.service == engineService {
 		options.Slots, options.Events, options.EventInterval = 16, 12, 30*time.Millisecond
 		options.Version = versionName(0)
@@ -350,7 +379,7 @@
 	}
 	for _, target := range world.targets {
 		target.Crash()
-		target.relay.Close()
+		target.closeRelay()
 	}
 	world.store.Close()
 }
