A SIGTERM is not lost among SIGHUPs

What callers would see: the process neither drains nor leaves the resolve answers, and is killed at the end of its time to stop with all requests it has accepted.

Cause: SIGTERM and SIGHUP shared a channel of four. A signal whose channel is full is dropped, and the loop that takes them reads the settings file in between, so SIGHUPs that came while a read waited filled it.

The other commands take no SIGHUP.

--- a/cmd/berylspoke/edge.go
+++ b/cmd/berylspoke/edge.go
@@ -75,36 +75,40 @@
 	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(settings.MemoryBytes)))
 	log := beryllog.New(os.Stdout, level.Level())
 	defer func() { _ = log.Sync() }()
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+	// A signal is dropped if its channel is full, so those that stop the process have their own.
+	stops, reloads := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(stops, syscall.SIGTERM, os.Interrupt)
+	signal.Notify(reloads, syscall.SIGHUP)
 	store := berylbinding.NewStore(settings.StoreAddress)
 	store.Limit(settings.StoreValueBytes, settings.MemoryBytes)
 	daemon, err := beryledge.Start(settings, berylbinding.Dialect{}, store, berylbinding.Endpoints, log)
 	if err != nil {
 		return fail(err)
 	}
-	command.reloadUntilStopped(path, daemon, signals, log)
+	command.reloadUntilStopped(path, daemon, stops, reloads, log)
 	daemon.Stop()
 	return subcommands.ExitSuccess
 }
 
 // reloadUntilStopped applies changes of the settings until a signal asks the process
 // to stop, and those that the file holds by then: the stop ends by its settings.
-func (command *edgeCommand) reloadUntilStopped(path string, daemon *beryledge.Daemon, signals <-chan os.Signal, log *zap.Logger) {
+func (command *edgeCommand) reloadUntilStopped(path string, daemon *beryledge.Daemon, stops, reloads <-chan os.Signal, log *zap.Logger) {
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
 	seen, _ := os.ReadFile(path)
 	for {
-		var received os.Signal
+		stopped := false
 		select {
-		case received = <-signals:
+		case <-stops:
+			stopped = true
+		case <-reloads:
 		case <-ticker.C:
 		}
 		if body, err := os.ReadFile(path); err == nil && !bytes.Equal(body, seen) {
 			seen = body
 			command.reload(path, daemon, log)
 		}
-		if received != nil && received != syscall.SIGHUP {
+		if stopped {
 			return
 		}
 	}
