--- a/soak/shape.go
+++ b/soak/shape.go
@@ -130,7 +130,9 @@
 	// those that arrive in parts.
 	chunkedFraction, slowFraction = 0.2, 0.1
 	maxPartDelay                  = 300 * time.Millisecond
-	shapeTries                    = 2
+	// leaveFraction is the fraction of streams that their callers leave.
+	leaveFraction = 0.04
+	shapeTries    = 2
 )
 
 // shapeState holds the differences between the published versions of a shape.
@@ -145,6 +147,7 @@
 // beginShape sets what the first version of a shape has.
 func (world *World) beginShape() {
 	world.judge.shaped = true
+	world.loadFactor.Store(1)
 	world.shapeState = shapeState{timeoutFactor: 1, idleTimeout: time.Duration(world.size.Shape.IdleTimeoutMillis) * time.Millisecond}
 	world.idleTimeout.Store(int64(world.shapeState.idleTimeout))
 }
@@ -280,6 +283,9 @@
 		BodyBytes: int(route.BodyBytes.draw(random)), TimeRemaining: time.Duration(route.LimitMillis) * time.Millisecond,
 		Chunked: random.Float64() < chunkedFraction,
 	}
+	if script.Events > 1 && random.Float64() < leaveFraction {
+		request.LeaveAfter = 1 + random.IntN(script.Events-1)
+	}
 	if request.BodyBytes > 0 && random.Float64() < slowFraction {
 		request.BodyDelay = time.Duration(random.Float64() * float64(maxPartDelay))
 	}
@@ -300,7 +306,8 @@
 	callers, weights := generator.world.shapeCallers(seed)
 	load := newShapeLoad(generator.world.size.Shape)
 	for ctx.Err() == nil {
-		interval := time.Duration(generator.random.ExpFloat64() / generator.world.size.RequestsPerSecond * float64(time.Second))
+		rate := generator.world.size.RequestsPerSecond * float64(generator.world.loadFactor.Load())
+		interval := time.Duration(generator.random.ExpFloat64() / rate * float64(time.Second))
 		select {
 		case <-ctx.Done():
 		case <-time.After(interval):
@@ -340,7 +347,7 @@
 		world.judge.recordSent(request.ID, &attempt)
 		answer := caller.Send(world.ctx, address, request)
 		world.judge.recordAnswer(answer)
-		if answer.Succeeded() || stream.complete || !answer.NotRun() && !first.route.repeatable() {
+		if answer.Succeeded() || stream.complete || left(answer) || !answer.NotRun() && !first.route.repeatable() {
 			return
 		}
 		time.Sleep(min(answer.RetryAfter, time.Second))
--- a/soak/shapefaults.go
+++ b/soak/shapefaults.go
@@ -27,6 +27,8 @@
 	settingsFraction = 0.5
 	// releaseGap is the time between two targets that a release replaces.
 	releaseGap = time.Second
+	// maxBurst is the greatest factor by which the load grows for a while.
+	maxBurst = 4
 )
 
 // shapeFaults are the planned operations of worlds that a file describes.
@@ -45,6 +47,7 @@
 	{"configurationStorm", true, func(world *World, step step) { world.configurationStorm(step) }},
 	{"leave", true, func(world *World, step step) { world.drainTarget(step) }},
 	{"releaseTargets", true, func(world *World, step step) { world.releaseTargets(step) }},
+	{"burst", true, func(world *World, step step) { world.burst(step) }},
 	{"joinTarget", true, func(world *World, step step) {
 		_, _ = world.addTarget(world.size.Shape.Services[step.index%len(world.size.Shape.Services)].Name)
 	}},
@@ -181,6 +184,14 @@
 	}
 }
 
+// burst makes the load grow for a while.
+func (world *World) burst(step step) {
+	factor := int64(2 + step.index%(maxBurst-1))
+	world.loadFactor.Add(factor - 1)
+	time.Sleep(step.duration)
+	world.loadFactor.Add(1 - factor)
+}
+
 // kill kills a process.
 func (world *World) kill(process *process, step step) {
 	world.restart(process, syscall.SIGKILL, shapeDowntime(step))
--- a/soak/world.go
+++ b/soak/world.go
@@ -101,6 +101,8 @@
 	// shapeState is what the published version of a shape has, idleTimeout its idle timeout.
 	shapeState  shapeState
 	idleTimeout atomic.Int64
+	// loadFactor is the factor by which callers send more than usual.
+	loadFactor atomic.Int64
 }
 
 // target is a target and the relay in front of it.
