Check the entries of targets and the numbers in them as they are decoded

Operators of similar systems report that one odd entry of another writer (nested deeply, a number too large, a port out of range) ended the daemons that read the list, or made them stop following it.

Cause: Dialect.Target took any text as an address and any number as slots, cold time, start and count, and Sequence ordered entries that name no target among those of a writer. Values of any size were kept and passed on. Floats were converted to durations without bounds, which Go defines by processor.

Change: one decode with a fault for each item; ids that a header can carry, addresses by number with a port, slots, cold times, starts and counts within bounds, values of at most 64 KiB.

--- a/dialect.go
+++ b/dialect.go
@@ -57,6 +57,47 @@
 	Watch(ctx context.Context, prefix string, after Revision, wait time.Duration) (StoreAnswer, error)
 }
 
+// TargetFault says why a published item names no target that can be used.
+type TargetFault string
+
+// The faults of items below the prefix of the targets.
+const (
+	// FaultMalformed items cannot be decoded, or are larger than any target's.
+	FaultMalformed TargetFault = "malformed"
+	// FaultID items have a key that cannot be the id of a target.
+	FaultID TargetFault = "id"
+	// FaultState items are in a state that is not known.
+	FaultState TargetFault = "state"
+	// FaultService items belong to no service.
+	FaultService TargetFault = "service"
+	// FaultAddress items have no address that can be connected to.
+	FaultAddress TargetFault = "address"
+	// FaultOfFleet items have an address of the fleet or of the store.
+	FaultOfFleet TargetFault = "fleet"
+	// FaultSlots, FaultCold and FaultRun items have a number of slots, a cold time, or a start or a
+	// count that no target has.
+	FaultSlots TargetFault = "slots"
+	FaultCold  TargetFault = "cold"
+	FaultRun   TargetFault = "run"
+)
+
+// TargetFaults lists all faults.
+var TargetFaults = []TargetFault{
+	FaultMalformed, FaultID, FaultState, FaultService, FaultAddress, FaultOfFleet, FaultSlots, FaultCold, FaultRun,
+}
+
+// TargetError is the error of a published item that names no target.
+type TargetError struct {
+	Fault TargetFault
+	Cause error
+}
+
+// Error implements error.
+func (failure *TargetError) Error() string { return failure.Cause.Error() }
+
+// Unwrap returns the cause.
+func (failure *TargetError) Unwrap() error { return failure.Cause }
+
 // PromptSegment is one segment of a prompt, which other prompts may have as a prefix too.
 type PromptSegment struct {
 	ID     uint64
@@ -148,13 +189,13 @@
 	// the configuration. Their targets get no new requests.
 	Evacuated(items []Item) []FailureDomain
 	// Sequence returns the position of an item's value among those of its writer, and false
-	// if the value does not tell.
+	// if the value does not tell or is another writer's.
 	Sequence(item Item) (Sequence, bool)
 	// IdentityPath is the path at which a target says of itself when it started, and Started
 	// extracts that from the answer, false if it does not say it.
 	IdentityPath() string
 	Started(body []byte) (int64, bool)
-	// Target decodes one published target. An error means that the item does not
-	// describe a target.
+	// Target decodes one published target. An error, which is a TargetError, means that the
+	// item does not describe a target.
 	Target(item Item) (Target, error)
 }
