Count, log and dump the entries that name no target

An entry that could not be used was seen at debug level only, and what had an address of a daemon or of the store was used: each attempt there cost a request of a route with one attempt.

Addresses of members and of the store are a fault too; they are decided again as the membership changes.

--- a/core/berylfeed/feed.go
+++ b/core/berylfeed/feed.go
@@ -357,6 +357,15 @@
 	return known && one.Compare(later) < 0
 }
 
+// Item returns the item of a key as it is served, and false if none is.
+func (feed *Feed) Item(now time.Time, key string) (berylspoke.Item, bool) {
+	record := feed.records[key]
+	if record == nil || !record.visible(now) {
+		return berylspoke.Item{}, false
+	}
+	return record.shown(), true
+}
+
 // drop takes a superseded or pruned record out of the sums and the order.
 func (feed *Feed) drop(old *record) {
 	if old == nil {
--- a/io/beryledge/actor.go
+++ b/io/beryledge/actor.go
@@ -170,6 +170,9 @@
 	evacuationsDue time.Time
 	// published are the published targets by their key in the store.
 	published map[string]berylspoke.Target
+	unusable  unusableItems
+	// fleet are the addresses that name no target.
+	fleet fleetAddresses
 	// pullers decide which changes to pull from peers.
 	pullers [berylfeed.Count]berylfeed.Puller
 	// pulledAt is when the changes of a feed were last pulled.
@@ -209,12 +212,14 @@
 		contacts:   berylfeed.NewContacts(uint32(xxhash.Sum64String(fmt.Sprint(settings.VM, daemon.incarnation)))),
 		quarantine: berylquarantine.New(settings.VM),
 		published:  make(map[string]berylspoke.Target),
+		unusable:   newUnusableItems(),
 		lastTick:   now, lastTimerTick: now,
 	}
 	core.tickAfter = func(delay time.Duration) {
 		time.AfterFunc(delay, func() { daemon.send(tick{urgent: true}) })
 	}
 	core.table.Join(now, settings.Seeds)
+	core.fleet = newFleetAddresses(settings, core.table)
 	for name := range core.feeds {
 		core.feeds[name] = berylfeed.New(daemon.dialect.Sequence)
 		core.feeds[name].SetOutageThreshold(maxContactAge + firstAnswerDelay)
--- a/io/beryledge/daemon.go
+++ b/io/beryledge/daemon.go
@@ -88,6 +88,8 @@
 	// those of its region.
 	replicaBytes [berylfeed.Count]atomic.Int64
 	regionRank   atomic.Int64
+	// unusableItems is the number of published items that name no target.
+	unusableItems atomic.Int64
 	// verdicts are those by which requests are refused.
 	verdicts atomic.Pointer[berylquarantine.Verdicts]
 	// completeAsOf is the time as of which each feed is complete, in Unix nanoseconds.
--- a/io/beryledge/feeds.go
+++ b/io/beryledge/feeds.go
@@ -266,10 +266,12 @@
 	old, known := core.published[item.Key]
 	target, err := berylspoke.Target{}, error(nil)
 	if !item.Deleted {
-		target, err = core.daemon.dialect.Target(item)
+		target, err = core.target(item)
 	}
 	if err != nil {
-		core.daemon.log.Debug("ignoring a published item that names no target", cause(err))
+		core.recordUnusable(item, err)
+	} else {
+		core.forgetUnusable(item.Key)
 	}
 	gone := item.Deleted || err != nil
 	if known && (gone || old.Run() != target.Run()) {
--- a/io/beryledge/members.go
+++ b/io/beryledge/members.go
@@ -108,6 +108,7 @@
 	live := len(core.table.Live())
 	core.gate.SetDaemons(now, live)
 	core.gate.SetVMs(now, fresh.domains)
+	core.recheckTargets(now)
 	// The same daemons watch all feeds: a daemon that watches only one feed could not
 	// report to the others that it has all changes.
 	watchers := berylmember.Ranked("watcher", core.table.Live(), watcherCount)
--- a/io/beryledge/meters.go
+++ b/io/beryledge/meters.go
@@ -54,7 +54,9 @@
 	otherProcesses, unidentified *metrics.Counter
 	// crashChecks counts the checks whether targets had crashed by what they found.
 	crashChecks [crashFindings]*metrics.Counter
-	latency     map[berylspoke.Kind]*metrics.Histogram
+	// unusableItems counts the published items that name no target.
+	unusableItems map[berylspoke.TargetFault]*metrics.Counter
+	latency       map[berylspoke.Kind]*metrics.Histogram
 	// coreMessages counts the messages of the core's actor, each of which may wake the
 	// process.
 	coreMessages [messageKinds]*metrics.Counter
@@ -81,8 +83,13 @@
 		unidentified:        set.NewCounter("berylspoke_target_runs_unknown_total"),
 		originsTold:         set.NewCounter("berylspoke_streams_told_total"),
 		accountsLearnt:      set.NewCounter("berylspoke_build_accounts_learnt_total"),
+		unusableItems:       make(map[berylspoke.TargetFault]*metrics.Counter),
 		latency:             make(map[berylspoke.Kind]*metrics.Histogram),
 	}
+	for _, fault := range berylspoke.TargetFaults {
+		meters.unusableItems[fault] = set.NewCounter(fmt.Sprintf("berylspoke_unusable_items_total{fault=%q}", fault))
+	}
+	set.NewGauge("berylspoke_unusable_items", func() float64 { return float64(daemon.unusableItems.Load()) })
 	for finding, name := range crashFindingNames {
 		meters.crashChecks[finding] = set.NewCounter(fmt.Sprintf("berylspoke_crash_checks_total{found=%q}", name))
 	}
@@ -190,7 +197,9 @@
 	Entries map[string][]string      `json:"entries"`
 	Members []string                 `json:"members"`
 	Feeds   map[string]FeedDump      `json:"feeds"`
-	Gate    berylgate.Dump           `json:"gate"`
+	// Unusable lists the published items that name no target.
+	Unusable []UnusableDump `json:"unusable"`
+	Gate     berylgate.Dump `json:"gate"`
 }
 
 // Dump returns the state of the daemon.
@@ -215,6 +224,7 @@
 				Era: feed.AsOf().Era, AsOf: feed.AsOf().Revision, Carried: kept.Carried, Withheld: kept.Withheld, InGrace: kept.InGrace,
 			}
 		}
+		dump.Unusable = core.unusable.dump()
 		dump.Gate = core.gate.Dump(now)
 	})
 	return dump
