Origins: all daemons of a small fleet hold each record

What callers saw: engines of two versions serve, seven of eight daemons lose power; streams that had begun are refused with 503 at all daemons (source 'unknown'), three times in a row, though one daemon lived on and their engines serve. Cause: the build of a stream was at the daemon that began it and at two holders of eight. One daemon that lives through it is a holder of 2 in 7. Class: what must outlive machines is kept at fewer than may be lost at once. Change: in a fleet of up to 13 daemons the others are told too, in batches each 0.1 s, and all are asked. Larger fleets as before.

--- a/core/berylmodel/streams.go
+++ b/core/berylmodel/streams.go
@@ -75,6 +75,8 @@
 	// askRounds and askInterval are how often holders are asked and the time between.
 	askRounds   = 3
 	askInterval = 150 * time.Millisecond
+	// spreadInterval is the longest time until those holders are told that are told later.
+	spreadInterval = 100 * time.Millisecond
 	// minReturn and maxReturn bound the time until a caller takes up a broken stream.
 	minReturn, maxReturn = 5 * time.Millisecond, 300 * time.Millisecond
 	// maxLeaveDelay bounds the time from the first event until its caller leaves.
@@ -298,13 +300,23 @@
 	})
 }
 
+// tell tells holders of a stream at once, and the others soon after unless the entry daemon is down
+// by then.
 func (streams *streams) tell(now time.Time, stream *modelStream, entry int) {
 	stream.told = true
-	record := berylorigin.Record{Key: stream.key, Build: stream.build}
-	for _, vm := range berylorigin.Told(stream.key, entryName(entry), streams.live()) {
-		streams.fleet.result.Streams.Told++
-		streams.send(now, vm, func(now time.Time, state *entryState) { state.records.Add(now, record) })
+	record, state := berylorigin.Record{Key: stream.key, Build: stream.build}, streams.entries[entry]
+	send := func(now time.Time, holders []berylspoke.VMID) {
+		for _, vm := range holders {
+			streams.fleet.result.Streams.Told++
+			streams.send(now, vm, func(now time.Time, state *entryState) { state.records.Add(now, record) })
+		}
 	}
+	send(now, berylorigin.Told(stream.key, entryName(entry), streams.live()))
+	streams.fleet.schedule(now.Add(spreadInterval), func(now time.Time) {
+		if !state.down {
+			send(now, berylorigin.ToldLater(stream.key, entryName(entry), streams.live()))
+		}
+	})
 }
 
 // begins records that the first event of a try came from an engine.
--- a/core/berylmodel/streams_test.go
+++ b/core/berylmodel/streams_test.go
@@ -67,6 +67,34 @@
 	}
 }
 
+// killAllBut kills all entry daemons of a small fleet but one at a time.
+func killAllBut(left int, at time.Duration) []Kill {
+	var kills []Kill
+	for entry := range SmallFleet(Gates).Entries {
+		if entry != left {
+			kills = append(kills, Kill{at, entry})
+		}
+	}
+	return kills
+}
+
+// Guards against streams that do not go on half as often as new ones begin after all daemons but one were
+// lost at once, as only a few held their records.
+func TestStreamsGoOnAfterAllDaemonsButOneAreLost(t *testing.T) {
+	for left := range 3 {
+		load := meanLoad(13)
+		load.RequestsPerSecond = 200
+		tally := Run(streamFleet(StreamOptions{
+			Seed: uint64(left), Versions: halves, Kills: append(killAllBut(left, 6*time.Second), killAllBut(left, 11*time.Second)...),
+		}), load).Streams
+		t.Logf("%+v", tally)
+		require.Zero(t, tally.Joined)
+		require.Greater(t, tally.TakenUp, 100)
+		begins, goesOn := float64(tally.Began)/float64(tally.New), float64(tally.WentOn)/float64(tally.TakenUp)
+		require.Greater(t, goesOn, 0.5*begins)
+	}
+}
+
 // Guards against messages about streams while a service has one build only.
 func TestStreamsOfOneBuildCostNoMessages(t *testing.T) {
 	load := meanLoad(12)
--- a/core/berylorigin/key.go
+++ b/core/berylorigin/key.go
@@ -34,15 +34,30 @@
 	// askedHolders is the number of daemons that are asked: those that were told remain among
 	// them if the one that told them ranks as high, or if a daemon has joined.
 	askedHolders = 4
+	// smallFleet is the number of daemons up to which all of them hold every record.
+	smallFleet = 13
 )
 
-// Told returns the daemons to tell of a stream that began at a daemon.
+// Told returns the daemons to tell of a stream as it begins at a daemon.
 func Told(key Key, self berylspoke.VMID, live []berylspoke.VMID) []berylspoke.VMID {
 	return ranked(key, self, live, toldHolders)
 }
 
+// ToldLater returns the daemons to tell of a stream soon after those that were told at once: all
+// others of a small fleet, of which any number may be lost together.
+func ToldLater(key Key, self berylspoke.VMID, live []berylspoke.VMID) []berylspoke.VMID {
+	if len(live) > smallFleet {
+		return nil
+	}
+	others := ranked(key, self, live, smallFleet)
+	return others[min(toldHolders, len(others)):]
+}
+
 // Asked returns the daemons to ask for a stream that is taken up at a daemon.
 func Asked(key Key, self berylspoke.VMID, live []berylspoke.VMID) []berylspoke.VMID {
+	if len(live) <= smallFleet {
+		return ranked(key, self, live, smallFleet)
+	}
 	return ranked(key, self, live, askedHolders)
 }
 
--- a/io/beryledge/origins.go
+++ b/io/beryledge/origins.go
@@ -33,6 +33,9 @@
 	// inquiryMemory is how long after the last inquiry of a peer streams are told, whatever is known
 	// here: the peer may be the one at which they are taken up.
 	inquiryMemory = 2 * inquiryInterval
+	// spreadInterval is the time between two messages to the daemons of a small fleet that are told
+	// of streams later.
+	spreadInterval = tickInterval
 	// versionSlack is added to the age that a replica may have, for the time in which what
 	// says its age is on its way.
 	versionSlack = 300 * time.Millisecond
@@ -70,12 +73,17 @@
 	// last sent one.
 	inquiry            uint32
 	sentAt, receivedAt time.Time
+	// unspread are the streams of which only those holders know that are told at once, spreadAt is
+	// when the others were last told.
+	unspread map[berylorigin.Key]berylspoke.Build
+	spreadAt time.Time
 }
 
 func newOrigins(daemon *Daemon) *origins {
 	return &origins{
 		daemon: daemon, versions: berylorigin.NewVersions(daemon.settings.FirstStart), records: berylorigin.NewRecords(),
 		running: make(map[berylorigin.Key]*runningStream), searches: make(map[berylorigin.Key][]chan originAnswer),
+		unspread: make(map[berylorigin.Key]berylspoke.Build),
 	}
 }
 
@@ -121,19 +129,26 @@
 	build, _ = origins.records.Find(now, key)
 	tell := !oneService || !origins.settled(now, service)
 	origins.running[key] = &runningStream{service: service, build: build, target: target.Run(), began: now, told: tell}
+	if tell {
+		origins.unspread[key] = build
+	}
 	origins.mutex.Unlock()
 	if tell {
-		origins.tell(map[berylorigin.Key]berylspoke.Build{key: build})
+		origins.tell(map[berylorigin.Key]berylspoke.Build{key: build}, berylorigin.Told)
+		origins.daemon.meters.originsTold.Inc()
 	}
 	return tell
 }
 
-// tell tells the holders of streams which builds began them.
-func (origins *origins) tell(builds map[berylorigin.Key]berylspoke.Build) {
+// holders selects the daemons to tell of a stream.
+type holders func(key berylorigin.Key, self berylspoke.VMID, live []berylspoke.VMID) []berylspoke.VMID
+
+// tell tells holders of streams which builds began them.
+func (origins *origins) tell(builds map[berylorigin.Key]berylspoke.Build, holders holders) {
 	live := origins.daemon.entries.Load().live
 	byHolder := make(map[berylspoke.VMID][]berylorigin.Record)
 	for key, build := range builds {
-		for _, vm := range berylorigin.Told(key, origins.daemon.settings.VM, live) {
+		for _, vm := range holders(key, origins.daemon.settings.VM, live) {
 			byHolder[vm] = append(byHolder[vm], berylorigin.Record{Key: key, Build: build})
 		}
 	}
@@ -144,7 +159,6 @@
 			records = records[count:]
 		}
 	}
-	origins.daemon.meters.originsTold.Add(len(builds))
 }
 
 // end records that a stream has ended, or was broken and may be taken up.
@@ -184,15 +198,30 @@
 			continue
 		}
 		stream.told = true
-		untold[key] = stream.build
+		untold[key], origins.unspread[key] = stream.build, stream.build
 		origins.records.Add(now, berylorigin.Record{Key: key, Build: stream.build})
 	}
 	origins.mutex.Unlock()
 	origins.inquire(now)
 	if len(untold) > 0 {
-		origins.tell(untold)
+		origins.tell(untold, berylorigin.Told)
+		origins.daemon.meters.originsTold.Add(len(untold))
 		origins.daemon.log.Info("told holders of the streams that run", zap.Int("streams", len(untold)))
 	}
+	origins.spread(now)
+}
+
+// spread tells the daemons that are told later of the streams that they do not know.
+func (origins *origins) spread(now time.Time) {
+	origins.mutex.Lock()
+	if len(origins.unspread) == 0 || now.Sub(origins.spreadAt) < spreadInterval {
+		origins.mutex.Unlock()
+		return
+	}
+	unspread := origins.unspread
+	origins.unspread, origins.spreadAt = make(map[berylorigin.Key]berylspoke.Build), now
+	origins.mutex.Unlock()
+	origins.tell(unspread, berylorigin.ToldLater)
 }
 
 // settled reports whether all daemons agree that one build began all streams of a service.
--- a/io/beryledge/versions_test.go
+++ b/io/beryledge/versions_test.go
@@ -270,6 +270,30 @@
 	}
 }
 
+// Guards against streams that are lost as all daemons but one are killed at once: the one that lives
+// through it knows the build of each, and so do daemons that start then and ask it.
+func TestStreamsGoOnAfterAllDaemonsButOneAreKilled(t *testing.T) {
+	daemons, _, store := startVersions(t, 6, "v1", "v2")
+	var streams []testStream
+	for i := range 20 {
+		streams = append(streams, openStream(t, daemons[i%5], streamRequest{id: fmt.Sprint("id-", i)}))
+	}
+	time.Sleep(2 * spreadInterval)
+	for _, daemon := range daemons[:5] {
+		daemon.Kill()
+	}
+	left := daemons[5]
+	late := startDaemon(t, store, left.settings.VM)
+	awaitFleet(t, []*Daemon{left, late})
+	for i, began := range streams {
+		began.close()
+		next := openStream(t, []*Daemon{left, late}[i%2], began.takeUp(began.id+"-again"))
+		next.close()
+		require.Equal(t, http.StatusOK, next.status)
+		require.Equal(t, began.version, next.version)
+	}
+}
+
 // Guards against a stream whose build is guessed: its caller does not name the attempt that began
 // it, names one that nobody knows or one of another organisation, or used the id of the attempt
 // for streams of two builds. Such a request has not run, and is refused as such.
