--- a/io/beryledge/meters.go
+++ b/io/beryledge/meters.go
@@ -60,6 +60,8 @@
 	// coreMessages counts the messages of the core's actor, each of which may wake the
 	// process.
 	coreMessages [messageKinds]*metrics.Counter
+	// coreFailures counts the messages whose handling panicked.
+	coreFailures *metrics.Counter
 	// targetTraffic counts the bytes exchanged with targets, by link.
 	targetTraffic [berylpeer.LinkCount]berylconn.Traffic
 }
@@ -84,6 +86,7 @@
 		originsTold:         set.NewCounter("berylspoke_streams_told_total"),
 		accountsLearnt:      set.NewCounter("berylspoke_build_accounts_learnt_total"),
 		unusableItems:       make(map[berylspoke.TargetFault]*metrics.Counter),
+		coreFailures:        set.NewCounter("berylspoke_core_failures_total"),
 		latency:             make(map[berylspoke.Kind]*metrics.Histogram),
 	}
 	for _, fault := range berylspoke.TargetFaults {
--- a/verdict.go
+++ b/verdict.go
@@ -55,6 +55,7 @@
 	ReasonWaitedTooLong      Reason = "waitedTooLong"
 	ReasonCPUStarved         Reason = "processorShort"
 	ReasonTargetsResting     Reason = "targetsResting"
+	ReasonFailed             Reason = "failed"
 	// ReasonBuildGone refuses to continue a stream whose build no target has any more,
 	// ReasonOriginUnknown one whose build is not known.
 	ReasonBuildGone     Reason = "buildGone"
