The core handles no message of a peer before it can answer

What could happen: a daemon that starts among peers handles their first messages while the transport to answer over is not set; the handling panics and the message is lost.

Cause: the socket of the peers is read from within Listen, and the daemon sets its transport once Listen has returned, without an order between the two.

No panic from it was seen, nor a request that it ended.

--- a/io/beryledge/daemon.go
+++ b/io/beryledge/daemon.go
@@ -151,15 +151,24 @@
 // open opens the sockets, that of the peers first: messages that arrive early wait in
 // the actor's mailbox.
 func (daemon *Daemon) open(endpoints Endpoints) error {
+	// Peers may send before Listen has returned, and the core answers over the transport.
+	opened := make(chan struct{})
 	transport, err := berylpeer.Listen(berylpeer.Options{
 		VM: daemon.settings.VM, Address: string(daemon.settings.VM), Keys: [][]byte{[]byte(daemon.settings.FleetKey)},
 		Locator: daemon, Log: daemon.log,
-		Handler: func(from berylspoke.VMID, messages []berylspoke.Message) { daemon.send(peerMessages{from, messages}) },
+		Handler: func(from berylspoke.VMID, messages []berylspoke.Message) {
+			select {
+			case <-opened:
+				daemon.send(peerMessages{from, messages})
+			case <-daemon.ctx.Done():
+			}
+		},
 	})
 	if err != nil {
 		return err
 	}
 	daemon.transport = transport
+	close(opened)
 	daemon.callerServer, err = daemon.serve(daemon.settings.CallersAddress, http.HandlerFunc(daemon.serveCaller), true)
 	if err != nil {
 		return err
