Bound the numbers in messages of peers as they are decoded

Numbers of requests and of tokens, and ages of crashes, were taken as they came: an age beyond 292 years turns negative, loads overflow what they are added to. Origins had the bound already.

--- a/io/berylpeer/wire.go
+++ b/io/berylpeer/wire.go
@@ -3,8 +3,6 @@
 // This file defines the encoded forms of the messages and their conversions.
 
 import (
-	"time"
-
 	"berylspoke"
 	"berylspoke/core/berylconfig"
 	"berylspoke/core/berylfeed"
@@ -150,7 +148,7 @@
 func (wire *wireDemand) message(from berylspoke.VMID) berylspoke.Message {
 	demand := berylslot.Demand{
 		From: process(from, wire.Incarnation), Service: berylspoke.ServiceID(wire.Service),
-		Sequence: wire.Sequence, Applied: wire.Applied, Waiting: max(wire.Waiting, 0),
+		Sequence: wire.Sequence, Applied: wire.Applied, Waiting: count(wire.Waiting),
 		VirtualTime: berylspoke.Tag(wire.VirtualTime), MaxStarted: berylspoke.Tag(wire.VirtualTime + wire.MaxStarted),
 	}
 	last := demand.VirtualTime
@@ -160,8 +158,8 @@
 	}
 	for _, holding := range wire.Holdings {
 		demand.Holdings = append(demand.Holdings, berylslot.Holding{
-			Target: berylspoke.TargetID(holding.Target), Held: max(holding.Held, 0), Used: max(holding.Used, 0),
-			TokenInterval: time.Duration(holding.TokenIntervalMicros) * time.Microsecond,
+			Target: berylspoke.TargetID(holding.Target), Held: count(holding.Held), Used: count(holding.Used),
+			TokenInterval: microseconds(uint64(max(holding.TokenIntervalMicros, 0))),
 		})
 	}
 	return demand
@@ -202,7 +200,7 @@
 		Threshold: berylspoke.Tag(wire.Threshold), VirtualTime: berylspoke.Tag(wire.VirtualTime),
 	}
 	for _, grant := range wire.Grants {
-		lease.Grants = append(lease.Grants, berylslot.Grant{Target: berylspoke.TargetID(grant.Target), Slots: max(grant.Slots, 0)})
+		lease.Grants = append(lease.Grants, berylslot.Grant{Target: berylspoke.TargetID(grant.Target), Slots: count(grant.Slots)})
 	}
 	return lease
 }
--- a/io/berylpeer/wirecrashes.go
+++ b/io/berylpeer/wirecrashes.go
@@ -3,8 +3,6 @@
 // This file defines the encoded form of the evidence on requests that crash targets.
 
 import (
-	"time"
-
 	"berylspoke"
 	"berylspoke/core/berylquarantine"
 )
@@ -58,20 +56,20 @@
 func (wire *wireCrashEvidence) message(berylspoke.VMID) berylspoke.Message {
 	var notices berylquarantine.Notices
 	for _, item := range wire.Crashes {
-		notice := berylquarantine.CrashNotice{Run: berylquarantine.TargetRun(item.Run), Age: time.Duration(item.AgeMicros) * time.Microsecond}
+		notice := berylquarantine.CrashNotice{Run: berylquarantine.TargetRun(item.Run), Age: microseconds(item.AgeMicros)}
 		for _, suspect := range item.Suspects {
 			notice.Suspects = append(notice.Suspects, berylquarantine.SuspectNotice{
 				Suspect: berylquarantine.Suspect{
 					Digest: berylquarantine.Digest(suspect.Digest), Organisation: berylquarantine.OrganisationHash(suspect.Organisation),
 				},
-				SentAge: time.Duration(suspect.SentAgeMicros) * time.Microsecond, Reporter: berylquarantine.VMHash(suspect.Reporter), Ordinal: suspect.Ordinal,
+				SentAge: microseconds(suspect.SentAgeMicros), Reporter: berylquarantine.VMHash(suspect.Reporter), Ordinal: suspect.Ordinal,
 			})
 		}
 		notices.Crashes = append(notices.Crashes, notice)
 	}
 	for _, item := range wire.Clearings {
 		notices.Clearings = append(notices.Clearings, berylquarantine.ClearingNotice{
-			Digest: berylquarantine.Digest(item.Digest), Age: time.Duration(item.AgeMicros) * time.Microsecond,
+			Digest: berylquarantine.Digest(item.Digest), Age: microseconds(item.AgeMicros),
 		})
 	}
 	return notices
--- a/io/berylpeer/wirefeed.go
+++ b/io/berylpeer/wirefeed.go
@@ -232,12 +232,12 @@
 	report.Feeds, report.Complete = positionsFromWire(wire.FeedPositions), positionsFromWire(wire.Complete)
 	for _, item := range wire.Targets {
 		report.Targets = append(report.Targets, berylgate.TargetReport{
-			Target: item.Target, WorkMillis: item.WorkMillis, Running: item.Running, Tokens: berylspoke.Tokens(item.Tokens), PendingMillis: item.PendingMillis,
+			Target: item.Target, WorkMillis: item.WorkMillis, Running: count(item.Running), Tokens: min(max(berylspoke.Tokens(item.Tokens), 0), maxTokens), PendingMillis: item.PendingMillis,
 		})
 	}
 	for _, item := range wire.Loads {
 		report.Loads = append(report.Loads, berylgate.LoadReport{
-			Target: item.Target, Running: item.Running, Waiting: item.Waiting,
+			Target: item.Target, Running: count(item.Running), Waiting: count(item.Waiting),
 			Age: time.Duration(item.AgeMillis) * time.Millisecond,
 		})
 	}
--- a/io/berylpeer/wireorigin.go
+++ b/io/berylpeer/wireorigin.go
@@ -3,6 +3,7 @@
 // This file defines the encoded forms of the messages on the origins of streams.
 
 import (
+	"math"
 	"time"
 
 	"berylspoke"
@@ -115,6 +116,14 @@
 	return time.Duration(min(count, maxMicros)) * time.Microsecond
 }
 
+// maxCount bounds decoded numbers of requests, and maxTokens those of tokens, for the same reason.
+const (
+	maxCount                    = math.MaxUint16
+	maxTokens berylspoke.Tokens = 1 << 48
+)
+
+func count(value int) int { return min(max(value, 0), maxCount) }
+
 // streamKey returns the key of a stream, and false if its length is wrong.
 func streamKey(body []byte) (berylorigin.Key, bool) {
 	var key berylorigin.Key
