Bound what a gate computes from outside numbers

An entry could claim any number of slots, and a demand or a backlog beyond 32 bits was told to peers as what the processor made of it.

An entry claims at most the slots of its service's engines, or one on each connection; what an engine says in its answers counts as before. Values told to peers are the largest that fit.

--- a/core/berylgate/gate.go
+++ b/core/berylgate/gate.go
@@ -105,6 +105,15 @@
 	window                       window
 }
 
+// mostSlots returns the requests that a target of the service runs at most: those that an engine is
+// declared to, or one on each connection. It is zero if neither is declared.
+func (pool *pool) mostSlots() int {
+	if pool.service.Engine != nil {
+		return pool.service.Engine.Slots
+	}
+	return pool.service.MaxConnections
+}
+
 // Gate holds the state by which one daemon decides where requests are sent.
 type Gate struct {
 	options Options
--- a/core/berylgate/model.go
+++ b/core/berylgate/model.go
@@ -3,6 +3,7 @@
 // This file models an engine's time to first token.
 
 import (
+	"math"
 	"time"
 
 	"berylspoke"
@@ -35,5 +36,13 @@
 // millis converts a duration to milliseconds.
 func millis(duration time.Duration) float64 { return float64(duration) / float64(time.Millisecond) }
 
-// duration converts milliseconds to a duration.
-func duration(millis float64) time.Duration { return time.Duration(millis * float64(time.Millisecond)) }
+// duration converts milliseconds to a duration, at most maxSpan.
+func duration(millis float64) time.Duration {
+	return time.Duration(min(max(millis*float64(time.Millisecond), -float64(maxSpan)), float64(maxSpan)))
+}
+
+// maxSpan bounds the durations of the model, so that multiples of them do not overflow.
+const maxSpan = 365 * 24 * time.Hour
+
+// saturated returns a value as it is told to peers, at most the largest that fits.
+func saturated(value float64) uint32 { return uint32(min(max(value, 0), math.MaxUint32)) }
--- a/core/berylgate/report.go
+++ b/core/berylgate/report.go
@@ -146,7 +146,7 @@
 	for _, target := range gate.sorted {
 		if target.sentMillis > 0 || target.running > 0 {
 			reports = append(reports, TargetReport{
-				Target: target.hash, WorkMillis: uint64(target.sentMillis), Running: target.running, Tokens: target.kvTokens, PendingMillis: uint32(target.pendingMillis),
+				Target: target.hash, WorkMillis: uint64(target.sentMillis), Running: target.running, Tokens: target.kvTokens, PendingMillis: saturated(target.pendingMillis),
 			})
 		}
 	}
--- a/core/berylgate/targets.go
+++ b/core/berylgate/targets.go
@@ -76,8 +76,8 @@
 		return
 	}
 	target.engine, target.slots, target.meanSlowdown = pool.service.Engine, target.Slots, &pool.meanSlowdown
-	if target.engine != nil && target.slots == 0 {
-		target.slots = target.engine.Slots
+	if most := pool.mostSlots(); most > 0 && (target.slots > most || target.engine != nil && target.slots <= 0) {
+		target.slots = most
 	}
 	pool.targets = insertTarget(pool.targets, target)
 	if target.accepts() {
--- a/core/berylgate/usage.go
+++ b/core/berylgate/usage.go
@@ -170,11 +170,11 @@
 	}
 	for organisation, sum := range organisations {
 		if sum.demand < minDemand {
-			usage.RestDemand += uint32(sum.demand)
+			usage.RestDemand = saturated(float64(usage.RestDemand) + sum.demand)
 			continue
 		}
 		usage.Organisations = append(usage.Organisations, OrganisationReport{
-			Organisation: organisation, Demand: uint32(sum.demand), Served: uint32(sum.served), CPULimited: sum.cpuLimited,
+			Organisation: organisation, Demand: saturated(sum.demand), Served: saturated(sum.served), CPULimited: sum.cpuLimited,
 		})
 	}
 	slices.SortFunc(usage.Organisations, func(one, other OrganisationReport) int {
@@ -182,7 +182,7 @@
 	})
 	count := min(len(usage.Organisations), maxOrganisations)
 	for _, small := range usage.Organisations[count:] {
-		usage.RestDemand += small.Demand
+		usage.RestDemand = saturated(float64(usage.RestDemand) + float64(small.Demand))
 	}
 	usage.Organisations = usage.Organisations[:count]
 	return usage
