Origins: a daemon that has started is told of the streams that run

What callers saw: half of the daemons are killed, and the others once those are back; streams that ran through the first loss are refused, though daemons were there all the time. Cause: records are told once, as a stream begins, to those that live then. Class: what must outlive machines is not copied to those that come back. Change: as a daemon learns of another run of a peer, it tells that one of the streams that run here and that it is to hold. Evidence: TestStreamsGoOnAfterBothHalvesAreKilledInTurn failed in 3 of 3 runs (expected 200, actual 503) and passes in 3 of 3.

--- a/core/berylmodel/streams.go
+++ b/core/berylmodel/streams.go
@@ -225,9 +225,31 @@
 	streams.fleet.schedule(now.Add(restartDelay), func(now time.Time) {
 		streams.fleet.gates[entry] = streams.fleet.newGate(now, entry)
 		streams.entries[entry] = streams.newEntry(now, entry, false)
+		streams.tellStarted(now, entry)
 	})
 }
 
+// tellStarted lets an entry daemon that has started learn of the streams that run at the others, if it is
+// to hold them.
+func (streams *streams) tellStarted(now time.Time, started int) {
+	name := entryName(started)
+	for entry, state := range streams.entries {
+		if entry == started || state.down {
+			continue
+		}
+		self, live := entryName(entry), streams.live()
+		for _, stream := range state.ordered() {
+			holders := slices.Concat(berylorigin.Told(stream.key, self, live), berylorigin.ToldLater(stream.key, self, live))
+			if !stream.told || !slices.Contains(holders, name) {
+				continue
+			}
+			streams.fleet.result.Streams.Told++
+			record := berylorigin.Record{Key: stream.key, Build: stream.build}
+			streams.send(now, name, func(now time.Time, state *entryState) { state.records.Add(now, record) })
+		}
+	}
+}
+
 // tick lets an entry daemon learn what is due, and tells holders of its streams where a service
 // has got another build.
 func (streams *streams) tick(now time.Time, entry int) {
--- a/io/beryledge/actor.go
+++ b/io/beryledge/actor.go
@@ -157,7 +157,9 @@
 	// table that refreshMembers applied.
 	members        *membership
 	appliedMembers uint64
-	feeds          [berylfeed.Count]*berylfeed.Feed
+	// incarnations are the runs of the peers as of then.
+	incarnations map[berylspoke.VMID]berylspoke.Incarnation
+	feeds        [berylfeed.Count]*berylfeed.Feed
 	// contacts are the latest answers of the store to any daemon.
 	contacts berylfeed.Contacts
 	// currency tracks as of when the feeds are complete; oldReplica is set for each feed
--- a/io/beryledge/members.go
+++ b/io/beryledge/members.go
@@ -92,10 +92,30 @@
 		return
 	}
 	core.appliedMembers = core.table.Version()
+	started := core.startedPeers()
 	fresh := newEntries(core.table)
-	if old := core.daemon.entries.Load(); old.equal(fresh) {
-		return
+	if old := core.daemon.entries.Load(); !old.equal(fresh) {
+		core.applyEntries(now, fresh)
 	}
+	core.daemon.origins.tellStarted(started)
+}
+
+// startedPeers returns the peers of which another run is known than when it last returned.
+func (core *core) startedPeers() []berylspoke.VMID {
+	var started []berylspoke.VMID
+	incarnations := make(map[berylspoke.VMID]berylspoke.Incarnation)
+	for _, vm := range core.membership().peers {
+		incarnations[vm] = core.table.Incarnation(vm)
+		if incarnations[vm] != core.incarnations[vm] {
+			started = append(started, vm)
+		}
+	}
+	core.incarnations = incarnations
+	return started
+}
+
+// applyEntries applies other entries.
+func (core *core) applyEntries(now time.Time, fresh *entries) {
 	core.daemon.entries.Store(fresh)
 	core.quarantine.SetMembers(core.table.Live())
 	if core.daemon.transport != nil {
--- a/io/beryledge/origins.go
+++ b/io/beryledge/origins.go
@@ -4,6 +4,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -152,6 +153,11 @@
 			byHolder[vm] = append(byHolder[vm], berylorigin.Record{Key: key, Build: build})
 		}
 	}
+	origins.send(byHolder)
+}
+
+// send sends records to their holders.
+func (origins *origins) send(byHolder map[berylspoke.VMID][]berylorigin.Record) {
 	for vm, records := range byHolder {
 		for len(records) > 0 {
 			count := min(len(records), berylorigin.MaxRecords)
@@ -161,6 +167,28 @@
 	}
 }
 
+// tellStarted tells daemons that have started of the streams that run here, if they are to hold them.
+func (origins *origins) tellStarted(started []berylspoke.VMID) {
+	if len(started) == 0 {
+		return
+	}
+	self, live := origins.daemon.settings.VM, origins.daemon.entries.Load().live
+	byHolder := make(map[berylspoke.VMID][]berylorigin.Record)
+	origins.mutex.Lock()
+	for key, stream := range origins.running {
+		if !stream.told {
+			continue
+		}
+		for _, vm := range slices.Concat(berylorigin.Told(key, self, live), berylorigin.ToldLater(key, self, live)) {
+			if slices.Contains(started, vm) {
+				byHolder[vm] = append(byHolder[vm], berylorigin.Record{Key: key, Build: stream.build})
+			}
+		}
+	}
+	origins.mutex.Unlock()
+	origins.send(byHolder)
+}
+
 // end records that a stream has ended, or was broken and may be taken up.
 func (origins *origins) end(now time.Time, key berylorigin.Key, complete bool) {
 	origins.mutex.Lock()
--- a/io/beryledge/versions_test.go
+++ b/io/beryledge/versions_test.go
@@ -294,6 +294,36 @@
 	}
 }
 
+// Guards against streams that are lost as half of the daemons are killed, and the others once those
+// have started again: who starts is told of the streams that run.
+func TestStreamsGoOnAfterBothHalvesAreKilledInTurn(t *testing.T) {
+	daemons, _, store := startVersions(t, 6, "v1", "v2")
+	var streams []testStream
+	for i := range 18 {
+		streams = append(streams, openStream(t, daemons[i%3], streamRequest{id: fmt.Sprint("id-", i)}))
+	}
+	time.Sleep(2 * spreadInterval)
+	for _, daemon := range daemons[3:] {
+		daemon.Kill()
+	}
+	var fresh []*Daemon
+	for range 3 {
+		fresh = append(fresh, startDaemon(t, store, daemons[0].settings.VM))
+	}
+	awaitFleet(t, append(fresh, daemons[:3]...))
+	time.Sleep(2 * spreadInterval)
+	for _, daemon := range daemons[:3] {
+		daemon.Kill()
+	}
+	for i, began := range streams {
+		began.close()
+		next := openStream(t, fresh[i%3], began.takeUp(began.id+"-again"))
+		next.close()
+		require.Equal(t, http.StatusOK, next.status)
+		require.Equal(t, began.version, next.version)
+	}
+}
+
 // Guards against a stream whose build is guessed: its caller does not name the attempt that began
 // it, names one that nobody knows or one of another organisation, or used the id of the attempt
 // for streams of two builds. Such a request has not run, and is refused as such.
