Planned stop: only a deadline lets a request in once callers know of it

Callers saw LOST: streams of 5.5 s that were sent 3.4 s after SIGTERM with a limit of 10 s ran and were broken off 7.75 s after it.

Cause: what is safe to repeat was accepted as long as the longest request of its route lately seen, times 1.25, would end in time. Earlier requests do not bound the next one, and what is sent later than 3 s after SIGTERM may not be cut. Within it the usual duration does, as before; a request that was complete by then and has waited or lost its engine goes on by the same measure.

--- a/core/berylstop/stop.go
+++ b/core/berylstop/stop.go
@@ -13,8 +13,6 @@
 	// noticePeriod is the time after the beginning in which callers may not know of the stop, as
 	// they keep the addresses that they resolved.
 	noticePeriod = 2500 * time.Millisecond
-	// durationMargin is how many times as long as the longest before it a request is assumed to take.
-	durationMargin = 1.25
 )
 
 // Stop is a planned stop of a process.
@@ -33,42 +31,31 @@
 // Answered returns when the last answers must have been sent.
 func (stop Stop) Answered() time.Time { return stop.End.Add(stop.Killed.Sub(stop.End) / 2) }
 
-// Risk is what a caller loses if its request is cut.
-type Risk uint8
-
-const (
-	// Unknown means that the caller cannot tell whether the request took effect.
-	Unknown Risk = iota
-	// Incomplete means that the caller has an answer that it cannot use.
-	Incomplete
-	// Repeated means that the caller can send the request again.
-	Repeated
-)
-
 // Work is what is known of a request and of the time that it takes.
 type Work struct {
 	// Deadline is when the request is ended if it has no answer by then.
 	Deadline time.Time
-	Risk     Risk
+	// Whole is when the request was complete, zero if it is not yet.
+	Whole time.Time
+	// Uncertain is set if its caller could not tell whether the request took effect if it were cut.
+	Uncertain bool
 	// Duration is how long such requests take once they are whole.
 	Duration Duration
 }
 
-// Latest returns the latest time at which work may be sent to a target, zero if it is not to be
-// sent at all.
+// Latest returns the latest time at which work may be sent to a target, and by which it has to be
+// whole, zero if it is not to be sent at all.
 func (stop Stop) Latest(work Work) time.Time {
 	if !work.Deadline.After(stop.End) {
 		return work.Deadline
 	}
-	if work.Risk == Unknown || work.Duration.Longest == 0 {
+	noticed := stop.Began.Add(noticePeriod)
+	if work.Uncertain || work.Duration.Longest == 0 || work.Whole.After(noticed) {
 		return time.Time{}
 	}
 	latest := stop.End.Add(-work.Duration.Usual)
-	if noticed := stop.Began.Add(noticePeriod); noticed.Before(latest) {
-		latest = noticed
-	}
-	if safe := stop.End.Add(-time.Duration(durationMargin * float64(work.Duration.Longest))); work.Risk == Repeated && safe.After(latest) {
-		latest = safe
+	if work.Whole.IsZero() && noticed.Before(latest) {
+		return noticed
 	}
 	return latest
 }
--- a/core/berylstop/stop_test.go
+++ b/core/berylstop/stop_test.go
@@ -25,15 +25,19 @@
 	var cases []struct {
 		Case              string
 		Timeout, Deadline int
+		Whole             *int
 		Usual, Longest    int
-		Risk              Risk
+		Uncertain         bool
 		Latest            int
 	}
 	require.NoError(t, json.Unmarshal(text, &cases))
 	for _, test := range cases {
 		t.Run(test.Case, func(t *testing.T) {
 			stop := New(epoch, millis(test.Timeout))
-			work := Work{Deadline: epoch.Add(millis(test.Deadline)), Risk: test.Risk, Duration: Duration{millis(test.Usual), millis(test.Longest)}}
+			work := Work{Deadline: epoch.Add(millis(test.Deadline)), Uncertain: test.Uncertain, Duration: Duration{millis(test.Usual), millis(test.Longest)}}
+			if test.Whole != nil {
+				work.Whole = epoch.Add(millis(*test.Whole))
+			}
 			if test.Latest < 0 {
 				require.False(t, stop.Accepts(epoch, work))
 				return
@@ -43,29 +47,31 @@
 	}
 }
 
-// Guards against accepted work that ends after the stop, unless its caller can tell that it was cut and
-// it takes longer than nearly all before it, and after the notice longer than any.
+// Guards against accepted work that might end after the stop, unless it was complete while its caller may
+// not have known of the stop, nearly all before it would have ended in time, and its caller can tell that it
+// was cut.
 func TestAcceptedWorkEndsBeforeTheStop(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		stop := New(epoch, millis(rapid.IntRange(1, 120_000).Draw(t, "timeout")))
 		now := epoch.Add(millis(rapid.IntRange(0, 130_000).Draw(t, "now")))
 		usual := millis(rapid.IntRange(0, 10_000).Draw(t, "usual"))
 		work := Work{
-			Deadline: now.Add(millis(rapid.IntRange(0, 130_000).Draw(t, "remaining"))), Risk: Risk(rapid.IntRange(0, 2).Draw(t, "risk")),
+			Deadline: now.Add(millis(rapid.IntRange(0, 130_000).Draw(t, "remaining"))), Uncertain: rapid.Bool().Draw(t, "uncertain"),
 			Duration: Duration{usual, usual * time.Duration(rapid.IntRange(1, 3).Draw(t, "times"))},
 		}
+		whole := now
+		if rapid.Bool().Draw(t, "whole") {
+			whole = now.Add(-millis(rapid.IntRange(0, 10_000).Draw(t, "since")))
+			work.Whole = whole
+		}
+		require.True(t, stop.End.Before(stop.Killed))
 		if !stop.Accepts(now, work) || !work.Deadline.After(stop.End) {
 			return
 		}
-		require.NotEqual(t, Unknown, work.Risk)
+		require.False(t, work.Uncertain)
 		require.Positive(t, work.Duration.Longest)
-		ends := now.Add(work.Duration.Usual)
-		if now.After(epoch.Add(noticePeriod)) {
-			require.Equal(t, Repeated, work.Risk)
-			ends = now.Add(work.Duration.Longest)
-		}
-		require.False(t, ends.After(stop.End))
-		require.True(t, stop.End.Before(stop.Killed))
+		require.False(t, whole.After(epoch.Add(noticePeriod)))
+		require.False(t, now.Add(work.Duration.Usual).After(stop.End))
 	})
 }
 
--- a/io/beryledge/late.go
+++ b/io/beryledge/late.go
@@ -35,7 +35,7 @@
 
 // observeDuration records how long a request took that a target may have run.
 func (call *call) observeDuration() {
-	if !call.mayHaveRun || call.risk() == berylstop.Unknown {
+	if !call.mayHaveRun || call.uncertainIfCut() {
 		return
 	}
 	now, durations := time.Now(), &call.daemon.durations
@@ -62,22 +62,18 @@
 	return found.WithActive(ages)
 }
 
-// risk returns what the caller loses if the request is cut.
-func (call *call) risk() berylstop.Risk {
-	switch {
-	case call.repeatable():
-		return berylstop.Repeated
-	case call.route.Kind == berylspoke.Streaming:
-		return berylstop.Incomplete
-	default:
-		return berylstop.Unknown
-	}
+// uncertainIfCut reports whether the caller could not tell whether the request took effect if it were cut.
+func (call *call) uncertainIfCut() bool {
+	return !call.repeatable() && call.route.Kind != berylspoke.Streaming
 }
 
 // work returns what is known of the time that the request takes.
 func (call *call) work(now time.Time) berylstop.Work {
-	work := berylstop.Work{Deadline: call.request.Deadline, Risk: call.risk()}
-	if work.Risk != berylstop.Unknown {
+	work := berylstop.Work{Deadline: call.request.Deadline, Uncertain: call.uncertainIfCut()}
+	if whole := call.whole.Load(); whole != nil {
+		work.Whole = whole.at
+	}
+	if !work.Uncertain {
 		work.Duration = call.daemon.durationOf(now, call.route.Name)
 	}
 	return work
--- a/io/beryledge/stop_test.go
+++ b/io/beryledge/stop_test.go
@@ -59,10 +59,11 @@
 	TimeoutMillis int    `json:"timeoutMillis"`
 	// CallerMillis is the time limit of the callers, that of the route if zero.
 	CallerMillis int `json:"callerMillis"`
-	// WorkMillis is the time of the target, LaterWorkMillis that of requests since the stop began,
-	// if it differs, and BodyMillis the time in which the body arrives.
+	// WorkMillis is the time of the target, LaterWorkMillis that of requests sent from LaterFromMillis
+	// after the stop began on, if it differs, and BodyMillis the time in which the body arrives.
 	WorkMillis      int `json:"workMillis"`
 	LaterWorkMillis int `json:"laterWorkMillis"`
+	LaterFromMillis int `json:"laterFromMillis"`
 	BodyMillis      int `json:"bodyMillis"`
 	// Before is the number of requests before the stop, of which the first takes as long as those
 	// during the stop, and the others 5 ms.
@@ -151,7 +152,7 @@
 
 func (script stopScript) play(t *testing.T) {
 	service, answer := "desk", sealed(http.StatusOK, "done")
-	if strings.HasPrefix(script.Path, "/draft/") {
+	if strings.HasPrefix(script.Path, "/draft/") || strings.HasPrefix(script.Path, "/resume/") {
 		service, answer = "engines", events(9)
 	}
 	var mutex sync.Mutex
@@ -165,7 +166,8 @@
 		if strings.HasPrefix(id, "early") {
 			work = 5
 		}
-		if script.LaterWorkMillis > 0 && strings.HasPrefix(id, "late") {
+		sentAt := 0
+		if _, err := fmt.Sscanf(id, "late-%d", &sentAt); err == nil && script.LaterWorkMillis > 0 && sentAt >= script.LaterFromMillis {
 			work = script.LaterWorkMillis
 		}
 		time.Sleep(millis(work))
