While all daemons stop, the last one is named only during its notice

Callers that were told the daemon that began to stop last kept its address for up to three seconds after another had started, and were rejected there until their tries were used up.

Cause: resolve answers named it until it ended, though it rejects most requests from 2.5 s on. It is named as long as it accepts them; callers that are told none keep the address that they have, and ask again for each channel.

Test: TestLastDaemonToLeaveIsNamedWhileNoOtherIs; without the bound: "Should be empty, but was [vm-4:80]".

--- a/core/berylstop/stop.go
+++ b/core/berylstop/stop.go
@@ -10,9 +10,9 @@
 	// within that it takes if that is short.
 	maxReserve      = 250 * time.Millisecond
 	reserveFraction = 1. / 8
-	// noticePeriod is the time after the beginning in which callers may not know of the stop, as
+	// NoticePeriod is the time after the beginning in which callers may not know of the stop, as
 	// they keep the addresses that they resolved.
-	noticePeriod = 2500 * time.Millisecond
+	NoticePeriod = 2500 * time.Millisecond
 )
 
 // Stop is a planned stop of a process.
@@ -49,7 +49,7 @@
 	if !work.Deadline.After(stop.End) {
 		return work.Deadline
 	}
-	noticed := stop.Began.Add(noticePeriod)
+	noticed := stop.Began.Add(NoticePeriod)
 	if work.Uncertain || work.Duration.Longest == 0 || work.Whole.After(noticed) {
 		return time.Time{}
 	}
--- a/core/berylstop/stop_test.go
+++ b/core/berylstop/stop_test.go
@@ -70,7 +70,7 @@
 		}
 		require.False(t, work.Uncertain)
 		require.Positive(t, work.Duration.Longest)
-		require.False(t, whole.After(epoch.Add(noticePeriod)))
+		require.False(t, whole.After(epoch.Add(NoticePeriod)))
 		require.False(t, now.Add(work.Duration.Usual).After(stop.End))
 	})
 }
--- a/io/beryledge/cpupressure_test.go
+++ b/io/beryledge/cpupressure_test.go
@@ -43,5 +43,5 @@
 		Process:    berylspoke.Process{VM: "large", Incarnation: 1},
 		Attributes: berylmember.Attributes{FailureDomain: "a", CallAddress: "10.0.0.2:1", Capacity: 80},
 	}})
-	require.Equal(t, []string{"10.0.0.2:1", "10.0.0.2:1", "10.0.0.2:1", "10.0.0.2:1", "10.0.0.1:1"}, newEntries(table).byDomain["a"])
+	require.Equal(t, []string{"10.0.0.2:1", "10.0.0.2:1", "10.0.0.2:1", "10.0.0.2:1", "10.0.0.1:1"}, newEntries(now, table).byDomain["a"])
 }
--- a/io/beryledge/entries.go
+++ b/io/beryledge/entries.go
@@ -5,9 +5,11 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"berylspoke"
 	"berylspoke/core/berylmember"
+	"berylspoke/core/berylstop"
 )
 
 // entries are the addresses of the daemons that accept callers' requests by failure
@@ -16,12 +18,15 @@
 	byDomain map[berylspoke.FailureDomain][]string
 	domains  map[berylspoke.VMID]berylspoke.FailureDomain
 	live     []berylspoke.VMID
+	// until is when the only daemon that is named has stopped accepting most requests, zero if it does
+	// not leave.
+	until time.Time
 }
 
 // maxAddresses bounds the addresses in one answer.
 const maxAddresses = 64
 
-func newEntries(table *berylmember.Table) *entries {
+func newEntries(now time.Time, table *berylmember.Table) *entries {
 	entries := &entries{
 		byDomain: make(map[berylspoke.FailureDomain][]string),
 		domains:  make(map[berylspoke.VMID]berylspoke.FailureDomain),
@@ -40,13 +45,31 @@
 		}
 	}
 	if len(entries.byDomain) == 0 {
-		if last := lastLeaving(table); last != nil {
-			entries.byDomain[last.VM.FailureDomain] = []string{last.VM.CallAddress}
-		}
+		entries.nameLeaving(now, table)
 	}
 	return entries
 }
 
+// nameLeaving names the daemon that began to leave last as long as it accepts most requests. Callers that
+// are told none after that keep its address, and ask again until another daemon has started.
+func (entries *entries) nameLeaving(now time.Time, table *berylmember.Table) {
+	last := lastLeaving(table)
+	if last == nil {
+		return
+	}
+	until := last.LeavingSince.Add(berylstop.NoticePeriod)
+	if now.After(until) {
+		return
+	}
+	entries.until = until
+	entries.byDomain[last.VM.FailureDomain] = []string{last.VM.CallAddress}
+}
+
+// outdated reports whether the daemon that is named must be no longer.
+func (entries *entries) outdated(now time.Time) bool {
+	return !entries.until.IsZero() && now.After(entries.until)
+}
+
 // lastLeaving returns the daemon that began to leave last, nil if none does. While no other accepts
 // callers' requests, it does so for the longest time.
 func lastLeaving(table *berylmember.Table) *berylmember.Member {
@@ -118,6 +141,6 @@
 }
 
 func (old *entries) equal(fresh *entries) bool {
-	return maps.Equal(old.domains, fresh.domains) &&
+	return old.until.Equal(fresh.until) && maps.Equal(old.domains, fresh.domains) &&
 		maps.EqualFunc(old.byDomain, fresh.byDomain, slices.Equal[[]string])
 }
--- a/io/beryledge/entries_test.go
+++ b/io/beryledge/entries_test.go
@@ -8,10 +8,12 @@
 
 	"berylspoke"
 	"berylspoke/core/berylmember"
+	"berylspoke/core/berylstop"
 )
 
 // Guards against callers that are told no address while all daemons stop in series, and keep those of
-// the first to stop, and against a daemon that is named though others accept requests.
+// the first to stop, against a daemon that is named though others accept requests, and against one that is
+// named when it rejects most requests, so that callers keep to it after another has started.
 func TestLastDaemonToLeaveIsNamedWhileNoOtherIs(t *testing.T) {
 	options := berylmember.DefaultOptions()
 	options.Open = true
@@ -26,7 +28,7 @@
 	}
 	named := func() []string {
 		var all []string
-		for _, addresses := range newEntries(table).byDomain {
+		for _, addresses := range newEntries(now, table).byDomain {
 			all = append(all, addresses...)
 		}
 		return all
@@ -46,6 +48,10 @@
 	now = now.Add(time.Second)
 	hear("vm-4", 1, 1, true)
 	require.Equal(t, []string{"vm-4:80"}, named())
+	now = now.Add(berylstop.NoticePeriod)
+	require.Equal(t, []string{"vm-4:80"}, named())
+	now = now.Add(time.Millisecond)
+	require.Empty(t, named())
 	hear("vm-3", 2, 1, false)
 	require.Equal(t, []string{"vm-3:80"}, named())
 }
--- a/io/beryledge/members.go
+++ b/io/beryledge/members.go
@@ -88,13 +88,13 @@
 
 // refreshMembers applies the membership to everything that depends on it if it changed.
 func (core *core) refreshMembers(now time.Time) {
-	if core.appliedMembers == core.table.Version() {
+	old := core.daemon.entries.Load()
+	if core.appliedMembers == core.table.Version() && !old.outdated(now) {
 		return
 	}
 	core.appliedMembers = core.table.Version()
 	started := core.startedPeers()
-	fresh := newEntries(core.table)
-	if old := core.daemon.entries.Load(); !old.equal(fresh) {
+	if fresh := newEntries(now, core.table); !old.equal(fresh) {
 		core.applyEntries(now, fresh)
 	}
 	core.daemon.origins.tellStarted(started)
