Signals: received from the first instruction on, none is dropped

A signal that came before the settings were read ended the process by its default action: a process that had just been started and got a SIGHUP for changed settings was gone, and one that got SIGTERM ended with an error.

Each now has a channel of one, of which no signal is lost that still matters, and they are set before anything else.

TestSignalsAtTheStart holds the start in the read of the settings (a FIFO).

--- a/cmd/berylspoke/edge.go
+++ b/cmd/berylspoke/edge.go
@@ -54,6 +54,7 @@
 }
 
 func (command *edgeCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	signals := notifySignals()
 	level, err := zap.ParseAtomicLevel(command.level)
 	if err != nil {
 		return fail(err)
@@ -75,33 +76,41 @@
 	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(settings.MemoryBytes)))
 	log := beryllog.New(os.Stdout, level.Level())
 	defer func() { _ = log.Sync() }()
-	// A signal is dropped if its channel is full, so those that stop the process have their own.
-	stops, reloads := make(chan os.Signal, 1), make(chan os.Signal, 1)
-	signal.Notify(stops, syscall.SIGTERM, os.Interrupt)
-	signal.Notify(reloads, syscall.SIGHUP)
 	store := berylbinding.NewStore(settings.StoreAddress)
 	store.Limit(settings.StoreValueBytes, settings.MemoryBytes)
 	daemon, err := beryledge.Start(settings, berylbinding.Dialect{}, store, berylbinding.Endpoints, log)
 	if err != nil {
 		return fail(err)
 	}
-	command.reloadUntilStopped(path, daemon, stops, reloads, log)
+	command.reloadUntilStopped(path, daemon, signals, log)
 	daemon.Stop()
 	return subcommands.ExitSuccess
 }
 
+// signals are those that ask a process to stop, or to reload its settings. They have channels of their
+// own, as a signal is dropped if its channel is full.
+type signals struct{ stop, reload chan os.Signal }
+
+// notifySignals begins to receive signals.
+func notifySignals() signals {
+	received := signals{make(chan os.Signal, 1), make(chan os.Signal, 1)}
+	signal.Notify(received.stop, syscall.SIGTERM, os.Interrupt)
+	signal.Notify(received.reload, syscall.SIGHUP)
+	return received
+}
+
 // reloadUntilStopped applies changes of the settings until a signal asks the process
 // to stop, and those that the file holds by then: the stop ends by its settings.
-func (command *edgeCommand) reloadUntilStopped(path string, daemon *beryledge.Daemon, stops, reloads <-chan os.Signal, log *zap.Logger) {
+func (command *edgeCommand) reloadUntilStopped(path string, daemon *beryledge.Daemon, signals signals, log *zap.Logger) {
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
 	seen, _ := os.ReadFile(path)
 	for {
 		stopped := false
 		select {
-		case <-stops:
+		case <-signals.stop:
 			stopped = true
-		case <-reloads:
+		case <-signals.reload:
 		case <-ticker.C:
 		}
 		if body, err := os.ReadFile(path); err == nil && !bytes.Equal(body, seen) {
--- a/cmd/berylspoke/edge_test.go
+++ b/cmd/berylspoke/edge_test.go
@@ -7,9 +7,11 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"syscall"
 	"testing"
 	"time"
@@ -19,6 +21,78 @@
 	"berylspoke/platform/beryldouble"
 )
 
+// testVM returns a VM whose address no other process uses.
+func testVM(store *beryldouble.Store, host int) beryldouble.VM {
+	return beryldouble.VM{
+		Name: "vm-1", Host: fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()>>8&0x7f, os.Getpid()&0xff, host), FailureDomain: "a", Region: "r", RegionOf: map[string]string{"a": "r"},
+		StoreAddress: store.Address(), BasePort: 8700, Cores: 0.4, MemoryMB: 134, StopSeconds: 4,
+	}
+}
+
+// answers reports whether the process of a VM answers readiness checks.
+func answers(vm beryldouble.VM) bool {
+	response, err := http.Get("http://" + vm.ReadyAddress() + "/readyz")
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return true
+}
+
+// Guards against a process that a signal ends because it arrives early in the start: the settings may
+// change while they are read.
+func TestSignalsAtTheStart(t *testing.T) {
+	store, err := beryldouble.NewStore()
+	require.NoError(t, err)
+	defer store.Close()
+	for host, sent := range map[int][]syscall.Signal{
+		2: {syscall.SIGHUP}, 3: {syscall.SIGTERM},
+		6: {syscall.SIGHUP, syscall.SIGHUP, syscall.SIGHUP, syscall.SIGHUP, syscall.SIGHUP, syscall.SIGTERM},
+	} {
+		t.Run(fmt.Sprint(sent), func(t *testing.T) {
+			vm := testVM(store, host)
+			settings, err := vm.Settings()
+			require.NoError(t, err)
+			// The process waits for its settings until they are written.
+			path := filepath.Join(t.TempDir(), "settings.toml")
+			require.NoError(t, syscall.Mkfifo(path, 0o600))
+			command := exec.Command(program, "edge", "-settings", path)
+			require.NoError(t, command.Start())
+			defer func() { _ = command.Process.Kill() }()
+			pipe, err := os.OpenFile(path, os.O_WRONLY, 0)
+			require.NoError(t, err)
+			for _, signal := range sent {
+				require.NoError(t, command.Process.Signal(signal))
+				time.Sleep(20 * time.Millisecond)
+			}
+			// Later reads find a file.
+			written := path + ".new"
+			require.NoError(t, os.WriteFile(written, settings, 0o600))
+			require.NoError(t, os.Rename(written, path))
+			_, err = pipe.Write(settings)
+			require.NoError(t, err, "the process has ended")
+			require.NoError(t, pipe.Close())
+			if !slices.Contains(sent, syscall.SIGTERM) {
+				require.Eventually(t, func() bool { return answers(vm) }, waitTimeout, 10*time.Millisecond)
+				require.NoError(t, command.Process.Signal(syscall.SIGTERM))
+			}
+			waitEnd(t, command, 2*vm.StopSeconds)
+		})
+	}
+}
+
+// waitEnd waits until a process has ended without an error.
+func waitEnd(t *testing.T, command *exec.Cmd, seconds float64) {
+	ended := make(chan error, 1)
+	go func() { ended <- command.Wait() }()
+	select {
+	case err := <-ended:
+		require.NoError(t, err)
+	case <-time.After(time.Duration(seconds * float64(time.Second))):
+		t.Fatal("the process does not end")
+	}
+}
+
 // settingsProcess is a process whose settings a test replaces.
 type settingsProcess struct {
 	t     *testing.T
@@ -33,10 +107,8 @@
 	store, err := beryldouble.NewStore()
 	require.NoError(t, err)
 	t.Cleanup(store.Close)
-	process := &settingsProcess{t: t, path: filepath.Join(t.TempDir(), "settings.toml"), vm: beryldouble.VM{
-		Name: "vm-1", Host: fmt.Sprintf("127.%d.%d.1", 1+os.Getpid()>>8&0x7f, os.Getpid()&0xff), FailureDomain: "a", Region: "r", RegionOf: map[string]string{"a": "r"},
-		StoreAddress: store.Address(), BasePort: 8700, Cores: 0.4, MemoryMB: 134, StopSeconds: stopSeconds,
-	}}
+	process := &settingsProcess{t: t, path: filepath.Join(t.TempDir(), "settings.toml"), vm: testVM(store, 1)}
+	process.vm.StopSeconds = stopSeconds
 	process.write()
 	process.Cmd = exec.Command(program, "edge", "-settings", process.path)
 	output, err := process.StdoutPipe()
