Log: a closed or full standard output neither ends nor holds a process

The Go runtime ends a process by SIGPIPE if a write to descriptor 1 or 2 fails with EPIPE. A collector that restarts therefore killed the daemon with all its requests. If nobody reads the pipe, the last flush at the exit blocked, and the process stayed until it was killed.

SIGPIPE is ignored, so that such a write fails, which the log's writer expects; and the last flush takes 100 ms at most, which is less than what a stop leaves between the last answers and the kill. Flushes no longer overlap, so that the last one waits for lines being written.

TestLogThatNobodyReads, real processes, on the code before: closed true: the process has ended closed false: the process does not end

--- a/cmd/berylspoke/edge.go
+++ b/cmd/berylspoke/edge.go
@@ -91,11 +91,13 @@
 // own, as a signal is dropped if its channel is full.
 type signals struct{ stop, reload chan os.Signal }
 
-// notifySignals begins to receive signals.
+// notifySignals begins to receive signals, and makes writes to a closed standard output fail instead of
+// ending the process.
 func notifySignals() signals {
 	received := signals{make(chan os.Signal, 1), make(chan os.Signal, 1)}
 	signal.Notify(received.stop, syscall.SIGTERM, os.Interrupt)
 	signal.Notify(received.reload, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE)
 	return received
 }
 
--- a/cmd/berylspoke/edge_test.go
+++ b/cmd/berylspoke/edge_test.go
@@ -81,6 +81,42 @@
 	}
 }
 
+// Guards against a process that ends because nobody reads its log any more, and against one that does not
+// end because its log cannot be written.
+func TestLogThatNobodyReads(t *testing.T) {
+	store, err := beryldouble.NewStore()
+	require.NoError(t, err)
+	defer store.Close()
+	for host, closed := range map[int]bool{4: true, 5: false} {
+		t.Run(fmt.Sprint("closed ", closed), func(t *testing.T) {
+			vm := testVM(store, host)
+			settings, err := vm.Settings()
+			require.NoError(t, err)
+			path := filepath.Join(t.TempDir(), "settings.toml")
+			require.NoError(t, os.WriteFile(path, settings, 0o600))
+			reader, writer, err := os.Pipe()
+			require.NoError(t, err)
+			defer func() { _ = reader.Close() }()
+			if !closed {
+				fill(t, writer)
+			}
+			command := exec.Command(program, "edge", "-settings", path)
+			command.Stdout = writer
+			require.NoError(t, command.Start())
+			defer func() { _ = command.Process.Kill() }()
+			require.NoError(t, writer.Close())
+			if closed {
+				require.NoError(t, reader.Close())
+			}
+			require.Eventually(t, func() bool { return answers(vm) }, waitTimeout, 10*time.Millisecond)
+			time.Sleep(time.Second)
+			require.True(t, answers(vm), "the process has ended")
+			require.NoError(t, command.Process.Signal(syscall.SIGTERM))
+			waitEnd(t, command, 2*vm.StopSeconds)
+		})
+	}
+}
+
 // waitEnd waits until a process has ended without an error.
 func waitEnd(t *testing.T, command *exec.Cmd, seconds float64) {
 	ended := make(chan error, 1)
@@ -142,6 +178,14 @@
 	return nil
 }
 
+// fill writes to a pipe until it is full.
+func fill(t *testing.T, writer *os.File) {
+	require.NoError(t, writer.SetWriteDeadline(time.Now().Add(100*time.Millisecond)))
+	_, err := writer.Write(make([]byte, 1<<20))
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	require.NoError(t, writer.SetWriteDeadline(time.Time{}))
+}
+
 // Guards against a stop that ends by settings that the platform has replaced without a signal: the
 // process is killed before its requests have ended.
 func TestStopEndsByTheSettingsInTheFile(t *testing.T) {
--- a/io/beryllog/log.go
+++ b/io/beryllog/log.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 )
@@ -23,8 +24,12 @@
 	// maxWriteBytes bounds one write. A pipe accepts up to this size atomically, and a
 	// collector that reads only part of a larger write loses the lines at its end.
 	maxWriteBytes = 4 << 10
+	// syncTimeout bounds the time to write the last lines of a process: nobody may read them.
+	syncTimeout = 100 * time.Millisecond
 )
 
+var errSyncTimeout = errors.New("log was not written in time")
+
 // Writer buffers lines and drops those for which it has no room.
 type Writer struct {
 	out     io.Writer
@@ -32,6 +37,8 @@
 	buffer  []byte
 	dropped int
 	wake    chan struct{}
+	// flushing is held while lines are written.
+	flushing sync.Mutex
 }
 
 var _ zapcore.WriteSyncer = (*Writer)(nil)
@@ -59,9 +66,16 @@
 	return len(line), nil
 }
 
-// Sync implements zapcore.WriteSyncer by writing the buffered lines.
+// Sync implements zapcore.WriteSyncer by writing the buffered lines, for a bounded time.
 func (writer *Writer) Sync() error {
-	return writer.flush()
+	written := make(chan error, 1)
+	go func() { written <- writer.flush() }()
+	select {
+	case err := <-written:
+		return err
+	case <-time.After(syncTimeout):
+		return errSyncTimeout
+	}
 }
 
 func (writer *Writer) takeBuffer() []byte {
@@ -86,6 +100,8 @@
 
 // flush writes the buffered lines, with only whole lines in each write.
 func (writer *Writer) flush() error {
+	writer.flushing.Lock()
+	defer writer.flushing.Unlock()
 	lines := writer.takeBuffer()
 	for len(lines) > 0 {
 		size := writeSize(lines)
