--- a/soak/losses_test.go
+++ b/soak/losses_test.go
@@ -86,7 +86,7 @@
 	}
 	running.Wait()
 	t.Logf("%d of %d streams went on, %d of %d new ones began", outcome.wentOn.Load(), outcome.takenUp.Load(), outcome.newBegan.Load(), newStreams)
-	for _, violation := range world.judge.result().Violations {
+	for _, violation := range world.judge.result(processLogs{}).Violations {
 		t.Errorf("%s", violation)
 	}
 	if t.Failed() {
