Stop: requests that have arrived as it ends are answered

What callers saw: at the end of a planned stop requests ended without an answer, by a reset or by a plain end of the connection; no line of any process names them.

Cause: callers' connections were closed by http.Server.Shutdown. From its call on, net/http closes each connection whose request head it has just read (serve: `if c.server.shuttingDown() { return }`), and those that count as idle, which is each kept one until its next head is parsed. Closing the listener resets the backlog. Whatever had been sent up to then, and not yet parsed, had no answer; on a busy machine that is more, and older. The class: a connection is closed by someone other than who reads from it.

Change: the listener accepts its backlog before it stops listening, with nothing between the two; connections, requests in the admission queue and admitted ones reach the server, which answers them as any request that comes too late. A connection is ended by waking its reader, which returns what has arrived, or the end if nothing has. A connection whose head is still arriving is waited for, one without any byte for half a second, all until the last answers are due. When more are admitted than may wait for the server, the rest is rejected instead of closed (reachable with 32 cores).

A connection that is closed after bytes of a request arrived and without an answer is counted and logged; `stopped` tells what was open.

--- a/cmd/berylspoke/edge_test.go
+++ b/cmd/berylspoke/edge_test.go
@@ -7,11 +7,15 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -117,6 +121,65 @@
 	}
 }
 
+// Guards against requests that a process has read, or that wait to be accepted, when a planned stop closes
+// their connections.
+func TestStopOfAProcessAnswersWhatHasArrived(t *testing.T) {
+	store, err := beryldouble.NewStore()
+	require.NoError(t, err)
+	defer store.Close()
+	vm := testVM(store, 7)
+	vm.StopSeconds = 2
+	settings, err := vm.Settings()
+	require.NoError(t, err)
+	path := filepath.Join(t.TempDir(), "settings.toml")
+	require.NoError(t, os.WriteFile(path, settings, 0o600))
+	command := exec.Command(program, "edge", "-settings", path)
+	require.NoError(t, command.Start())
+	defer func() { _ = command.Process.Kill() }()
+	require.Eventually(t, func() bool { return answers(vm) }, waitTimeout, 10*time.Millisecond)
+	var callers sync.WaitGroup
+	answered, unanswered := new(atomic.Int64), new(atomic.Int64)
+	for range 32 {
+		callers.Go(func() { callUntilRefused(vm.CallersAddress(), answered, unanswered) })
+	}
+	time.Sleep(200 * time.Millisecond)
+	require.NoError(t, command.Process.Signal(syscall.SIGTERM))
+	waitEnd(t, command, 2*vm.StopSeconds)
+	callers.Wait()
+	require.Positive(t, answered.Load())
+	require.Zero(t, unanswered.Load(), "beside %d answers", answered.Load())
+}
+
+// callUntilRefused sends requests, over a kept connection where it may, until no connection is accepted.
+func callUntilRefused(address string, answered, unanswered *atomic.Int64) {
+	for {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			return
+		}
+		_ = conn.SetDeadline(time.Now().Add(waitTimeout))
+		reader := bufio.NewReader(conn)
+		for keep := true; keep; {
+			keep = false
+			_, err := io.WriteString(conn, "POST /x/ HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a1\r\nContent-Length: 8\r\n\r\na letter")
+			var response *http.Response
+			if err == nil {
+				response, err = http.ReadResponse(reader, nil)
+			}
+			if err == nil {
+				_, err = io.Copy(io.Discard, response.Body)
+				keep = err == nil && !response.Close
+			}
+			if err != nil {
+				unanswered.Add(1)
+				continue
+			}
+			answered.Add(1)
+		}
+		_ = conn.Close()
+	}
+}
+
 // waitEnd waits until a process has ended without an error.
 func waitEnd(t *testing.T, command *exec.Cmd, seconds float64) {
 	ended := make(chan error, 1)
--- /dev/null
+++ b/io/beryledge/callerconn.go
@@ -0,0 +1,216 @@
+package beryledge
+
+// This file defines the connections of callers and how they are closed.
+
+import (
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// minLogInterval is the minimum time between two log lines on connections without an answer.
+	minLogInterval = 10 * time.Millisecond
+)
+
+// callerConn is a connection of a caller. Only the goroutine that reads from it closes it for being
+// idle, so that no request that it has begun to read is lost.
+type callerConn struct {
+	*net.TCPConn
+	listener *admissionListener
+	// slot is held for the first request if that was admitted before the server got the connection.
+	slot   *slot
+	opened time.Time
+	mutex  sync.Mutex
+	// head are the first bytes of the first request, if they were read before the server got the
+	// connection.
+	head []byte
+	// readDeadline is the one that the server has set.
+	readDeadline time.Time
+	// ending is set once the connection is to be closed as soon as it is idle.
+	ending bool
+	// received counts the bytes of the current request, zero if the connection is idle; handled is set
+	// once it is parsed, and answered once its answer has begun.
+	received          int
+	handled, answered bool
+	// requests counts those that have been answered.
+	requests int
+	closed   bool
+}
+
+// past is a deadline that wakes a blocked read.
+var past = time.Unix(1, 0)
+
+// Read implements net.Conn.
+func (conn *callerConn) Read(buffer []byte) (int, error) {
+	if count := conn.readHead(buffer); count > 0 {
+		return count, nil
+	}
+	for {
+		count, err := conn.TCPConn.Read(buffer)
+		if count == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+			var again bool
+			if count, err, again = conn.deadlineExceeded(buffer, time.Now()); again {
+				continue
+			}
+		}
+		conn.countRead(count)
+		return count, err
+	}
+}
+
+// readHead returns bytes that were read before the server got the connection.
+func (conn *callerConn) readHead(buffer []byte) int {
+	conn.mutex.Lock()
+	defer conn.mutex.Unlock()
+	count := copy(buffer, conn.head)
+	conn.head = conn.head[count:]
+	return count
+}
+
+func (conn *callerConn) countRead(count int) {
+	conn.mutex.Lock()
+	defer conn.mutex.Unlock()
+	conn.received += count
+}
+
+// deadlineExceeded handles a read that a deadline has ended. An idle connection that is to be closed
+// brings what has arrived meanwhile, or ends. If the connection is in use and the deadline is not that
+// of the server, the read is repeated.
+func (conn *callerConn) deadlineExceeded(buffer []byte, now time.Time) (count int, err error, again bool) {
+	conn.mutex.Lock()
+	defer conn.mutex.Unlock()
+	expired := !conn.readDeadline.IsZero() && !now.Before(conn.readDeadline)
+	switch {
+	case conn.received == 0 && (conn.ending || expired):
+		if count = conn.readArrived(buffer); count > 0 {
+			return count, nil, false
+		}
+		return 0, os.ErrDeadlineExceeded, false
+	case expired:
+		return 0, os.ErrDeadlineExceeded, false
+	}
+	return 0, nil, conn.TCPConn.SetReadDeadline(conn.readDeadline) == nil
+}
+
+// readArrived reads what has arrived, whatever the deadline.
+func (conn *callerConn) readArrived(buffer []byte) (count int) {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	_ = raw.Control(func(fd uintptr) { count, _ = unix.Read(int(fd), buffer) })
+	return max(count, 0)
+}
+
+// Write implements net.Conn.
+func (conn *callerConn) Write(data []byte) (int, error) {
+	conn.mutex.Lock()
+	conn.answered = true
+	conn.mutex.Unlock()
+	return conn.TCPConn.Write(data)
+}
+
+// SetReadDeadline implements net.Conn.
+func (conn *callerConn) SetReadDeadline(deadline time.Time) error {
+	conn.mutex.Lock()
+	defer conn.mutex.Unlock()
+	conn.readDeadline = deadline
+	if conn.ending && conn.received == 0 {
+		deadline = past
+	}
+	return conn.TCPConn.SetReadDeadline(deadline)
+}
+
+// becameIdle notes that the answer to a request is complete.
+func (conn *callerConn) becameIdle() {
+	conn.mutex.Lock()
+	defer conn.mutex.Unlock()
+	conn.received, conn.handled, conn.answered = 0, false, false
+	conn.requests++
+	if conn.ending {
+		_ = conn.TCPConn.SetReadDeadline(past)
+	}
+}
+
+// end closes the connection as soon as it is idle.
+func (conn *callerConn) end() {
+	conn.mutex.Lock()
+	defer conn.mutex.Unlock()
+	conn.ending = true
+	if conn.received == 0 && len(conn.head) == 0 {
+		_ = conn.TCPConn.SetReadDeadline(past)
+	}
+}
+
+// handle notes that the current request is parsed, and reports whether the connection is closed after its
+// answer.
+func (conn *callerConn) handle() (ends bool) {
+	conn.mutex.Lock()
+	defer conn.mutex.Unlock()
+	conn.handled = true
+	return conn.ending
+}
+
+// used reports whether a request has begun to arrive.
+func (conn *callerConn) used() bool {
+	conn.mutex.Lock()
+	defer conn.mutex.Unlock()
+	return conn.requests > 0 || conn.received > 0
+}
+
+// Close implements net.Conn.
+func (conn *callerConn) Close() error {
+	conn.slot.release()
+	conn.mutex.Lock()
+	first, unanswered := !conn.closed, conn.received > 0 && !conn.answered
+	conn.closed = true
+	conn.mutex.Unlock()
+	if !first {
+		return conn.TCPConn.Close()
+	}
+	conn.listener.remove(conn)
+	if unanswered {
+		conn.countUnanswered(time.Now())
+	}
+	return conn.TCPConn.Close()
+}
+
+// countUnanswered counts and logs a connection that is closed though a request has begun to arrive on it
+// and got no answer.
+func (conn *callerConn) countUnanswered(now time.Time) {
+	daemon := conn.listener.daemon
+	if remoteClosed(conn.TCPConn) {
+		daemon.meters.unansweredLeft.Inc()
+		return
+	}
+	daemon.meters.unanswered.Inc()
+	if !conn.listener.unansweredLog.due(now) {
+		return
+	}
+	conn.mutex.Lock()
+	defer conn.mutex.Unlock()
+	fields := []zap.Field{
+		zap.Stringer("caller", conn.RemoteAddr()), zap.Int("received", conn.received), zap.Bool("handled", conn.handled),
+		zap.Int("answered", conn.requests), zap.Duration("open", now.Sub(conn.opened)),
+	}
+	if stop := daemon.stop.Load(); stop != nil {
+		fields = append(fields, zap.Duration("sinceStop", now.Sub(stop.Began)))
+	}
+	daemon.log.Warn("connection closed without an answer", fields...)
+}
+
+// logLimit bounds how often something is logged.
+type logLimit struct{ last atomic.Int64 }
+
+// due reports whether the next line may be logged.
+func (limit *logLimit) due(now time.Time) bool {
+	last := limit.last.Load()
+	return now.UnixNano()-last >= int64(minLogInterval) && limit.last.CompareAndSwap(last, now.UnixNano())
+}
--- a/io/beryledge/callers.go
+++ b/io/beryledge/callers.go
@@ -90,6 +90,10 @@
 	call.ctx, call.cancel = base, cancelBase
 	daemon.calls.add(call)
 	defer daemon.calls.remove(call)
+	conn := incoming.Context().Value(connKey{}).(*callerConn)
+	if conn.handle() {
+		writer.Header().Set("Connection", "close")
+	}
 	admitted := releaseAdmitted(incoming.Context())
 	if !call.prepare(daemon.index.Load()) || !call.readBody() || call.rejectsLate() || !call.findOrigin() || !call.takeSlot(admitted) {
 		return
--- /dev/null
+++ b/io/beryledge/closing_test.go
@@ -0,0 +1,128 @@
+package beryledge
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// rawCaller is a connection of a caller that sends requests in parts.
+type rawCaller struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+func dialRaw(t *testing.T, daemon *Daemon) *rawCaller {
+	conn, err := net.Dial("tcp", daemon.settings.CallersAddress)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	require.NoError(t, conn.SetDeadline(time.Now().Add(10*time.Second)))
+	return &rawCaller{conn, bufio.NewReader(conn)}
+}
+
+// rawRequest returns a request with a body.
+func rawRequest(path, id, body string, header ...string) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h.example\r\nX-Id: %s\r\nX-Key: k\r\nX-Left: 4000\r\n%sContent-Length: %d\r\n\r\n%s",
+		path, id, strings.Join(header, ""), len(body), body)
+}
+
+func (caller *rawCaller) write(t *testing.T, text string) {
+	_, err := io.WriteString(caller, text)
+	require.NoError(t, err)
+}
+
+// answer reads one answer.
+func (caller *rawCaller) answer() (*http.Response, error) {
+	response, err := http.ReadResponse(caller.reader, nil)
+	if err != nil {
+		return nil, err
+	}
+	_, err = io.Copy(io.Discard, response.Body)
+	return response, err
+}
+
+// Guards against a request whose head is still arriving on a kept connection as a planned stop ends, and
+// whose connection is closed without an answer because it counts as idle.
+func TestStopAnswersARequestThatIsArriving(t *testing.T) {
+	daemon, _ := startStopping(t, 6*time.Second, testCatalog(), map[string]*testTarget{"desk": newTestTarget(t, "d1", sealed(http.StatusOK, "done"))})
+	caller := dialRaw(t, daemon)
+	caller.write(t, rawRequest("/read/x", "id-1", "a letter"))
+	_, err := caller.answer()
+	require.NoError(t, err)
+	request := rawRequest("/read/x", "id-2", "a letter")
+	caller.write(t, request[:40])
+	stopped := stop(daemon)
+	time.Sleep(stopNotice + stopQuiet + 500*time.Millisecond)
+	_, err = io.WriteString(caller, request[40:])
+	require.NoError(t, err)
+	response, err := caller.answer()
+	require.NoError(t, err)
+	require.Contains(t, []int{http.StatusOK, http.StatusServiceUnavailable}, response.StatusCode)
+	require.True(t, response.Close)
+	<-stopped
+}
+
+// Guards against connections that are reset as a planned stop ends: those that wait to be accepted, and
+// those whose request is in their receive buffer.
+func TestStopResetsNoConnection(t *testing.T) {
+	daemon, _ := startStopping(t, time.Second, testCatalog(), map[string]*testTarget{"desk": newTestTarget(t, "d1", sealed(http.StatusOK, "done"))})
+	var calls sync.WaitGroup
+	var answered atomic.Int64
+	var mutex sync.Mutex
+	unanswered := make(map[string]int)
+	for number := range 32 {
+		calls.Go(func() {
+			for i := 0; ; i++ {
+				conn, err := net.Dial("tcp", daemon.settings.CallersAddress)
+				if err != nil {
+					return
+				}
+				_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
+				_, err = io.WriteString(conn, rawRequest("/read/x", fmt.Sprint("id-", number, "-", i), "a letter"))
+				if err == nil {
+					caller := &rawCaller{conn, bufio.NewReader(conn)}
+					_, err = caller.answer()
+				}
+				_ = conn.Close()
+				if err == nil {
+					answered.Add(1)
+					continue
+				}
+				mutex.Lock()
+				unanswered[err.Error()[strings.LastIndex(err.Error(), ":")+1:]]++
+				mutex.Unlock()
+			}
+		})
+	}
+	require.Eventually(t, func() bool { return answered.Load() > 100 }, 5*time.Second, time.Millisecond)
+	<-stop(daemon)
+	calls.Wait()
+	require.Empty(t, unanswered, "beside %d answers", answered.Load())
+}
+
+// Guards against connections that are closed without an answer and leave no trace.
+func TestConnectionWithoutAnAnswerIsLogged(t *testing.T) {
+	daemon, logs := startStopping(t, time.Second, testCatalog(), nil)
+	caller := dialRaw(t, daemon)
+	caller.write(t, rawRequest("/read/x", "id-1", "a letter")[:40])
+	require.Eventually(t, func() bool { return daemon.callerListener.openConns() == 1 }, time.Second, time.Millisecond)
+	time.Sleep(50 * time.Millisecond)
+	daemon.Kill()
+	_, err := caller.answer()
+	require.Error(t, err)
+	require.EqualValues(t, 1, daemon.meters.unanswered.Get())
+	lines := logs.FilterMessage("connection closed without an answer").All()
+	require.Len(t, lines, 1)
+	require.EqualValues(t, 40, lines[0].ContextMap()["received"])
+	require.Equal(t, false, lines[0].ContextMap()["handled"])
+	require.Equal(t, caller.LocalAddr().String(), lines[0].ContextMap()["caller"])
+}
--- a/io/beryledge/daemon.go
+++ b/io/beryledge/daemon.go
@@ -96,8 +96,7 @@
 	completeAsOf [berylfeed.Count]atomic.Int64
 	meters       *meters
 	servers      []*http.Server
-	callerServer *http.Server
-	// callerListener accepts the connections of callerServer.
+	// callerListener accepts the connections of callers.
 	callerListener *admissionListener
 	ctx            context.Context
 	cancel         context.CancelFunc
@@ -169,8 +168,7 @@
 	}
 	daemon.transport = transport
 	close(opened)
-	daemon.callerServer, err = daemon.serve(daemon.settings.CallersAddress, http.HandlerFunc(daemon.serveCaller), true)
-	if err != nil {
+	if err := daemon.serve(daemon.settings.CallersAddress, http.HandlerFunc(daemon.serveCaller), true); err != nil {
 		return err
 	}
 	for address, handler := range map[string]http.Handler{
@@ -182,7 +180,7 @@
 		if address == "" {
 			continue
 		}
-		if _, err := daemon.serve(address, handler, false); err != nil {
+		if err := daemon.serve(address, handler, false); err != nil {
 			return err
 		}
 	}
@@ -191,11 +189,11 @@
 
 // serve starts an HTTP server on an address. On the callers' address, connections pass
 // through the admission queue while the processor is overloaded.
-func (daemon *Daemon) serve(address string, handler http.Handler, callers bool) (*http.Server, error) {
+func (daemon *Daemon) serve(address string, handler http.Handler, callers bool) error {
 	listening := net.ListenConfig{KeepAlive: -1, Control: setKeepAlive}
 	listener, err := listening.Listen(daemon.ctx, "tcp", address)
 	if err != nil {
-		return nil, errors.Wrapf(err, "cannot listen on address %s", address)
+		return errors.Wrapf(err, "cannot listen on address %s", address)
 	}
 	if callers {
 		daemon.callerListener = newAdmissionListener(listener.(*net.TCPListener), daemon)
@@ -208,7 +206,7 @@
 	}
 	daemon.servers = append(daemon.servers, server)
 	go func() { _ = server.Serve(listener) }()
-	return server, nil
+	return nil
 }
 
 // setKeepAlive enables TCP keep-alive on a listening socket; accepted connections
--- a/io/beryledge/idle.go
+++ b/io/beryledge/idle.go
@@ -41,6 +41,9 @@
 	case http.StateClosed, http.StateHijacked:
 		idle.open.Add(-1)
 	}
+	if caller, ok := conn.(*callerConn); ok && state == http.StateIdle {
+		caller.becameIdle()
+	}
 	idle.mutex.Lock()
 	defer idle.mutex.Unlock()
 	if state == http.StateIdle {
--- a/io/beryledge/listener.go
+++ b/io/beryledge/listener.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -35,6 +36,10 @@
 	maxEmptyPolls = 3
 	// maxAdmitted bounds the admitted connections that wait for the server.
 	maxAdmitted = 256
+	// newConnTimeout is how long a listener that ends waits for the first request of a connection.
+	newConnTimeout = 500 * time.Millisecond
+	// endPollInterval is the time between two checks of whether all connections are closed.
+	endPollInterval = 5 * time.Millisecond
 )
 
 // admissionListener accepts connections for the server. While the processor is
@@ -53,10 +58,19 @@
 	queued atomic.Int64
 	// admitted are the connections that the queue admitted, bypassed those that go to the
 	// server without its decision.
-	admitted chan net.Conn
-	bypassed []net.Conn
-	// closed is set once the server accepts no more connections.
-	closed atomic.Bool
+	admitted chan *callerConn
+	bypassed []*callerConn
+	// ending is set once the listener accepts only what waits already, closed once the server
+	// accepts no more connections.
+	ending, closed atomic.Bool
+	// endBy is when the listener is closed at the latest once it is ending.
+	endBy time.Time
+	// shut is set once the listener accepts nothing more after it began to end.
+	shut          bool
+	unansweredLog logLimit
+	mutex         sync.Mutex
+	// conns are the open connections of the server.
+	conns map[*callerConn]struct{}
 }
 
 // pendingConn is a connection with the number of polls that found no data on it.
@@ -67,7 +81,7 @@
 func newAdmissionListener(listener *net.TCPListener, daemon *Daemon) *admissionListener {
 	return &admissionListener{
 		TCPListener: listener, daemon: daemon,
-		buffer: make([]byte, headBytes), admitted: make(chan net.Conn, maxAdmitted),
+		buffer: make([]byte, headBytes), admitted: make(chan *callerConn, maxAdmitted), conns: make(map[*callerConn]struct{}),
 	}
 }
 
@@ -79,12 +93,25 @@
 			listener.bypassed = listener.bypassed[:last]
 			return conn, nil
 		}
+		if listener.ending.Load() {
+			if conn := listener.acceptRest(); conn != nil {
+				return conn, nil
+			}
+			_ = listener.Close()
+			listener.rejectPending()
+			return nil, net.ErrClosed
+		}
 		if !listener.usesQueue() {
 			conn, err := listener.AcceptTCP()
-			if err != nil || !remoteClosed(conn) {
-				return conn, err
+			switch {
+			case err != nil && listener.ending.Load():
+			case err != nil:
+				return nil, err
+			case remoteClosed(conn):
+				_ = conn.Close()
+			default:
+				return listener.track(&callerConn{TCPConn: conn}), nil
 			}
-			_ = conn.Close()
 			continue
 		}
 		timer := time.NewTimer(pollInterval)
@@ -133,12 +160,12 @@
 		conn.polls++
 		listener.pending = append(listener.pending, conn)
 	case err == unix.EAGAIN:
-		listener.bypass(newConn(conn.descriptor, nil, nil))
+		listener.bypass(listener.newConn(conn.descriptor, nil, nil))
 	case err != nil || count == 0:
 		_ = unix.Close(conn.descriptor)
 	case !overloaded || !bytes.Contains(listener.buffer[:count], headEnd):
 		// A request without its whole header would hold a slot until the rest arrives.
-		listener.bypass(newConn(conn.descriptor, bytes.Clone(listener.buffer[:count]), nil))
+		listener.bypass(listener.newConn(conn.descriptor, bytes.Clone(listener.buffer[:count]), nil))
 	default:
 		listener.offer(conn.descriptor, listener.buffer[:count])
 	}
@@ -160,34 +187,137 @@
 }
 
 // bypass passes a connection to the server without a decision of the queue.
-func (listener *admissionListener) bypass(conn net.Conn) {
+func (listener *admissionListener) bypass(conn *callerConn) {
 	if conn != nil {
 		listener.bypassed = append(listener.bypassed, conn)
 	}
 }
 
 // acceptAll accepts the connections in the backlog, without waiting for more.
-func (listener *admissionListener) acceptAll() ([]int, error) {
+func (listener *admissionListener) acceptAll() (accepted []int, err error) {
+	raw, err := listener.SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	err = raw.Control(func(socket uintptr) { accepted, _ = acceptBacklog(socket) })
+	return accepted, err
+}
+
+// acceptLast accepts the connections in the backlog, and stops listening once it is empty. Nothing may
+// come between the two, as connections that are not accepted are reset then.
+func (listener *admissionListener) acceptLast() (accepted []int, err error) {
+	if listener.shut {
+		return nil, nil
+	}
 	raw, err := listener.SyscallConn()
 	if err != nil {
 		return nil, err
 	}
-	var accepted []int
 	err = raw.Control(func(socket uintptr) {
-		for len(accepted) < maxAcceptBatch {
-			// The remote address is not needed to reject a request.
-			descriptor, _, errno := unix.RawSyscall6(unix.SYS_ACCEPT4, socket, 0, 0, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0, 0)
-			if errno != 0 {
-				// The backlog is empty, or the process has no free descriptors;
-				// closing rejected connections frees some.
-				return
-			}
-			accepted = append(accepted, int(descriptor))
+		var errno unix.Errno
+		if accepted, errno = acceptBacklog(socket); errno == unix.EAGAIN {
+			_, _, _ = unix.RawSyscall(unix.SYS_SHUTDOWN, socket, unix.SHUT_RD, 0)
+			listener.shut = true
 		}
 	})
 	return accepted, err
 }
 
+// acceptBacklog accepts the connections in the backlog of a socket, up to maxAcceptBatch. The error is
+// EAGAIN if there are no more. If the process has no free descriptors, closing rejected connections frees
+// some.
+func acceptBacklog(socket uintptr) (accepted []int, errno unix.Errno) {
+	for len(accepted) < maxAcceptBatch {
+		// The remote address is not needed to reject a request.
+		var descriptor uintptr
+		descriptor, _, errno = unix.RawSyscall6(unix.SYS_ACCEPT4, socket, 0, 0, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0, 0)
+		if errno != 0 {
+			break
+		}
+		accepted = append(accepted, int(descriptor))
+	}
+	return accepted, errno
+}
+
+// acceptRest returns the next connection that waits already when the listener ends, nil if there is none.
+func (listener *admissionListener) acceptRest() *callerConn {
+	for time.Now().Before(listener.endBy) {
+		for _, conn := range listener.pending {
+			listener.bypass(listener.newConn(conn.descriptor, nil, nil))
+		}
+		listener.pending = nil
+		accepted, err := listener.acceptLast()
+		for _, descriptor := range accepted {
+			listener.bypass(listener.newConn(descriptor, nil, nil))
+		}
+		if last := len(listener.bypassed) - 1; last >= 0 {
+			conn := listener.bypassed[last]
+			listener.bypassed = listener.bypassed[:last]
+			return conn
+		}
+		select {
+		case conn := <-listener.admitted:
+			return conn
+		default:
+		}
+		if err != nil || listener.queued.Load() == 0 && listener.shut {
+			return nil
+		}
+		time.Sleep(endPollInterval)
+		listener.daemon.admission.expire()
+	}
+	return nil
+}
+
+// end accepts the connections that wait already and no more, and closes each connection once it is idle.
+// It returns when all are closed, or at a time.
+func (listener *admissionListener) end(until time.Time) {
+	listener.endBy = until
+	listener.ending.Store(true)
+	_ = listener.SetDeadline(past)
+	for now := time.Now(); now.Before(until) && listener.endIdle(now) > 0; now = time.Now() {
+		time.Sleep(endPollInterval)
+	}
+}
+
+// endIdle ends the idle connections and returns how many sockets are open.
+func (listener *admissionListener) endIdle(now time.Time) int {
+	open := 0
+	if !listener.closed.Load() {
+		open++
+	}
+	listener.mutex.Lock()
+	defer listener.mutex.Unlock()
+	for conn := range listener.conns {
+		if conn.used() || now.Sub(conn.opened) > newConnTimeout {
+			conn.end()
+		}
+	}
+	return open + len(listener.conns)
+}
+
+// track adds an accepted connection.
+func (listener *admissionListener) track(conn *callerConn) *callerConn {
+	conn.listener, conn.opened = listener, time.Now()
+	listener.mutex.Lock()
+	defer listener.mutex.Unlock()
+	listener.conns[conn] = struct{}{}
+	return conn
+}
+
+func (listener *admissionListener) remove(conn *callerConn) {
+	listener.mutex.Lock()
+	defer listener.mutex.Unlock()
+	delete(listener.conns, conn)
+}
+
+// openConns returns the number of open connections.
+func (listener *admissionListener) openConns() int {
+	listener.mutex.Lock()
+	defer listener.mutex.Unlock()
+	return len(listener.conns)
+}
+
 // rejectPending rejects the requests that a stopping server no longer accepts.
 func (listener *admissionListener) rejectPending() {
 	listener.closed.Store(true)
@@ -203,8 +333,7 @@
 	for {
 		select {
 		case conn := <-listener.admitted:
-			_, _ = conn.Write(rejection(nil, demand{}))
-			_ = conn.Close()
+			conn.reject(demand{})
 		default:
 			return
 		}
@@ -236,7 +365,7 @@
 		return
 	}
 	slot := waiter.listener.daemon.admission.newSlot(waiter.demand)
-	conn := newConn(waiter.descriptor, waiter.head, slot)
+	conn := waiter.listener.newConn(waiter.descriptor, waiter.head, slot)
 	if conn == nil {
 		slot.release()
 		return
@@ -247,10 +376,16 @@
 			waiter.listener.rejectAdmitted()
 		}
 	default:
-		_ = conn.Close()
+		conn.reject(waiter.demand)
 	}
 }
 
+// reject answers that a request, which the server has not got, did not run, and closes its connection.
+func (conn *callerConn) reject(demand demand) {
+	_, _ = conn.Write(rejection(nil, demand))
+	_ = conn.Close()
+}
+
 // rejectConn answers that a request did not run, and closes its connection. It
 // overwrites head, the bytes that were read of the request.
 func (daemon *Daemon) rejectConn(descriptor int, head []byte, demand demand, cause beryladmission.Cause) {
@@ -275,17 +410,18 @@
 // rejectionPrefix is the answer to an unparsed request up to the value of Retry-After.
 const rejectionPrefix = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\nRetry-After: "
 
-// admittedConn is a connection whose first bytes were read before the server got it. It
-// holds the slot of its first request.
-type admittedConn struct {
-	*net.TCPConn
-	head []byte
-	slot *slot
+// newConn returns a connection for a descriptor and the bytes that were read from it, nil if its
+// caller has disconnected.
+func (listener *admissionListener) newConn(descriptor int, head []byte, slot *slot) *callerConn {
+	conn := tcpConn(descriptor)
+	if conn == nil {
+		return nil
+	}
+	return listener.track(&callerConn{TCPConn: conn, head: head, received: len(head), slot: slot})
 }
 
-// newConn returns a connection for a descriptor and the bytes that were read from it,
-// nil if its caller has disconnected.
-func newConn(descriptor int, head []byte, slot *slot) net.Conn {
+// tcpConn returns the connection of a descriptor, nil if its caller has disconnected.
+func tcpConn(descriptor int) *net.TCPConn {
 	file := os.NewFile(uintptr(descriptor), "connection")
 	conn, err := net.FileConn(file)
 	// The connection has its own duplicate of the descriptor.
@@ -293,29 +429,18 @@
 	if err != nil {
 		return nil
 	}
-	return &admittedConn{TCPConn: conn.(*net.TCPConn), head: head, slot: slot}
-}
-
-// Read implements net.Conn.
-func (conn *admittedConn) Read(buffer []byte) (int, error) {
-	if len(conn.head) == 0 {
-		return conn.TCPConn.Read(buffer)
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		_ = conn.Close()
+		return nil
 	}
-	count := copy(buffer, conn.head)
-	conn.head = conn.head[count:]
-	return count, nil
-}
-
-// Close implements net.Conn.
-func (conn *admittedConn) Close() error {
-	conn.slot.release()
-	return conn.TCPConn.Close()
+	return tcp
 }
 
 // releaseAdmitted reports whether a request was admitted before it was parsed, and
 // releases the slot that its connection held for it.
 func releaseAdmitted(ctx context.Context) bool {
-	conn, ok := ctx.Value(connKey{}).(*admittedConn)
+	conn, ok := ctx.Value(connKey{}).(*callerConn)
 	return ok && conn.slot.release()
 }
 
--- a/io/beryledge/meters.go
+++ b/io/beryledge/meters.go
@@ -33,7 +33,10 @@
 	shed                *metrics.Counter
 	// requestsCut counts the requests that the end of a planned stop cut.
 	requestsCut *metrics.Counter
-	rejections  *rejections
+	// unanswered counts the connections that were closed though a request had begun to arrive on them
+	// and got no answer, unansweredLeft those of callers that had closed their end before.
+	unanswered, unansweredLeft *metrics.Counter
+	rejections                 *rejections
 	// pulls and pulledBytes count the requests for changes of the feeds and what they
 	// brought, by link.
 	pulls, pulledBytes [berylpeer.LinkCount]*metrics.Counter
@@ -80,6 +83,8 @@
 		callersDisconnected: set.NewCounter("berylspoke_callers_left_total"),
 		shed:                set.NewCounter("berylspoke_connections_shed_total"),
 		requestsCut:         set.NewCounter("berylspoke_requests_cut_total"),
+		unanswered:          set.NewCounter(`berylspoke_connections_unanswered_total{closed="daemon"}`),
+		unansweredLeft:      set.NewCounter(`berylspoke_connections_unanswered_total{closed="caller"}`),
 		rejections:          newRejections(set),
 		otherProcesses:      set.NewCounter("berylspoke_target_other_runs_total"),
 		unidentified:        set.NewCounter("berylspoke_target_runs_unknown_total"),
--- a/io/beryledge/stop.go
+++ b/io/beryledge/stop.go
@@ -3,7 +3,6 @@
 // This file defines the planned stop.
 
 import (
-	"context"
 	"time"
 
 	"go.uber.org/zap"
@@ -43,17 +42,17 @@
 }
 
 // endRequests ends the requests that are active at the end of a stop and waits until their
-// callers have their answers.
+// callers have their answers. What still arrives is answered too: http.Server.Shutdown would close
+// connections whose request it has read.
 func (daemon *Daemon) endRequests(stop berylstop.Stop) {
-	ctx, cancel := context.WithDeadline(context.Background(), stop.Answered())
-	defer cancel()
-	active := daemon.calls.all()
+	active, open := daemon.calls.all(), daemon.callerListener.openConns()
 	for _, call := range active {
 		call.cut()
 	}
-	err := daemon.callerServer.Shutdown(ctx)
-	daemon.callerListener.rejectQueued(stop.Answered())
-	daemon.log.Info("stopped", zap.Int("active", len(active)), zap.Int64("left", daemon.active.Load()), cause(err))
+	daemon.callerListener.end(stop.Answered())
+	daemon.log.Info("stopped", zap.Int("active", len(active)), zap.Int64("left", daemon.active.Load()),
+		zap.Int("connections", open), zap.Int("connectionsLeft", daemon.callerListener.openConns()),
+		zap.Uint64("unanswered", daemon.meters.unanswered.Get()))
 }
 
 func (daemon *Daemon) stopTimeout() time.Duration { return time.Duration(daemon.stopNanos.Load()) }
