Rejections: the answer arrives while the request still does

What callers saw: a 503 before the request was parsed, or a 401 or 404 to a request with `Connection: close`, whose body of 72 KB was still on its way: the write fails with a reset or a broken pipe, and the answer, which promises that the request did not run, is lost.

Cause: the socket was closed with bytes of the request unread, or still to come, and the kernel resets the connection then. The admission queue read only what had arrived, and only of heads of exactly 16 KiB; net/http does not read the rest of a body if the request said `Connection: close`.

Change: the answer is written, the sending side closed, and the rest of the request read for half a second or 1 MiB at most (256 connections at a time, beyond that as before). Whether anything is missing is told by the length in the head; a request that has arrived whole costs nothing more. A planned stop waits for these connections until its last answers are due.

--- a/io/beryledge/callerconn.go
+++ b/io/beryledge/callerconn.go
@@ -3,9 +3,12 @@
 // This file defines the connections of callers and how they are closed.
 
 import (
+	"bytes"
 	"errors"
+	"io"
 	"net"
 	"os"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,6 +18,11 @@
 )
 
 const (
+	// lingerTimeout bounds the time in which the rest of a rejected request is read after its
+	// answer.
+	lingerTimeout = 500 * time.Millisecond
+	// maxLingering bounds the connections of which the rest of a request is being read.
+	maxLingering = 256
 	// minLogInterval is the minimum time between two log lines on connections without an answer.
 	minLogInterval = 10 * time.Millisecond
 )
@@ -41,7 +49,9 @@
 	handled, answered bool
 	// requests counts those that have been answered.
 	requests int
-	closed   bool
+	// unread is set if the request was answered before all of it was read.
+	unread bool
+	closed bool
 }
 
 // past is a deadline that wakes a blocked read.
@@ -132,7 +142,7 @@
 func (conn *callerConn) becameIdle() {
 	conn.mutex.Lock()
 	defer conn.mutex.Unlock()
-	conn.received, conn.handled, conn.answered = 0, false, false
+	conn.received, conn.handled, conn.answered, conn.unread = 0, false, false, false
 	conn.requests++
 	if conn.ending {
 		_ = conn.TCPConn.SetReadDeadline(past)
@@ -165,11 +175,19 @@
 	return conn.requests > 0 || conn.received > 0
 }
 
-// Close implements net.Conn.
+// answeredUnread notes that the current request is answered before all of it was read.
+func (conn *callerConn) answeredUnread() {
+	conn.mutex.Lock()
+	defer conn.mutex.Unlock()
+	conn.unread = true
+}
+
+// Close implements net.Conn. Closing a socket with unread bytes resets the connection, and the answer
+// may be lost; the rest of a request that was answered early is therefore read first.
 func (conn *callerConn) Close() error {
 	conn.slot.release()
 	conn.mutex.Lock()
-	first, unanswered := !conn.closed, conn.received > 0 && !conn.answered
+	first, unread, unanswered := !conn.closed, conn.unread, conn.received > 0 && !conn.answered
 	conn.closed = true
 	conn.mutex.Unlock()
 	if !first {
@@ -179,6 +197,9 @@
 	if unanswered {
 		conn.countUnanswered(time.Now())
 	}
+	if unread && conn.listener.linger(conn.TCPConn) {
+		return nil
+	}
 	return conn.TCPConn.Close()
 }
 
@@ -214,3 +235,57 @@
 	last := limit.last.Load()
 	return now.UnixNano()-last >= int64(minLogInterval) && limit.last.CompareAndSwap(last, now.UnixNano())
 }
+
+// lingering counts the connections of which the rest of a request is being read.
+type lingering struct{ count atomic.Int64 }
+
+// linger reads the rest of a request whose answer has been written, and closes its connection. It returns
+// false if there are too many such connections.
+func (lingering *lingering) linger(conn *net.TCPConn) bool {
+	if lingering.count.Add(1) > maxLingering {
+		lingering.count.Add(-1)
+		return false
+	}
+	go func() {
+		defer lingering.count.Add(-1)
+		_ = conn.CloseWrite()
+		_ = conn.SetReadDeadline(time.Now().Add(lingerTimeout))
+		_, _ = io.CopyN(io.Discard, conn, maxDrainedBytes)
+		_ = conn.Close()
+	}()
+	return true
+}
+
+var (
+	lengthHeader   = []byte("Content-Length:")
+	encodingHeader = []byte("Transfer-Encoding:")
+	lastChunk      = []byte("\r\n0\r\n\r\n")
+)
+
+// missingBytes returns how many bytes of a request are missing in its first bytes, a bound if that is
+// not known.
+func missingBytes(head []byte) int {
+	header, body, found := bytes.Cut(head, headEnd)
+	if !found {
+		return maxDrainedBytes
+	}
+	for len(header) > 0 {
+		var line []byte
+		line, header, _ = bytes.Cut(header, lineEnd)
+		if hasPrefixFold(line, lengthHeader) {
+			length, err := strconv.Atoi(string(bytes.TrimSpace(line[len(lengthHeader):])))
+			if err != nil {
+				return maxDrainedBytes
+			}
+			return length - len(body)
+		}
+		if hasPrefixFold(line, encodingHeader) && !bytes.HasSuffix(head, lastChunk) {
+			return maxDrainedBytes
+		}
+	}
+	return 0
+}
+
+func hasPrefixFold(line, prefix []byte) bool {
+	return len(line) >= len(prefix) && bytes.EqualFold(line[:len(prefix)], prefix)
+}
--- a/io/beryledge/callers.go
+++ b/io/beryledge/callers.go
@@ -96,6 +96,9 @@
 	}
 	admitted := releaseAdmitted(incoming.Context())
 	if !call.prepare(daemon.index.Load()) || !call.readBody() || call.rejectsLate() || !call.findOrigin() || !call.takeSlot(admitted) {
+		if call.whole.Load() == nil && incoming.ContentLength != 0 {
+			conn.answeredUnread()
+		}
 		return
 	}
 	defer call.endStream()
--- a/io/beryledge/closing_test.go
+++ b/io/beryledge/closing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -13,6 +14,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"berylspoke/core/beryladmission"
 )
 
 // rawCaller is a connection of a caller that sends requests in parts.
@@ -126,3 +129,62 @@
 	require.Equal(t, false, lines[0].ContextMap()["handled"])
 	require.Equal(t, caller.LocalAddr().String(), lines[0].ContextMap()["caller"])
 }
+
+// sendSlowly sends a request whose body arrives in segments and returns the answer.
+func (caller *rawCaller) sendSlowly(request string) (*http.Response, error) {
+	for len(request) > 0 {
+		size := min(8<<10, len(request))
+		if _, err := io.WriteString(caller, request[:size]); err != nil {
+			return nil, err
+		}
+		request = request[size:]
+		time.Sleep(5 * time.Millisecond)
+	}
+	response, err := caller.answer()
+	if err != nil {
+		return nil, err
+	}
+	_, err = caller.reader.ReadByte()
+	if err != io.EOF {
+		return nil, fmt.Errorf("after the answer: %w", err)
+	}
+	return response, nil
+}
+
+// Guards against admitted requests that are closed without an answer because too many wait for the server.
+func TestRequestIsRejectedIfTooManyWaitForTheServer(t *testing.T) {
+	daemon, _ := startServing(t, nil)
+	listener := newAdmissionListener(nil, daemon)
+	listener.admitted = make(chan *callerConn)
+	server, client := connPair(t)
+	listener.queued.Add(1)
+	(&connWaiter{listener: listener, descriptor: server, head: []byte(rawRequest("/file/x", "id-1", "a letter"))}).decided(true)
+	text, err := io.ReadAll(client)
+	require.NoError(t, err)
+	require.Contains(t, string(text), "503 Service Unavailable")
+}
+
+// Guards against a rejection that its caller does not get, because the connection is closed while the body
+// of the request is still arriving, and is reset.
+func TestRejectionArrivesWhileTheBodyDoes(t *testing.T) {
+	daemon, _ := startServing(t, map[string]*testTarget{"desk": newTestTarget(t, "d1", sealed(http.StatusOK, "done"))})
+	body := strings.Repeat("x", 72<<10)
+	t.Run("before it is parsed", func(t *testing.T) {
+		server, client := connPair(t)
+		request := rawRequest("/file/x", "id-1", body)
+		head := bytes.Clone([]byte(request[:200]))
+		daemon.rejectConn(server, head, demand{}, beryladmission.Overload)
+		caller := &rawCaller{client, bufio.NewReader(client)}
+		response, err := caller.sendSlowly(request[200:])
+		require.NoError(t, err)
+		require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	})
+	for name, path := range map[string]string{"unknown route": "/none/x", "unknown key": "/file/x"} {
+		t.Run(name, func(t *testing.T) {
+			request := strings.Replace(rawRequest(path, "id-2", body, "Connection: close\r\n"), "X-Key: k\r\n", "", 1)
+			response, err := dialRaw(t, daemon).sendSlowly(request)
+			require.NoError(t, err)
+			require.GreaterOrEqual(t, response.StatusCode, http.StatusBadRequest)
+		})
+	}
+}
--- a/io/beryledge/listener.go
+++ b/io/beryledge/listener.go
@@ -66,7 +66,8 @@
 	// endBy is when the listener is closed at the latest once it is ending.
 	endBy time.Time
 	// shut is set once the listener accepts nothing more after it began to end.
-	shut          bool
+	shut bool
+	lingering
 	unansweredLog logLimit
 	mutex         sync.Mutex
 	// conns are the open connections of the server.
@@ -282,7 +283,7 @@
 
 // endIdle ends the idle connections and returns how many sockets are open.
 func (listener *admissionListener) endIdle(now time.Time) int {
-	open := 0
+	open := int(listener.lingering.count.Load())
 	if !listener.closed.Load() {
 		open++
 	}
@@ -382,6 +383,9 @@
 
 // reject answers that a request, which the server has not got, did not run, and closes its connection.
 func (conn *callerConn) reject(demand demand) {
+	if missingBytes(conn.head) > 0 {
+		conn.answeredUnread()
+	}
 	_, _ = conn.Write(rejection(nil, demand))
 	_ = conn.Close()
 }
@@ -391,13 +395,24 @@
 func (daemon *Daemon) rejectConn(descriptor int, head []byte, demand demand, cause beryladmission.Cause) {
 	daemon.meters.shed.Inc()
 	daemon.countRejected(demand, cause)
-	// Closing a socket with unread bytes resets the connection, and the answer is lost.
-	for count := len(head); count == headBytes; {
-		count, _ = unix.Read(descriptor, head)
+	missing := missingBytes(head)
+	for missing > 0 {
+		count, _ := unix.Read(descriptor, head[:cap(head)])
+		if count <= 0 {
+			break
+		}
+		missing -= count
 	}
 	// The error is ignored: a caller that has disconnected needs no answer.
 	_, _ = unix.Write(descriptor, rejection(head[:0], demand))
-	_ = unix.Close(descriptor)
+	if missing <= 0 {
+		_ = unix.Close(descriptor)
+		return
+	}
+	// Closing a socket with unread bytes resets the connection, and the answer is lost.
+	if conn := tcpConn(descriptor); conn != nil && !daemon.callerListener.linger(conn) {
+		_ = conn.Close()
+	}
 }
 
 // rejection appends the answer to an unparsed request.
--- a/io/beryledge/rejection_test.go
+++ b/io/beryledge/rejection_test.go
@@ -228,5 +228,6 @@
 	require.NoError(t, accepted.Close())
 	server, err = unix.Dup(int(file.Fd()))
 	require.NoError(t, err)
+	require.NoError(t, unix.SetNonblock(server, true), "as the listener accepts it")
 	return server, client
 }
