Idle timeout: a request that is arriving is answered

What callers saw: a request on a kept connection, sent in time, ends with its connection.

A shorter idleTimeoutMs applied at once to connections that callers may still use by the one that was in force when they became idle (they use four fifths of it). The server's own 90 s would close connections before a longer configured timeout.

The limit of a connection is that in force since it became idle, or a longer one. The server has no idle timeout of its own.

--- a/io/beryledge/closing_test.go
+++ b/io/beryledge/closing_test.go
@@ -74,6 +74,22 @@
 	<-stopped
 }
 
+// Guards against a caller that holds a connection for good by a few bytes of a request.
+func TestIdleTimeoutClosesARequestThatNeverArrives(t *testing.T) {
+	daemon, _ := startServing(t, map[string]*testTarget{"desk": newTestTarget(t, "d1", sealed(http.StatusOK, "done"))})
+	caller := dialRaw(t, daemon)
+	caller.write(t, rawRequest("/read/x", "id-1", "a letter"))
+	_, err := caller.answer()
+	require.NoError(t, err)
+	caller.write(t, "PO")
+	time.Sleep(50 * time.Millisecond)
+	for _, after := range []time.Duration{time.Hour, time.Hour + 2*headerTimeout} {
+		daemon.sweepIdle(time.Now().Add(after))
+	}
+	_, err = caller.answer()
+	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+}
+
 // Guards against connections that are reset as a planned stop ends: those that wait to be accepted, and
 // those whose request is in their receive buffer.
 func TestStopResetsNoConnection(t *testing.T) {
@@ -130,6 +146,44 @@
 	require.Equal(t, caller.LocalAddr().String(), lines[0].ContextMap()["caller"])
 }
 
+// Guards against a connection that is closed though its caller may use it by the idle timeout that was in
+// force when it became idle.
+func TestShorterIdleTimeoutAppliesToLaterRequests(t *testing.T) {
+	daemon, _ := startServing(t, map[string]*testTarget{"desk": newTestTarget(t, "d1", sealed(http.StatusOK, "done"))})
+	caller := dialRaw(t, daemon)
+	daemon.idle.sweep(time.Now(), 4*time.Second)
+	caller.write(t, rawRequest("/read/x", "id-1", "a letter"))
+	_, err := caller.answer()
+	require.NoError(t, err)
+	time.Sleep(50 * time.Millisecond)
+	daemon.idle.sweep(time.Now().Add(3*time.Second), time.Second)
+	time.Sleep(50 * time.Millisecond)
+	caller.write(t, rawRequest("/read/x", "id-2", "a letter"))
+	response, err := caller.answer()
+	require.NoError(t, err)
+	require.False(t, response.Close)
+}
+
+// Guards against a request that is arriving on a connection that was idle for too long, and that is closed
+// without an answer.
+func TestIdleTimeoutLeavesARequestThatIsArriving(t *testing.T) {
+	daemon, _ := startServing(t, map[string]*testTarget{"desk": newTestTarget(t, "d1", sealed(http.StatusOK, "done"))})
+	caller := dialRaw(t, daemon)
+	caller.write(t, rawRequest("/read/x", "id-1", "a letter"))
+	_, err := caller.answer()
+	require.NoError(t, err)
+	request := rawRequest("/read/x", "id-2", "a letter")
+	caller.write(t, request[:40])
+	time.Sleep(50 * time.Millisecond)
+	daemon.sweepIdle(time.Now().Add(time.Hour))
+	_, err = io.WriteString(caller, request[40:])
+	require.NoError(t, err)
+	response, err := caller.answer()
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	require.True(t, response.Close, "the connection is closed after it")
+}
+
 // sendSlowly sends a request whose body arrives in segments and returns the answer.
 func (caller *rawCaller) sendSlowly(request string) (*http.Response, error) {
 	for len(request) > 0 {
--- a/io/beryledge/daemon.go
+++ b/io/beryledge/daemon.go
@@ -30,10 +30,6 @@
 	maxHeaderBytes = 16 << 10
 	// headerTimeout bounds the time to read a request's headers.
 	headerTimeout = 5 * time.Second
-	// idleTimeout is how long a caller's connection may stay idle. It exceeds the idle
-	// time announced to callers, so that no request is sent while the server closes the
-	// connection.
-	idleTimeout = 90 * time.Second
 	// keepAliveIdle, keepAliveInterval and keepAliveProbes configure TCP keep-alive on
 	// callers' connections, which detects callers that vanished without closing.
 	keepAliveIdle     = 5 * time.Second
@@ -201,8 +197,8 @@
 	}
 	server := &http.Server{
 		Handler: handler, MaxHeaderBytes: maxHeaderBytes,
-		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		ErrorLog: zap.NewStdLog(zap.NewNop()), ConnState: daemon.idle.observe, ConnContext: withConn,
+		ReadHeaderTimeout: headerTimeout,
+		ErrorLog:          zap.NewStdLog(zap.NewNop()), ConnState: daemon.idle.observe, ConnContext: withConn,
 	}
 	daemon.servers = append(daemon.servers, server)
 	go func() { _ = server.Serve(listener) }()
--- a/io/beryledge/idle.go
+++ b/io/beryledge/idle.go
@@ -28,10 +28,21 @@
 type idleConns struct {
 	open  atomic.Int64
 	mutex sync.Mutex
-	since map[net.Conn]time.Time
+	// limit is the idle timeout in force, with its margin.
+	limit time.Duration
+	since map[net.Conn]idleTime
 }
 
-func newIdleConns() *idleConns { return &idleConns{since: make(map[net.Conn]time.Time)} }
+// idleTime is since when a connection is idle, and the limit at that time: its caller may use it by that
+// one, though a shorter one is in force meanwhile.
+type idleTime struct {
+	since time.Time
+	limit time.Duration
+	// ended is when the connection was ended, which takes effect once no request is arriving.
+	ended time.Time
+}
+
+func newIdleConns() *idleConns { return &idleConns{since: make(map[net.Conn]idleTime)} }
 
 // observe implements http.Server.ConnState.
 func (idle *idleConns) observe(conn net.Conn, state http.ConnState) {
@@ -47,24 +58,37 @@
 	idle.mutex.Lock()
 	defer idle.mutex.Unlock()
 	if state == http.StateIdle {
-		idle.since[conn] = time.Now()
+		idle.since[conn] = idleTime{since: time.Now(), limit: idle.limit}
 	} else {
 		delete(idle.since, conn)
 	}
 }
 
-// sweep closes the connections that have been idle for longer than the limit.
+// sweep closes the connections that have been idle for longer than the limit. If the head of a request is
+// arriving on one, it has as long as any head.
 func (idle *idleConns) sweep(now time.Time, limit time.Duration) {
 	idle.mutex.Lock()
-	var expired []net.Conn
-	for conn, since := range idle.since {
-		if now.Sub(since) > limit {
-			expired = append(expired, conn)
+	idle.limit = limit
+	var ended []*callerConn
+	var closed []net.Conn
+	for conn, began := range idle.since {
+		caller, gentle := conn.(*callerConn)
+		switch {
+		case now.Sub(began.since) <= max(limit, began.limit):
+		case gentle && began.ended.IsZero():
+			ended = append(ended, caller)
+			began.ended = now
+			idle.since[conn] = began
+		case !gentle || now.Sub(began.ended) > headerTimeout:
+			closed = append(closed, conn)
 			delete(idle.since, conn)
 		}
 	}
 	idle.mutex.Unlock()
-	for _, conn := range expired {
+	for _, conn := range ended {
+		conn.end()
+	}
+	for _, conn := range closed {
 		_ = conn.Close()
 	}
 }
