SIGHUP does not end a process that starts

What callers and operators see: a process that is sent SIGHUP while it starts ends by itself (signal: hangup) and is away until it is started again.

Cause: until a program handles SIGHUP, the signal ends it. The daemon began to handle signals after it had read its settings, and the initialisation of its packages takes milliseconds before, more on a machine that is short of processor time.

--- a/cmd/berylspoke/edge_test.go
+++ b/cmd/berylspoke/edge_test.go
@@ -4,7 +4,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -201,23 +200,34 @@
 	*exec.Cmd
 }
 
-// startSettingsProcess starts a process with a time to stop within, and waits until it runs.
-func startSettingsProcess(t *testing.T, stopSeconds float64) *settingsProcess {
+// newSettingsProcess returns a process that has not started, with a time to stop within.
+func newSettingsProcess(t *testing.T, stopSeconds float64) *settingsProcess {
 	store, err := beryldouble.NewStore()
 	require.NoError(t, err)
 	t.Cleanup(store.Close)
-	process := &settingsProcess{t: t, path: filepath.Join(t.TempDir(), "settings.toml"), vm: testVM(store, 1)}
-	process.vm.StopSeconds = stopSeconds
-	process.write()
+	vm := testVM(store, 1)
+	vm.StopSeconds = stopSeconds
+	return &settingsProcess{t: t, path: filepath.Join(t.TempDir(), "settings.toml"), vm: vm}
+}
+
+// start starts the process.
+func (process *settingsProcess) start() {
 	process.Cmd = exec.Command(program, "edge", "-settings", process.path)
 	output, err := process.StdoutPipe()
-	require.NoError(t, err)
-	require.NoError(t, process.Start())
-	t.Cleanup(func() {
+	require.NoError(process.t, err)
+	require.NoError(process.t, process.Start())
+	process.t.Cleanup(func() {
 		_ = process.Process.Kill()
 		_ = process.Wait()
 	})
 	process.lines = bufio.NewScanner(output)
+}
+
+// startSettingsProcess starts a process with a time to stop within, and waits until it runs.
+func startSettingsProcess(t *testing.T, stopSeconds float64) *settingsProcess {
+	process := newSettingsProcess(t, stopSeconds)
+	process.write()
+	process.start()
 	process.find("daemon started")
 	return process
 }
@@ -263,43 +273,71 @@
 	require.NoError(t, process.Wait())
 }
 
+// settingsPipe is a named pipe in place of the settings file, whose reader waits for what the test writes.
+type settingsPipe struct {
+	process *settingsProcess
+	path    string
+}
+
+// holdSettings puts a pipe in place of the settings file.
+func (process *settingsProcess) holdSettings() settingsPipe {
+	pipe := settingsPipe{process, process.path + ".pipe"}
+	require.NoError(process.t, syscall.Mkfifo(pipe.path, 0o600))
+	_ = os.Remove(process.path)
+	require.NoError(process.t, os.Link(pipe.path, process.path))
+	return pipe
+}
+
+// awaitReader waits until the process reads the pipe, which is open from then on.
+func (pipe settingsPipe) awaitReader() *os.File {
+	var file *os.File
+	require.Eventually(pipe.process.t, func() bool {
+		var err error
+		file, err = os.OpenFile(pipe.path, os.O_WRONLY|syscall.O_NONBLOCK, 0)
+		return err == nil
+	}, 10*time.Second, time.Millisecond)
+	return file
+}
+
+// release replaces the pipe by a file with the settings and gives its reader the ones that were there before.
+func (pipe settingsPipe) release(reader *os.File, before []byte) {
+	require.NoError(pipe.process.t, os.Remove(pipe.process.path))
+	pipe.process.write()
+	_, err := reader.Write(before)
+	require.NoError(pipe.process.t, err)
+	require.NoError(pipe.process.t, reader.Close())
+}
+
 // Guards against a SIGTERM that is lost among SIGHUPs while the settings cannot be read yet: the process is
 // killed with all its requests.
 func TestStopIsNotLostAmongReloads(t *testing.T) {
-	const reloads, gap, timeout = 8, 20 * time.Millisecond, 10 * time.Second
+	const reloads, gap = 8, 20 * time.Millisecond
 	process := startSettingsProcess(t, 4)
 	settings, err := os.ReadFile(process.path)
 	require.NoError(t, err)
-	// A read of a named pipe waits until the test writes the settings.
-	require.NoError(t, os.Remove(process.path))
-	require.NoError(t, syscall.Mkfifo(process.path, 0o600))
+	pipe := process.holdSettings()
+	reader := pipe.awaitReader()
 	for range reloads {
 		require.NoError(t, process.Process.Signal(syscall.SIGHUP))
 		time.Sleep(gap)
 	}
 	require.NoError(t, process.Process.Signal(syscall.SIGTERM))
 	time.Sleep(gap)
-	stopping := make(chan struct{})
-	go func() {
-		defer close(stopping)
-		for process.lines.Scan() {
-			if bytes.Contains(process.lines.Bytes(), []byte(`"stopping"`)) {
-				return
-			}
-		}
-	}()
-	for deadline := time.After(timeout); ; {
-		pipe, err := os.OpenFile(process.path, os.O_WRONLY|syscall.O_NONBLOCK, 0)
-		if err == nil {
-			_, _ = pipe.Write(settings)
-			_ = pipe.Close()
-		}
-		select {
-		case <-stopping:
-			return
-		case <-deadline:
-			t.Fatal("the process does not stop")
-		case <-time.After(gap):
-		}
-	}
+	pipe.release(reader, settings)
+	time.AfterFunc(10*time.Second, func() { _ = process.Process.Kill() })
+	process.find("stopping")
+}
+
+// Guards against a process that SIGHUP ends while it reads its settings at its start.
+func TestReloadDuringTheStart(t *testing.T) {
+	process := newSettingsProcess(t, 4)
+	settings, err := process.vm.Settings()
+	require.NoError(t, err)
+	pipe := process.holdSettings()
+	process.start()
+	reader := pipe.awaitReader()
+	require.NoError(t, process.Process.Signal(syscall.SIGHUP))
+	time.Sleep(100 * time.Millisecond)
+	pipe.release(reader, settings)
+	process.find("daemon started")
 }
--- a/cmd/berylspoke/main.go
+++ b/cmd/berylspoke/main.go
@@ -13,6 +13,7 @@
 	"github.com/google/subcommands"
 
 	"berylspoke/io/berylsettings"
+	"berylspoke/io/berylsignal"
 )
 
 func main() {
@@ -29,6 +30,9 @@
 		commander.Register(command, "")
 	}
 	flag.Parse()
+	if flag.Arg(0) != new(edgeCommand).Name() {
+		berylsignal.Restore()
+	}
 	if err := checkFlags(commands, flag.Args()); err != nil {
 		os.Exit(int(fail(err)))
 	}
