Settings that change while a process starts are applied

What callers see: a planned stop ends by the settings before the change. Where the time to stop within has become shorter, the process is killed with all its requests.

Cause: the daemon took the content of the settings file that it compares later ones to from a second read, after it had started. What the platform replaced between the two reads counted as seen and was never applied.

Evidence: TestSettingsChangeDuringTheStart on the code before, three runs of three: Max difference between [...] allowed is 1s, but difference was -55.75s The stop ended by 60 s in place of 4 s. The content is now read first: a change after it differs at the next look. Three runs of three pass. By reading; no soak has shown it.

--- a/cmd/berylspoke/edge.go
+++ b/cmd/berylspoke/edge.go
@@ -65,6 +65,8 @@
 			return fail(err)
 		}
 	}
+	// The content is read before the settings, so that what changes meanwhile is applied later.
+	seen, _ := os.ReadFile(path)
 	settings, err := berylbinding.LoadSettings(path)
 	if err != nil {
 		return fail(err)
@@ -82,7 +84,7 @@
 	if err != nil {
 		return fail(err)
 	}
-	command.reloadUntilStopped(path, daemon, signals, log)
+	command.reloadUntilStopped(path, seen, daemon, signals, log)
 	daemon.Stop()
 	return subcommands.ExitSuccess
 }
@@ -101,12 +103,11 @@
 	return received
 }
 
-// reloadUntilStopped applies changes of the settings until a signal asks the process
-// to stop, and those that the file holds by then: the stop ends by its settings.
-func (command *edgeCommand) reloadUntilStopped(path string, daemon *beryledge.Daemon, signals signals, log *zap.Logger) {
+// reloadUntilStopped applies changes of the settings, whose content was seen before, until a signal
+// asks the process to stop, and those that the file holds by then: the stop ends by its settings.
+func (command *edgeCommand) reloadUntilStopped(path string, seen []byte, daemon *beryledge.Daemon, signals signals, log *zap.Logger) {
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
-	seen, _ := os.ReadFile(path)
 	for {
 		stopped := false
 		select {
--- a/cmd/berylspoke/edge_test.go
+++ b/cmd/berylspoke/edge_test.go
@@ -341,3 +341,22 @@
 	pipe.release(reader, settings)
 	process.find("daemon started")
 }
+
+// Guards against settings that are never applied as the platform replaces them while the process starts: a stop
+// ends by the old ones, and the process is killed before its requests have ended.
+func TestSettingsChangeDuringTheStart(t *testing.T) {
+	process := newSettingsProcess(t, 60)
+	before, err := process.vm.Settings()
+	require.NoError(t, err)
+	pipe := process.holdSettings()
+	process.start()
+	reader := pipe.awaitReader()
+	process.vm.StopSeconds = 4
+	pipe.release(reader, before)
+	process.find("daemon started")
+	signalled := time.Now()
+	require.NoError(t, process.Process.Signal(syscall.SIGTERM))
+	end, err := time.Parse("2006-01-02T15:04:05.999999999Z07:00", process.find("stopping")["end"].(string))
+	require.NoError(t, err)
+	require.WithinDuration(t, signalled.Add(4*time.Second), end, time.Second)
+}
