Soak: quotas of processor time, and what the end of a stop cuts

A process that has used its share of a core is stopped for the rest of each tenth of a second, as on a machine with quotas. The report says how often, how many processes were killed as they had not stopped in time, and how long after SIGTERM the last request was sent that the end of a stop cut. "core failed" in a log is an alarm.

--- a/soak/endings.go
+++ b/soak/endings.go
@@ -56,6 +56,9 @@
 // excuse says why an attempt may end without a complete answer, empty if it may not.
 type excuse string
 
+// excusedByStop is the excuse of a request that a target is at work on as a stop ends.
+const excusedByStop excuse = "at work at the end of the stop"
+
 // ending is an attempt that ended without a complete answer of a target.
 type ending struct {
 	attempt *attempt
@@ -76,6 +79,13 @@
 	judge.answerCounts["no address"]++
 }
 
+// recordLateExit records that a process was killed at the end of its time to stop within.
+func (judge *Judge) recordLateExit() {
+	judge.mutex.Lock()
+	defer judge.mutex.Unlock()
+	judge.lateExits++
+}
+
 // lastEvent returns the last signal or configuration of a process before a time.
 func (judge *Judge) lastEvent(process string, at time.Time) occurrence {
 	var last occurrence
@@ -138,7 +148,7 @@
 	case answer.Err == nil:
 		return "own error"
 	case stopping && judge.mayBeCut(attempt, stop):
-		return "at work at the end of the stop"
+		return excusedByStop
 	}
 	return ""
 }
@@ -180,12 +190,16 @@
 	}
 	excuses, ownErrors := make(map[excuse]int), make(map[string]int)
 	var unexplained []string
+	var latest time.Duration
 	for _, ending := range judge.endings {
 		attempt, answer := ending.attempt, ending.answer
 		lines := logs.lines[answer.Request.ID]
 		excuse := judge.excuseOf(attempt, answer)
 		if excuse != "" {
 			excuses[excuse]++
+			if excuse == excusedByStop {
+				latest = max(latest, attempt.sent.Sub(judge.stops[attempt.processRun].at))
+			}
 			if answer.Err == nil {
 				ownErrors[fmt.Sprintf("%d %s: %s", answer.Status, strings.TrimSpace(string(answer.Body)), errorOf(lines))]++
 			}
@@ -204,6 +218,9 @@
 		}
 	}
 	judge.summary = append(judge.summary, fmt.Sprintf("attempts without a complete answer: %d, of these excused: %v", len(judge.endings), excuses))
+	if excuses[excusedByStop] > 0 {
+		judge.summary = append(judge.summary, fmt.Sprintf("of those cut at the end of a stop, the last was sent %s after SIGTERM", latest.Round(time.Millisecond)))
+	}
 	for text, count := range ownErrors {
 		judge.summary = append(judge.summary, fmt.Sprintf("%d times %s", count, text))
 	}
@@ -211,6 +228,12 @@
 		judge.addViolation("requests are answered beside unplanned faults", "%d are not", len(unexplained))
 	}
 	judge.summary = append(judge.summary, unexplained...)
+	if judge.lateExits > 0 {
+		judge.summary = append(judge.summary, fmt.Sprintf("%d times a process was killed as it had not stopped in time", judge.lateExits))
+	}
+	if judge.held > 0 {
+		judge.summary = append(judge.summary, fmt.Sprintf("%d times a process used up its quota of processor time", judge.held))
+	}
 	for _, line := range logs.alarms {
 		judge.addViolation("no alarm in a log", "%s", line)
 	}
@@ -250,7 +273,7 @@
 		scanner.Buffer(nil, 4<<20)
 		for scanner.Scan() {
 			line := scanner.Bytes()
-			for _, alarm := range []string{"DATA RACE", "panic:", "fatal error:"} {
+			for _, alarm := range []string{"DATA RACE", "panic:", "fatal error:", "core failed"} {
 				if bytes.Contains(line, []byte(alarm)) {
 					logs.alarms = append(logs.alarms, filepath.Base(path)+": "+string(line))
 				}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -292,7 +292,9 @@
 	if world.size.Stops || world.size.Shape != nil {
 		killAfter = grace
 	}
-	process.awaitExit(killAfter)
+	if !process.awaitExit(killAfter) && signal == syscall.SIGTERM {
+		world.judge.recordLateExit()
+	}
 	time.Sleep(downtime)
 	if err := world.start(process); err != nil {
 		world.judge.recordExit(process.vm.Name, err)
@@ -314,8 +316,10 @@
 	world.judge.recordDisturbed(process.vm.Name, time.Now().Add(duration))
 	world.judge.recordSuspended(process.vm.Name, time.Now().Add(duration))
 	world.judge.recordUnplanned(process.vm.Name, time.Now().Add(duration))
+	process.suspended.Store(true)
 	process.signal(syscall.SIGSTOP)
 	time.Sleep(duration)
+	process.suspended.Store(false)
 	process.signal(syscall.SIGCONT)
 }
 
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -106,6 +106,10 @@
 	events     map[string][]occurrence
 	targetEnds map[string]time.Time
 	summary    []string
+	// held counts the periods in which a process used up its quota of processor time.
+	held int
+	// lateExits counts the processes that were killed at the end of the time to stop within.
+	lateExits int
 	// answerCounts are the numbers of answers by outcomeLabel.
 	answerCounts map[string]int
 }
--- a/soak/shape_test.go
+++ b/soak/shape_test.go
@@ -12,6 +12,7 @@
 
 var (
 	shapeName = flag.String("shape", "", "shape of a fresh seed in TestFreshShape, empty for all")
+	quota     = flag.Float64("quota", 0, "share of a core that each process of a fresh seed of TestFreshShape has as a quota, zero for none")
 	unplanned = flag.Bool("unplanned", false, "whether a fresh seed of TestFreshShape has unplanned faults")
 )
 
@@ -53,7 +54,9 @@
 		}
 		for i := range uint64(*seeds) {
 			t.Run(name+"/"+strconv.FormatUint(first+i, 10), func(t *testing.T) {
-				soak(t, first+i, shape.Size(*rate, *seconds, *unplanned))
+				size := shape.Size(*rate, *seconds, *unplanned)
+				size.Quota = *quota
+				soak(t, first+i, size)
 			})
 		}
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -35,6 +35,11 @@
 	generator := &generator{world: world, random: rand.New(rand.NewPCG(seed, 1))}
 	var sending sync.WaitGroup
 	sending.Go(func() { generator.run(ctx, seed) })
+	if world.size.Quota > 0 {
+		for _, process := range world.processes {
+			sending.Go(func() { world.limitProcessor(ctx, process) })
+		}
+	}
 	world.runPlan(plan, out)
 	recoveryErr := world.awaitRecovery()
 	cancel()
--- a/soak/world.go
+++ b/soak/world.go
@@ -58,6 +58,9 @@
 	// planned operations only, unless Unplanned is set.
 	Shape     *Shape
 	Unplanned bool
+	// Quota is the share of a core that each process has as a quota in each tenth of a second, zero for
+	// none.
+	Quota float64
 }
 
 // domains are the failure domains and their regions.
@@ -77,6 +80,8 @@
 	stopping bool
 	// runCount is the number of runs started.
 	runCount int
+	// suspended is set while a fault suspends the process.
+	suspended atomic.Bool
 }
 
 // World is a running fleet with its store, targets and relays.
@@ -264,13 +269,15 @@
 	return claimed
 }
 
-// awaitExit waits until the current run has exited and kills it after the timeout.
-func (process *process) awaitExit(timeout time.Duration) {
+// awaitExit waits until the current run has exited. It kills it after the timeout and returns false.
+func (process *process) awaitExit(timeout time.Duration) bool {
 	select {
 	case <-process.exited:
+		return true
 	case <-time.After(timeout):
 		process.signal(syscall.SIGKILL)
 		<-process.exited
+		return false
 	}
 }
 
