Soak: another writer leaves odd entries in the list of targets

TestOddSoak writes odd entries beside those of the targets and over them, entries with addresses of the processes, and 24 of 1 MB that stay, beside the faults of the other soaks; half of the processes are killed while they are there. The judge asks that no such entry costs a request in the part with planned operations only, and that all processes know a target that starts at the end, within their memory.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -116,10 +116,16 @@
 	if size.Versions {
 		kinds = slices.Concat(kinds, versionFaults, versionFaults)
 	}
+	if size.Odd {
+		kinds = slices.Concat(kinds, oddFaults, oddFaults, oddFaults)
+	}
 	length := time.Duration(size.Seconds) * time.Second
 	for at := time.Duration(0); ; {
 		at += time.Duration(random.ExpFloat64() * float64(meanInterval))
 		if at > length {
+			if size.Odd {
+				plan = oddPlan(plan, size)
+			}
 			return plan
 		}
 		planned := float64(at) < plannedFraction*float64(length)
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -110,6 +110,8 @@
 	held int
 	// lateExits counts the processes that were killed at the end of the time to stop within.
 	lateExits int
+	// oddEntries is set if another writer leaves entries in the list of targets.
+	oddEntries bool
 	// answerCounts are the numbers of answers by outcomeLabel.
 	answerCounts map[string]int
 }
@@ -231,6 +233,7 @@
 	} else {
 		judge.checkStop(attempt, answer)
 	}
+	judge.checkOdd(attempt, answer)
 	if cut && attempt.limit == 0 && attempt.planned && !judge.unplanned && len(attempt.runs) > 0 {
 		judge.addViolation("planned operations cut no request", "%s ran at %s and failed: %d, %v", answer.Request.ID, attempt.runs[0].Target, answer.Status, answer.Err)
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -83,7 +83,10 @@
 			if world.size.Shape != nil {
 				return nil
 			}
-			return world.awaitConfiguration(deadline)
+			if err := world.awaitConfiguration(deadline); err != nil || !world.size.Odd {
+				return err
+			}
+			return world.awaitList(deadline)
 		}
 	}
 	return errors.Errorf("fewer than %d requests served in %s", want, recoveryWindow)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -185,7 +185,7 @@
 
 // TestFreshSoak runs fresh seeds; see -seeds.
 func TestFreshSoak(t *testing.T) {
-	size := Size{VMs: *vms, Engines: *vms, Desks: 3, MemoryMB: *memoryMB, RequestsPerSecond: *rate, Seconds: *seconds, Advice: *advice, Returns: *returns, Versions: *versions, Parts: *parts}
+	size := Size{VMs: *vms, Engines: *vms, Desks: 3, MemoryMB: *memoryMB, RequestsPerSecond: *rate, Seconds: *seconds, Advice: *advice, Returns: *returns, Versions: *versions, Parts: *parts, Odd: *odd}
 	if *stops {
 		size.Stops, size.Advice, size.Returns, size.Versions, size.Parts = true, false, false, false, false
 	}
--- a/soak/world.go
+++ b/soak/world.go
@@ -52,6 +52,8 @@
 	// Parts adds requests with parts of prompts that crash engines, and engines that answer with
 	// neither a length nor chunks.
 	Parts bool
+	// Odd adds entries of another writer to the list of targets.
+	Odd bool
 	// Scenes plays faults in a set order that meet each other, beside a few others.
 	Scenes bool
 	// Shape describes the world and its load in place of the fields above, nil for none. Then there are
@@ -137,6 +139,7 @@
 	if size.Shape != nil {
 		world.beginShape()
 	}
+	world.judge.oddEntries = size.Odd
 	if err := world.publish(configState{}); err != nil {
 		return nil, err
 	}
