--- a/core/berylorigin/origin_test.go
+++ b/core/berylorigin/origin_test.go
@@ -124,6 +124,22 @@
 	})
 }
 
+// Guards against a record that is lost with most daemons of a small fleet: whichever lives holds it,
+// and each daemon asks all others.
+func TestAllDaemonsOfASmallFleetHoldEachRecord(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var live []berylspoke.VMID
+		for i := range rapid.IntRange(1, smallFleet).Draw(t, "daemons") {
+			live = append(live, berylspoke.VMID(fmt.Sprint("vm-", i)))
+		}
+		key := KeyOf("o", berylspoke.RequestID(fmt.Sprint(rapid.Uint32().Draw(t, "id"))))
+		began := rapid.SampledFrom(live).Draw(t, "began")
+		told := append(Told(key, began, live), ToldLater(key, began, live)...)
+		require.ElementsMatch(t, live, append(told, began))
+		require.ElementsMatch(t, live, append(Asked(key, began, live), began))
+	})
+}
+
 // A simulated daemon, which learns of targets with a lag.
 type watcher struct {
 	versions *Versions
