serve: a stop sends the last answers before it closes connections

A drain counts a request as ended when its handler returns, which is before the answer has been written to its connection. The stop then closed all connections at once, so that a caller saw EOF in place of an answer.

The stop shuts the server down after the drain: it accepts no more connections, and waits until the answers have been sent, as long as the drain may last.

--- a/cmd/berylspoke/serve.go
+++ b/cmd/berylspoke/serve.go
@@ -69,10 +69,7 @@
 		<-signals
 		cancel()
 	}()
-	if err := daemon.Drain(ctx); err != nil {
-		log.Warn("stopped before the drain was complete", zap.Error(err))
-	}
-	daemon.Kill()
+	daemon.Stop(ctx)
 	return subcommands.ExitSuccess
 }
 
--- a/io/berylserve/daemon.go
+++ b/io/berylserve/daemon.go
@@ -195,6 +195,19 @@
 	}
 }
 
+// Stop drains the daemon, as long as the context lasts, and ends it.
+func (daemon *Daemon) Stop(ctx context.Context) {
+	err := daemon.Drain(ctx)
+	if err == nil {
+		// A request counts as ended when its handler returns, which is before its answer is sent.
+		err = daemon.callers.Shutdown(ctx)
+	}
+	if err != nil {
+		daemon.log.Warn("stopped before the drain was complete", zap.Error(err))
+	}
+	daemon.Kill()
+}
+
 // sleep waits for the duration and returns false if the context ended first.
 func sleep(ctx context.Context, duration time.Duration) bool {
 	timer := time.NewTimer(duration)
