--- a/io/beryledge/fakes_test.go
+++ b/io/beryledge/fakes_test.go
@@ -355,7 +355,9 @@
 // process uses, so that fixed ports on it are free.
 func uniqueHost() string {
 	process := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d", 1+process>>8&0x7f, process&0xff, 1+daemons.Add(1))
+	const perNetwork = 250
+	count := int(daemons.Add(1)) - 1
+	return fmt.Sprintf("127.%d.%d.%d", 1+process>>8&0x3f+64*(count/perNetwork%3), process&0xff, 2+count%perNetwork)
 }
 
 // startDaemon runs a daemon in this process.
