Slow bodies: a request that is refused early is answered early

What callers saw: no answer at all, for as long as they kept the connection. A request whose body did not arrive within the timeout of its route was given up without an answer; and a refusal that needs no body (unknown route or key, no configuration yet) was sent only once the whole body had arrived.

Causes: net/http reads the rest of a body before it sends an answer, and before it closes the connection of a handler that has aborted, and the handler had removed the deadline. Only rejections by a planned stop avoided this, by reading the body themselves.

Change: one way for all answers to requests that are not whole. What arrives within 10 ms is read, and if that is all, the connection is kept. Otherwise the answer is sent with `Connection: close`, and the rest is read as the connection is closed. A body that is too slow gets a 503, as the request did not run.

Evidence, on the code before: TestRequestThatArrivesTooSlowlyIsAnswered: i/o timeout (10 s after the timeout of 300 ms) TestRefusalDoesNotWaitForTheBody: i/o timeout (10 s)

--- a/io/beryledge/callerconn.go
+++ b/io/beryledge/callerconn.go
@@ -18,9 +18,10 @@
 )
 
 const (
-	// lingerTimeout bounds the time in which the rest of a rejected request is read after its
-	// answer.
-	lingerTimeout = 500 * time.Millisecond
+	// lingerTimeout and maxDrainedBytes bound what is read of the rest of a rejected request after
+	// its answer.
+	lingerTimeout   = 500 * time.Millisecond
+	maxDrainedBytes = 1 << 20
 	// maxLingering bounds the connections of which the rest of a request is being read.
 	maxLingering = 256
 	// minLogInterval is the minimum time between two log lines on connections without an answer.
--- a/io/beryledge/callers.go
+++ b/io/beryledge/callers.go
@@ -27,6 +27,8 @@
 	// startingRetryAfter is the delay after which a caller may retry at a daemon that
 	// does not know the configuration yet.
 	startingRetryAfter = 300 * time.Millisecond
+	// arrivedTimeout bounds the time to read what has arrived of the body of a refused request.
+	arrivedTimeout = 10 * time.Millisecond
 	// defaultWait is how long a caller is assumed to wait if it does not state a time.
 	defaultWait = 30 * time.Second
 )
@@ -96,9 +98,6 @@
 	}
 	admitted := releaseAdmitted(incoming.Context())
 	if !call.prepare(daemon.index.Load()) || !call.readBody() || call.rejectsLate() || !call.findOrigin() || !call.takeSlot(admitted) {
-		if call.whole.Load() == nil && incoming.ContentLength != 0 {
-			conn.answeredUnread()
-		}
 		return
 	}
 	defer call.endStream()
@@ -216,7 +215,12 @@
 		call.refuse(http.StatusRequestEntityTooLarge, berylspoke.ReasonMalformed, 0)
 		return false
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		call.refuse(http.StatusServiceUnavailable, berylspoke.ReasonWaitedTooLong, startingRetryAfter)
+		return false
+	}
 	call.log("caller disconnected before its request was complete", cause(err))
+	call.setReadDeadline(past)
 	panic(http.ErrAbortHandler)
 }
 
@@ -348,8 +352,45 @@
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	header.Set("Content-Length", strconv.Itoa(len(body)))
 	call.daemon.meters.refusal(reason).Inc()
+	early := call.whole.Load() == nil && !call.drainArrived()
+	if early {
+		header.Set("Connection", "close")
+		// The server would otherwise read the body before it sends the answer.
+		_ = http.NewResponseController(call.writer).EnableFullDuplex()
+	}
 	call.writer.WriteHeader(status)
 	_, _ = io.WriteString(call.writer, body)
+	if early {
+		call.endEarly()
+	}
+}
+
+// drainArrived reads what has arrived of a body that nobody needs, and reports whether that was all.
+func (call *call) drainArrived() (whole bool) {
+	if call.incoming.ContentLength == 0 {
+		return true
+	}
+	body := call.unlimitedBody
+	if body == nil {
+		body = call.incoming.Body
+	}
+	until := time.Now().Add(arrivedTimeout)
+	call.setReadDeadline(until)
+	_, err := io.CopyN(io.Discard, body, maxDrainedBytes)
+	call.setReadDeadline(time.Time{})
+	// After the body the server reads on. If that read has failed by the deadline, no further request can
+	// be served on the connection.
+	return errors.Is(err, io.EOF) && time.Now().Before(until)
+}
+
+// endEarly sends an answer while the request is still arriving. Its connection reads the rest as it is
+// closed; the server would wait for that without a bound.
+func (call *call) endEarly() {
+	_ = http.NewResponseController(call.writer).Flush()
+	if conn, ok := call.incoming.Context().Value(connKey{}).(*callerConn); ok {
+		conn.answeredUnread()
+	}
+	call.setReadDeadline(past)
 }
 
 // log logs a message with the fields of this request.
--- a/io/beryledge/closing_test.go
+++ b/io/beryledge/closing_test.go
@@ -128,6 +128,52 @@
 	require.Empty(t, unanswered, "beside %d answers", answered.Load())
 }
 
+// Guards against a request whose body arrives too slowly for the timeout of its route, and whose connection
+// is closed without an answer.
+func TestRequestThatArrivesTooSlowlyIsAnswered(t *testing.T) {
+	catalog := testCatalog()
+	for i := range catalog.Routes {
+		catalog.Routes[i].Timeout = 300 * time.Millisecond
+	}
+	daemon, _ := startServingWith(t, map[string]*testTarget{"desk": newTestTarget(t, "d1", sealed(http.StatusOK, "done"))}, testDialect{catalog})
+	body := strings.Repeat("x", 72<<10)
+	caller := dialRaw(t, daemon)
+	request := rawRequest("/file/x", "id-1", body)
+	caller.write(t, request[:20<<10])
+	sent := time.Now()
+	response, err := caller.answer()
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	require.NotEmpty(t, response.Header.Get("Retry-After"))
+	require.Less(t, time.Since(sent), 800*time.Millisecond)
+	caller.write(t, request[20<<10:])
+	_, err = caller.reader.ReadByte()
+	require.ErrorIs(t, err, io.EOF, "not a reset")
+}
+
+// Guards against a refusal that waits for the body of a request, which nobody needs.
+func TestRefusalDoesNotWaitForTheBody(t *testing.T) {
+	daemon, _ := startServing(t, nil)
+	caller := dialRaw(t, daemon)
+	request := rawRequest("/none/x", "id-1", strings.Repeat("x", 72<<10))
+	caller.write(t, request[:20<<10])
+	sent := time.Now()
+	response, err := caller.answer()
+	require.NoError(t, err)
+	require.Equal(t, http.StatusNotFound, response.StatusCode)
+	require.Less(t, time.Since(sent), time.Second)
+	caller.write(t, request[20<<10:])
+	_, err = caller.reader.ReadByte()
+	require.ErrorIs(t, err, io.EOF, "not a reset")
+	caller = dialRaw(t, daemon)
+	for range 2 {
+		caller.write(t, rawRequest("/none/x", "id-2", "a letter"))
+		response, err = caller.answer()
+		require.NoError(t, err)
+		require.False(t, response.Close, "the whole request has arrived")
+	}
+}
+
 // Guards against connections that are closed without an answer and leave no trace.
 func TestConnectionWithoutAnAnswerIsLogged(t *testing.T) {
 	daemon, logs := startStopping(t, time.Second, testCatalog(), nil)
--- a/io/beryledge/late.go
+++ b/io/beryledge/late.go
@@ -4,7 +4,6 @@
 // how those are ended that have not.
 
 import (
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -17,13 +16,6 @@
 	"berylspoke/core/berylstop"
 )
 
-const (
-	// bodyDrainTimeout and maxDrainedBytes bound what is read of the body of a rejected request.
-	// A connection that is closed while its caller still sends is reset, and the answer may be lost.
-	bodyDrainTimeout = 500 * time.Millisecond
-	maxDrainedBytes  = 1 << 20
-)
-
 // errStopEnded is why the requests that are active at the end of a planned stop are cancelled.
 var errStopEnded = errors.New("the planned stop has ended")
 
@@ -130,14 +122,8 @@
 		call.refuse(http.StatusBadGateway, berylspoke.ReasonDraining, 0, fields...)
 		return
 	}
-	control := http.NewResponseController(call.writer)
-	// The server would otherwise read the body before it sends the answer.
-	_ = control.EnableFullDuplex()
 	retryAfter := stop.RetryAfter(now, call.daemon.knowsOthers(), rand.Float64())
 	call.refuse(http.StatusServiceUnavailable, berylspoke.ReasonDraining, retryAfter, fields...)
-	_ = control.Flush()
-	call.setReadDeadline(now.Add(bodyDrainTimeout))
-	_, _ = io.CopyN(io.Discard, call.unlimitedBody, maxDrainedBytes)
 }
 
 // knowsOthers reports whether another daemon accepts callers' requests.
