Settings: a process waits for settings that are still being written

A process that found no settings file at its start, or only a part of one, ended at once; while it runs, such a file is read again. It now tries for two seconds.

TestStartWaitsForTheSettings, real processes, on the code before: "the process has ended", for no file and for half of one.

--- a/cmd/berylspoke/edge.go
+++ b/cmd/berylspoke/edge.go
@@ -27,6 +27,10 @@
 	// settingsPollInterval is the time between two reads of the settings file, which
 	// may change without a SIGHUP.
 	settingsPollInterval = 2 * time.Second
+	// settingsStartTimeout bounds the wait for valid settings as a process starts, and
+	// settingsStartInterval is the time between two reads.
+	settingsStartTimeout  = 2 * time.Second
+	settingsStartInterval = 20 * time.Millisecond
 	// defaultFleetKey is used where the platform provides no secrets. Then only the
 	// platform's network protects the traffic between daemons.
 	defaultFleetKey = "berylspoke: no secret on this platform"
@@ -65,9 +69,7 @@
 			return fail(err)
 		}
 	}
-	// The content is read before the settings, so that what changes meanwhile is applied later.
-	seen, _ := os.ReadFile(path)
-	settings, err := berylbinding.LoadSettings(path)
+	settings, seen, err := loadAtStart(path)
 	if err != nil {
 		return fail(err)
 	}
@@ -89,6 +91,17 @@
 	return subcommands.ExitSuccess
 }
 
+// loadAtStart reads the settings file, which may still be being written. It returns the content from
+// before too, so that what changes meanwhile is applied later.
+func loadAtStart(path string) (settings *beryledge.Settings, seen []byte, err error) {
+	for until := time.Now().Add(settingsStartTimeout); ; time.Sleep(settingsStartInterval) {
+		seen, _ = os.ReadFile(path)
+		if settings, err = berylbinding.LoadSettings(path); err == nil || time.Now().After(until) {
+			return settings, seen, err
+		}
+	}
+}
+
 // signals are those that ask a process to stop, or to reload its settings. They have channels of their
 // own, as a signal is dropped if its channel is full.
 type signals struct{ stop, reload chan os.Signal }
--- a/cmd/berylspoke/edge_test.go
+++ b/cmd/berylspoke/edge_test.go
@@ -84,6 +84,32 @@
 	}
 }
 
+// Guards against a process that ends because its settings are not written completely as it starts.
+func TestStartWaitsForTheSettings(t *testing.T) {
+	store, err := beryldouble.NewStore()
+	require.NoError(t, err)
+	defer store.Close()
+	for host, share := range map[int]int{8: 0, 9: 2} {
+		t.Run(fmt.Sprint("share ", share), func(t *testing.T) {
+			vm := testVM(store, host)
+			settings, err := vm.Settings()
+			require.NoError(t, err)
+			path := filepath.Join(t.TempDir(), "settings.toml")
+			if share > 0 {
+				require.NoError(t, os.WriteFile(path, settings[:len(settings)/share], 0o600))
+			}
+			command := exec.Command(program, "edge", "-settings", path)
+			require.NoError(t, command.Start())
+			defer func() { _ = command.Process.Kill() }()
+			time.Sleep(300 * time.Millisecond)
+			require.NoError(t, os.WriteFile(path, settings, 0o600))
+			require.Eventually(t, func() bool { return answers(vm) }, 10*time.Second, 10*time.Millisecond, "the process has ended")
+			require.NoError(t, command.Process.Signal(syscall.SIGTERM))
+			waitEnd(t, command, 2*vm.StopSeconds)
+		})
+	}
+}
+
 // Guards against a process that ends because nobody reads its log any more, and against one that does not
 // end because its log cannot be written.
 func TestLogThatNobodyReads(t *testing.T) {
