--- a/soak/endings.go
+++ b/soak/endings.go
@@ -142,7 +142,8 @@
 	case judge.advice.disturbedBetween(unplannedName(process), attempt.sent.Add(-touchWindow), answer.Ended):
 		return "unplanned disturbance"
 	case len(attempt.runs) == 0 && sinceWhole(answer) <= lossSlack:
-		return "crossed the close"
+		// A process that has not read all that has arrived resets the connection as it closes it.
+		return excuse("crossed the close, " + string(answer.Trace.Closing))
 	case judge.targetEnded(attempt, answer.Ended):
 		return "target ended"
 	case answer.Err == nil:
