Soak: engines that slow down under load, and what they are at work on

Streams take longer while more run, so that those before a burst tell little of those in it. Targets tell when an answer is whole: what a stop may cut is judged by whether the target is still at work then, not by the length that was asked for. A 502 because of a stop counts as cut, as in the soak of stops.

--- a/soak/endings.go
+++ b/soak/endings.go
@@ -39,6 +39,15 @@
 	judge.events[process] = append(judge.events[process], occurrence{name, at})
 }
 
+// recordWhole records that a target has written the whole answer to a request.
+func (judge *Judge) recordWhole(id string, at time.Time) {
+	judge.mutex.Lock()
+	defer judge.mutex.Unlock()
+	if attempt := judge.attempts[id]; attempt != nil {
+		attempt.whole = at
+	}
+}
+
 // recordTargetEnd records that a target breaks off what it is doing.
 func (judge *Judge) recordTargetEnd(name string, at time.Time) {
 	judge.mutex.Lock()
@@ -146,9 +155,9 @@
 		return excuse("crossed the close, " + string(answer.Trace.Closing))
 	case judge.targetEnded(attempt, answer.Ended):
 		return "target ended"
-	case answer.Err == nil:
+	case answer.Err == nil && !strings.Contains(string(answer.Body), "draining"):
 		return "own error"
-	case stopping && judge.mayBeCut(attempt, stop):
+	case stopping && judge.mayBeCut(attempt, answer, stop):
 		return excusedByStop
 	}
 	return ""
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -60,6 +60,8 @@
 	limit, bodyDelay, work time.Duration
 	// route is the route of a shape that the request is sent to, nil if there is no shape.
 	route *shapeRoute
+	// whole is when a target had last written the whole answer, zero if none has.
+	whole time.Time
 }
 
 // repeatable reports whether the request may run more than once.
--- a/soak/shape.go
+++ b/soak/shape.go
@@ -48,6 +48,8 @@
 	// fraction of answers that end theirs.
 	IdleTimeoutMillis int     `json:"idleTimeoutMillis"`
 	CloseFraction     float64 `json:"closeFraction"`
+	// Slowdown is by how much each running request slows the streams of a target.
+	Slowdown float64 `json:"slowdown"`
 }
 
 // shapeRoute is a route and what its requests ask for.
@@ -168,7 +170,7 @@
 func (world *World) shapeTargetOptions(options *beryldouble.TargetOptions) {
 	for _, service := range world.size.Shape.Services {
 		if service.Name == options.Service {
-			options.Slots, options.CloseFraction = service.Slots, service.CloseFraction
+			options.Slots, options.CloseFraction, options.Slowdown = service.Slots, service.CloseFraction, service.Slowdown
 			options.IdleTimeout = time.Duration(service.IdleTimeoutMillis) * time.Millisecond
 		}
 	}
--- a/soak/stops.go
+++ b/soak/stops.go
@@ -209,7 +209,7 @@
 		}
 	case judge.isCut(attempt, answer, least):
 		judge.stopCounts.Cut++
-		if judge.mayBeCut(attempt, stop) {
+		if judge.mayBeCut(attempt, answer, stop) {
 			judge.stopCounts.MayBeCut++
 			return
 		}
@@ -228,13 +228,16 @@
 // mayBeCut reports whether a stop may cut an attempt: its target is still at work in the last part of
 // the stop, and its caller may not have known of the stop. The fleet promises more to calls that must
 // not run twice.
-func (judge *Judge) mayBeCut(attempt *attempt, stop stopRecord) bool {
+func (judge *Judge) mayBeCut(attempt *attempt, answer beryldouble.Result, stop stopRecord) bool {
 	since := attempt.sent.Sub(stop.at)
+	lastPartBegins := stop.at.Add(time.Duration((1 - lastPart) * float64(stop.grace)))
 	once := strings.HasPrefix(attempt.path, pathBook) || attempt.route != nil && attempt.route.Kind == "non_idempotent"
 	if len(attempt.runs) == 0 || since > noticeTime || since > signalTime && once {
 		return false
 	}
+	if attempt.route != nil {
+		return answer.Ended.After(lastPartBegins) && (attempt.whole.IsZero() || attempt.whole.After(lastPartBegins))
+	}
 	last := attempt.runs[len(attempt.runs)-1]
-	lastPartBegins := stop.at.Add(time.Duration((1 - lastPart) * float64(stop.grace)))
 	return last.Started.Add(attempt.work).After(lastPartBegins)
 }
--- a/soak/world.go
+++ b/soak/world.go
@@ -356,7 +356,7 @@
 func (world *World) startTarget(added *target, options beryldouble.TargetOptions) error {
 	options.OnCrash = func(crashed *beryldouble.Target) { world.crashByPart(added, crashed) }
 	started, err := beryldouble.StartTarget(world.store, options, beryldouble.Observer{
-		OnRun: world.judge.recordRun, OnArrival: world.judge.recordArrival,
+		OnRun: world.judge.recordRun, OnArrival: world.judge.recordArrival, OnWhole: world.judge.recordWhole,
 	})
 	if err != nil {
 		return err
