Soak: the platform's keys of odd entries stay in the stand-in

TestNoOtherPackageKnowsThePlatformsNames failed: soak/odd.go named a key prefix of the store. The stand-in writes the entries now; the faults and their judge are the same.

--- a/soak/odd.go
+++ b/soak/odd.go
@@ -26,14 +26,14 @@
 // oddFaults are drawn beside faults if the size has odd entries set. They must not interrupt any request.
 var oddFaults = []*fault{
 	{"oddEntries", true, func(world *World, step step) { world.writeOddEntries(step) }},
-	{"oddOverLive", true, func(world *World, step step) { world.overwriteEntries(step) }},
+	{"oddOverLive", true, func(world *World, step step) { world.overwriteEntry(step) }},
 	{"oddOfFleet", true, func(world *World, step step) { world.writeFleetEntries(step) }},
 }
 
 // largeOdd writes large odd entries, which stay.
-var largeOdd = &fault{"oddLarge", true, func(world *World, _ step) {
+var largeOdd = &fault{"oddLarge", true, func(world *World, step step) {
 	for i := range largeOddEntries {
-		world.store.Put(fmt.Sprint("servers/odd-large-", i), make([]byte, largeOddBytes))
+		_ = world.target(step).WriteBeside(fmt.Sprint("odd-large-", i), beryldouble.LargeOddEntry(largeOddBytes))
 	}
 }}
 
@@ -57,67 +57,51 @@
 	return kinds
 }
 
-// sound returns the entry of a target as it is in the store, and false if there is none.
-func (world *World) sound(chosen *target) ([]byte, bool) {
-	body := world.store.Value("servers/" + chosen.ID())
-	return body, json.Valid(body) && chosen.Published()
+// writeBeside writes odd entries beside those of the targets and removes them after a while.
+func (world *World) writeBeside(step step, entries []beryldouble.OddEntry) {
+	chosen := world.target(step)
+	var written []func()
+	for i, odd := range entries {
+		written = append(written, chosen.WriteBeside(fmt.Sprintf("odd-%s-%d", step.fault.name, step.index*oddAtOnce+i), odd))
+	}
+	time.Sleep(step.duration)
+	for _, remove := range written {
+		remove()
+	}
 }
 
-// writeOddEntries writes odd entries beside those of the targets and removes them after a while.
+// writeOddEntries writes entries that name no target.
 func (world *World) writeOddEntries(step step) {
-	body, found := world.sound(world.target(step))
-	if !found {
-		return
-	}
 	kinds := unusableKinds()
-	var keys []string
+	var entries []beryldouble.OddEntry
 	for i := range oddAtOnce {
-		odd := kinds[(step.index+i)%len(kinds)]
-		key := odd.Key(fmt.Sprintf("odd-%d-%d", step.index, i))
-		world.store.Put(key, odd.Value(body))
-		keys = append(keys, key)
+		entries = append(entries, kinds[(step.index+i)%len(kinds)])
 	}
-	time.Sleep(step.duration)
-	for _, key := range keys {
-		world.store.Delete(key)
+	world.writeBeside(step, entries)
+}
+
+// writeFleetEntries writes entries with the addresses of a process.
+func (world *World) writeFleetEntries(step step) {
+	vm := world.process(step).vm
+	var entries []beryldouble.OddEntry
+	for _, address := range []string{vm.CallersAddress(), vm.ResolveAddress(), vm.ReadyAddress(), vm.OperatorsAddress()} {
+		entries = append(entries, beryldouble.OddAddress(address))
 	}
+	world.writeBeside(step, entries)
 }
 
-// overwriteEntries writes odd entries over those of some targets, but not of all targets of a service,
-// until these write theirs again.
-func (world *World) overwriteEntries(step step) {
+// overwriteEntry writes an odd entry over that of a target until it writes its own again.
+func (world *World) overwriteEntry(step step) {
 	kinds := unusableKinds()
-	chosen := world.target(step)
-	body, found := world.sound(chosen)
-	odd := kinds[step.index%len(kinds)]
-	if !found || odd.OwnKey != "" {
+	chosen, odd := world.target(step), kinds[step.index%len(kinds)]
+	if odd.OwnKey != "" {
 		return
 	}
-	world.store.Put(odd.Key(chosen.ID()), odd.Value(body))
+	chosen.OverwriteEntry(odd)
 	time.Sleep(time.Duration(step.chance * beryldouble.HeartbeatMillis * float64(time.Millisecond)))
 	chosen.WriteAgain()
 }
 
-// writeFleetEntries writes entries with addresses of a process and removes them after a while.
-func (world *World) writeFleetEntries(step step) {
-	body, found := world.sound(world.target(step))
-	if !found {
-		return
-	}
-	vm := world.process(step).vm
-	var keys []string
-	for i, address := range []string{vm.CallersAddress(), vm.ResolveAddress(), vm.ReadyAddress(), vm.OperatorsAddress()} {
-		odd := beryldouble.OddEntry{Set: map[string]string{"address": fmt.Sprintf("%q", address)}, Drop: []string{"born"}}
-		key := odd.Key(fmt.Sprintf("odd-fleet-%d-%d", step.index, i))
-		world.store.Put(key, odd.Value(body))
-		keys = append(keys, key)
-	}
-	time.Sleep(step.duration)
-	for _, key := range keys {
-		world.store.Delete(key)
-	}
-}
-
 // checkOdd checks that an odd entry costs no request.
 func (judge *Judge) checkOdd(attempt *attempt, answer beryldouble.Result) {
 	if judge.oddEntries && attempt.planned && !judge.unplanned && answer.Status == http.StatusBadGateway {
