Planned stop: a request whose attempt was ended for silence goes on

A repeatable request whose target is silent is taken to another target. If a stop began in between, or the time left fell below the usual duration, the next attempt was rejected as late: the caller got 502 at once, although its target had been at work on it and nothing had broken it off.

Such a request goes on until the stop ends. Found by reading.

Test: TestRequestGoesOnIfTheStopBeganAsItsTargetWasSilent; without the change:

expected: 200 actual : 502

--- a/io/beryledge/attempt.go
+++ b/io/beryledge/attempt.go
@@ -42,6 +42,11 @@
 func (call *call) attempt(decision berylgate.Decision) bool {
 	ctx, cancel := context.WithCancelCause(call.ctx)
 	defer cancel(nil)
+	defer func() {
+		if errors.Is(context.Cause(ctx), errFirstByteTimeout) {
+			call.abandoned = true
+		}
+	}()
 	if call.repeatable() && call.request.MaxAttempts > 1 {
 		timeout := max(minFirstByteTimeout, firstByteTimeoutFactor*decision.Expected)
 		timer := time.AfterFunc(timeout, func() {
--- a/io/beryledge/callers.go
+++ b/io/beryledge/callers.go
@@ -59,6 +59,8 @@
 	unframed bool
 	// mayHaveRun is set once a target may have executed the request.
 	mayHaveRun bool
+	// abandoned is set once the daemon ended an attempt because its target was silent.
+	abandoned bool
 	// next is the decision on the next attempt if it has been made already.
 	next *berylgate.Decision
 	// stream is what the caller has received of a stream so far.
--- a/io/beryledge/late.go
+++ b/io/beryledge/late.go
@@ -72,10 +72,11 @@
 }
 
 // endsInTime reports whether the request, if it is sent to a target now, ends before the daemon
-// stops. It is asked whenever the request is about to go on.
+// stops. It is asked whenever the request is about to go on. One whose attempt the daemon ended itself goes
+// on in any case, as its target would otherwise have answered it.
 func (call *call) endsInTime(now time.Time) bool {
 	stop := call.daemon.stop.Load()
-	return stop == nil || stop.Accepts(now, call.work(now))
+	return stop == nil || call.abandoned || stop.Accepts(now, call.work(now))
 }
 
 // boundBody bounds the time to read the body, if it is being read: a request that is not whole
--- a/io/beryledge/stop_test.go
+++ b/io/beryledge/stop_test.go
@@ -290,6 +290,37 @@
 	require.Zero(t, desk.seen.Load())
 }
 
+// Guards against a request that ends without an answer though its target was at work on it: the daemon ended
+// the attempt as the target was silent, and the stop began before the next one.
+func TestRequestGoesOnIfTheStopBeganAsItsTargetWasSilent(t *testing.T) {
+	silent := func(_ http.ResponseWriter, request *http.Request) { <-request.Context().Done() }
+	one, other := newTestTarget(t, "d1", silent), newTestTarget(t, "d2", silent)
+	daemon, _ := startServing(t, map[string]*testTarget{"desk#1": one, "desk#2": other})
+	recorder, incoming := httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/read/x", nil)
+	incoming.Header.Set("X-Id", "id-1")
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	call := &call{
+		daemon: daemon, writer: recorder, ctx: ctx, arrived: time.Now(),
+		incoming: incoming, info: berylspoke.RequestInfo{ID: "id-1"},
+		route: &berylspoke.Route{Name: "read", Kind: berylspoke.Idempotent},
+		request: &berylgate.Request{
+			Service: "desk", Arrived: time.Now(), Objective: time.Minute, Deadline: time.Now().Add(time.Minute), MaxAttempts: 2,
+		},
+	}
+	call.request.Digests = call.digests()
+	require.False(t, call.attempt(call.decide()))
+	require.True(t, call.mayHaveRun)
+	for _, target := range []*testTarget{one, other} {
+		serve := sealed(http.StatusOK, "done")
+		target.serve.Store(&serve)
+	}
+	began := berylstop.New(time.Now(), 8*time.Second)
+	daemon.stop.Store(&began)
+	call.run()
+	require.Equal(t, http.StatusOK, recorder.Code)
+}
+
 // Guards against a second attempt of a repeatable request that the stop would cut: the first target
 // fails late.
 func TestFailedRequestIsNotRetriedShortlyBeforeTheEnd(t *testing.T) {
