--- a/io/beryledge/stop_test.go
+++ b/io/beryledge/stop_test.go
@@ -384,3 +384,49 @@
 	<-stopped
 	require.Less(t, time.Since(began), 4*time.Second)
 }
+
+// Guards against an accepted request that is cut by what happens beside a stop: a configuration without its
+// route and key, a reload of the settings, an unreachable store.
+func TestAcceptedRequestOutlivesWhatHappensDuringAStop(t *testing.T) {
+	release := make(chan struct{})
+	desk := newTestTarget(t, "d1", func(writer http.ResponseWriter, request *http.Request) {
+		<-release
+		sealed(http.StatusOK, "done")(writer, request)
+	})
+	catalog := testCatalog()
+	for i := range catalog.Routes {
+		catalog.Routes[i].Timeout = 2 * time.Second
+	}
+	store := newTestStore()
+	store.put("c/1", "catalog")
+	store.put("t/d1", "desk "+desk.address())
+	domains := map[berylspoke.FailureDomain]berylspoke.Region{"a": "r"}
+	daemon := startLogged(t, zap.NewNop(), 4*time.Second, store, testDialect{catalog}, "a", domains)
+	require.Eventually(t, daemon.Ready, 10*time.Second, 10*time.Millisecond)
+	stopped := stop(daemon)
+	require.Eventually(t, daemon.stopping, time.Second, time.Millisecond)
+	began := *daemon.stop.Load()
+	answered := make(chan int, 1)
+	go func() {
+		response, err := stopScript{Path: "/file/x", TimeoutMillis: 3000}.sendLate(daemon, "id-1")
+		if err != nil {
+			answered <- 0
+			return
+		}
+		answered <- response.StatusCode
+	}()
+	require.Eventually(t, func() bool { return desk.seen.Load() == 1 }, 5*time.Second, time.Millisecond)
+	version := daemon.index.Load().Catalog().Version
+	catalog.Routes, catalog.Organisations = catalog.Routes[:1], catalog.Organisations[1:]
+	catalog.Services = map[berylspoke.ServiceID]berylspoke.Service{"engines": catalog.Services["engines"]}
+	store.put("c/1", "another catalog")
+	require.Eventually(t, func() bool { return daemon.index.Load().Catalog().Version > version }, 5*time.Second, time.Millisecond)
+	settings := *daemon.settings
+	settings.StopTimeout = time.Second
+	daemon.Reload(&settings)
+	store.down.Store(true)
+	close(release)
+	require.Equal(t, http.StatusOK, <-answered)
+	require.Equal(t, began, *daemon.stop.Load())
+	<-stopped
+}
