Stop: a request that is accepted after callers seemed to have left is cut with an answer

What callers saw: a request whose head was still arriving when a stop ended early, because callers seemed to have left, and that was accepted by how long such requests usually take, ends with its connection if it lasts beyond the end of the stop.

Cause: the requests to cut were taken when the stop ended early, so none; what was accepted while the remaining connections were waited for was killed with the process.

Change: connections are waited for up to the end of the stop, then what is active is cut, as in a stop that lasts to its end.

--- a/io/beryledge/closing_test.go
+++ b/io/beryledge/closing_test.go
@@ -288,3 +288,41 @@
 		})
 	}
 }
+
+// observeShort makes the daemon know that requests of a route end within milliseconds.
+func observeShort(daemon *Daemon, route string) {
+	daemon.durations.mutex.Lock()
+	defer daemon.durations.mutex.Unlock()
+	for range 100 {
+		daemon.durations.observed.Observe(time.Now(), route, 5*time.Millisecond)
+	}
+}
+
+// Guards against a request that is accepted after callers seemed to have left, lasts beyond the end of the
+// stop, and ends with its connection.
+func TestStopCutsWithAnAnswerWhatItAcceptedLate(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	target := newTestTarget(t, "d1", func(writer http.ResponseWriter, request *http.Request) {
+		if request.Header.Get("X-Id") == "id-2" {
+			<-release
+		}
+		sealed(http.StatusOK, "done")(writer, request)
+	})
+	daemon, _ := startStopping(t, 4*time.Second, testCatalog(), map[string]*testTarget{"desk": target})
+	observeShort(daemon, "read")
+	caller := dialRaw(t, daemon)
+	caller.write(t, rawRequest("/read/x", "id-1", "a letter"))
+	_, err := caller.answer()
+	require.NoError(t, err)
+	request := rawRequest("/read/x", "id-2", "a letter")
+	caller.write(t, request[:40])
+	stopped := stop(daemon)
+	time.Sleep(stopNotice + 300*time.Millisecond)
+	_, err = io.WriteString(caller, request[40:])
+	require.NoError(t, err)
+	response, err := caller.answer()
+	require.NoError(t, err)
+	require.Equal(t, http.StatusBadGateway, response.StatusCode)
+	<-stopped
+}
--- a/io/beryledge/listener.go
+++ b/io/beryledge/listener.go
@@ -270,12 +270,15 @@
 	return nil
 }
 
-// end accepts the connections that wait already and no more, and closes each connection once it is idle.
-// It returns when all are closed, or at a time.
+// end accepts the connections that wait already, until a time at the latest, and no more.
 func (listener *admissionListener) end(until time.Time) {
 	listener.endBy = until
 	listener.ending.Store(true)
 	_ = listener.SetDeadline(past)
+}
+
+// awaitClosed closes each connection once it is idle. It returns when all are closed, or at a time.
+func (listener *admissionListener) awaitClosed(until time.Time) {
 	for now := time.Now(); now.Before(until) && listener.endIdle(now) > 0; now = time.Now() {
 		time.Sleep(endPollInterval)
 	}
--- a/io/beryledge/stop.go
+++ b/io/beryledge/stop.go
@@ -41,15 +41,18 @@
 	daemon.Kill()
 }
 
-// endRequests ends the requests that are active at the end of a stop and waits until their
-// callers have their answers. What still arrives is answered too: http.Server.Shutdown would close
-// connections whose request it has read.
+// endRequests accepts no more connections, ends the requests that are active at the end of a stop, and
+// waits until their callers have their answers. What still arrives is answered too: http.Server.Shutdown
+// would close connections whose request it has read.
 func (daemon *Daemon) endRequests(stop berylstop.Stop) {
-	active, open := daemon.calls.all(), daemon.callerListener.openConns()
+	open := daemon.callerListener.openConns()
+	daemon.callerListener.end(stop.Answered())
+	daemon.callerListener.awaitClosed(stop.End)
+	active := daemon.calls.all()
 	for _, call := range active {
 		call.cut()
 	}
-	daemon.callerListener.end(stop.Answered())
+	daemon.callerListener.awaitClosed(stop.Answered())
 	daemon.log.Info("stopped", zap.Int("active", len(active)), zap.Int64("left", daemon.active.Load()),
 		zap.Int("connections", open), zap.Int("connectionsLeft", daemon.callerListener.openConns()),
 		zap.Uint64("unanswered", daemon.meters.unanswered.Get()))
