Callers: a request that arrived with the one before it is not taken for an idle connection

What callers saw: a request that was sent before the answer to the one before it had arrived (both in one segment, whole or its first bytes) ends with its connection when that is to be closed, at the end of a stop or by the idle timeout. If it was already at a target, it was cancelled as if its caller had left.

Cause: bytes count for the request during which they are read. The server had the next one, or its beginning, in its buffer, while the connection counted as idle.

Change: a connection is in use while a request on it is handled, and once the server sets a deadline for the next head, which it does after its first bytes.

Evidence, without the change: TestRequestThatArrivedWithTheOneBeforeIsAnswered and TestRequestThatBeganWithTheOneBeforeIsAnswered: "unexpected EOF", each one run. With it: both passed beside the tests of stops, idle timeouts and rejections of the package, one run.

--- a/io/beryledge/callerconn.go
+++ b/io/beryledge/callerconn.go
@@ -99,7 +99,7 @@
 	defer conn.mutex.Unlock()
 	expired := !conn.readDeadline.IsZero() && !now.Before(conn.readDeadline)
 	switch {
-	case conn.received == 0 && (conn.ending || expired):
+	case !conn.busy() && (conn.ending || expired):
 		if count = conn.readArrived(buffer); count > 0 {
 			return count, nil, false
 		}
@@ -132,8 +132,13 @@
 func (conn *callerConn) SetReadDeadline(deadline time.Time) error {
 	conn.mutex.Lock()
 	defer conn.mutex.Unlock()
+	// The server sets one on a connection that was idle once a few bytes of a request are there, which
+	// may have arrived together with the request before.
+	if conn.requests > 0 && deadline.After(time.Now()) {
+		conn.received = max(conn.received, 1)
+	}
 	conn.readDeadline = deadline
-	if conn.ending && conn.received == 0 {
+	if conn.ending && !conn.busy() {
 		deadline = past
 	}
 	return conn.TCPConn.SetReadDeadline(deadline)
@@ -155,7 +160,7 @@
 	conn.mutex.Lock()
 	defer conn.mutex.Unlock()
 	conn.ending = true
-	if conn.received == 0 && len(conn.head) == 0 {
+	if !conn.busy() && len(conn.head) == 0 {
 		_ = conn.TCPConn.SetReadDeadline(past)
 	}
 }
@@ -169,6 +174,9 @@
 	return conn.ending
 }
 
+// busy reports whether a request is arriving or being answered. The mutex is held.
+func (conn *callerConn) busy() bool { return conn.received > 0 || conn.handled }
+
 // used reports whether a request has begun to arrive.
 func (conn *callerConn) used() bool {
 	conn.mutex.Lock()
--- a/io/beryledge/closing_test.go
+++ b/io/beryledge/closing_test.go
@@ -326,3 +326,48 @@
 	require.Equal(t, http.StatusBadGateway, response.StatusCode)
 	<-stopped
 }
+
+// Guards against a request that arrived together with the one before it on its connection, and that is
+// cancelled or closed as if the connection were idle.
+func TestRequestThatArrivedWithTheOneBeforeIsAnswered(t *testing.T) {
+	arrived, release := make(chan struct{}, 2), make(chan struct{})
+	target := newTestTarget(t, "d1", func(writer http.ResponseWriter, request *http.Request) {
+		arrived <- struct{}{}
+		<-release
+		sealed(http.StatusOK, "done")(writer, request)
+	})
+	daemon, _ := startServing(t, map[string]*testTarget{"desk": target})
+	caller := dialRaw(t, daemon)
+	caller.write(t, rawRequest("/read/x", "id-1", "a letter")+rawRequest("/read/x", "id-2", "a letter"))
+	<-arrived
+	release <- struct{}{}
+	<-arrived
+	daemon.callerListener.endIdle(time.Now())
+	time.Sleep(50 * time.Millisecond)
+	release <- struct{}{}
+	for range 2 {
+		response, err := caller.answer()
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, response.StatusCode)
+		_, _ = io.Copy(io.Discard, response.Body)
+	}
+}
+
+// Guards against a request whose first bytes arrived together with the one before it, and that is closed
+// as if the connection were idle.
+func TestRequestThatBeganWithTheOneBeforeIsAnswered(t *testing.T) {
+	daemon, _ := startServing(t, map[string]*testTarget{"desk": newTestTarget(t, "d1", sealed(http.StatusOK, "done"))})
+	caller := dialRaw(t, daemon)
+	next := rawRequest("/read/x", "id-2", "a letter")
+	caller.write(t, rawRequest("/read/x", "id-1", "a letter")+next[:40])
+	response, err := caller.answer()
+	require.NoError(t, err)
+	_, _ = io.Copy(io.Discard, response.Body)
+	time.Sleep(50 * time.Millisecond)
+	daemon.callerListener.endIdle(time.Now())
+	time.Sleep(50 * time.Millisecond)
+	caller.write(t, next[40:])
+	response, err = caller.answer()
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, response.StatusCode)
+}
