A request returns to the target that was given up if the other does not run it

A repeatable request whose target is silent for a while is taken to another target. If that one was full, or could not be reached, the attempts were used up and the caller got 502, although its first target would have answered it. Nothing but the silence of a target had ended it.

The request returns to the target that was given up, once, if no other may have run it, unless that target leaves; it waits there until its deadline. It is sent to no more targets than its route allows, and the retry budget is charged. A request that was given up at a target that is dark for good now waits for its deadline in place of the 502.

Tests, on the code before:

TestRequestReturnsToTheTargetThatWasGivenUp/rejected Expected nil, but got: Refusal{Reason:"targetFailed"} TestRequestReturnsToTheTargetThatWasGivenUp/unreachable Expected nil, but got: Refusal{Reason:"noTarget"} TestSilentTargetAnswersIfTheOtherRejects expected: 200, actual : 502

--- a/core/berylgate/choose.go
+++ b/core/berylgate/choose.go
@@ -90,12 +90,23 @@
 	if !retry && request.tried == nil {
 		gate.countDemand(now, pool, request)
 	}
-	if retry && request.sends >= request.MaxAttempts {
+	exhausted := retry && request.sends >= request.MaxAttempts
+	if exhausted && request.givenUp == "" {
 		return refused(berylspoke.ReasonTargetFailed, defaultRetryAfter)
 	}
 	allowance := gate.allow(now, pool, request, retry || request.Claimed)
 	prompt := gate.prompt(pool, request)
-	best, found := gate.best(now, pool, request, prompt, allowance)
+	var best candidate
+	found := false
+	if !exhausted {
+		best, found = gate.best(now, pool, request, prompt, allowance)
+	}
+	if !found {
+		best, found = gate.returnToGivenUp(now, request, prompt)
+	}
+	if exhausted && !found {
+		return refused(berylspoke.ReasonTargetFailed, defaultRetryAfter)
+	}
 	if !found {
 		return gate.refuseUnplaced(now, pool, request)
 	}
@@ -136,9 +147,24 @@
 		return false
 	}
 	request.retryReserved = request.retryReserved || pool.budget.Spend(now, 1)
+	if request.retryReserved {
+		request.givenUp = current.target.ID
+	}
 	return request.retryReserved
 }
 
+// returnToGivenUp returns the target whose attempt was ended because it was silent, if no other target has
+// run the request since. The request returns there once: the target may have been slow only.
+func (gate *Gate) returnToGivenUp(now time.Time, request *Request, prompt prompt) (candidate, bool) {
+	target := gate.targets[request.givenUp]
+	delete(request.tried, request.givenUp)
+	request.givenUp = ""
+	if target == nil || target.removed || !target.accepts() || !gate.mayServe(now, target, request) {
+		return candidate{}, false
+	}
+	return gate.evaluate(now, target, request, prompt), true
+}
+
 // newDecision returns the decision to send a request to the best candidate, with the
 // values that it is based on.
 func (gate *Gate) newDecision(now time.Time, best candidate, prompt prompt, allowance allowance) Decision {
--- a/core/berylgate/gate.go
+++ b/core/berylgate/gate.go
@@ -65,6 +65,9 @@
 	current *attempt
 	// retryReserved is set once a retry was reserved for the request.
 	retryReserved bool
+	// givenUp is the target whose attempt was ended because it was silent, empty if none was or the
+	// request has been at another target since.
+	givenUp berylspoke.TargetID
 }
 
 // attempt is one dispatch of a request to a target.
--- a/core/berylgate/gate_test.go
+++ b/core/berylgate/gate_test.go
@@ -283,6 +283,52 @@
 	require.False(t, gate.ReserveRetry(now, submit(2)), "there is no other target")
 }
 
+// Guards against a request that fails though the target that it was taken from, as it was silent, would have
+// answered it: the target that it was taken to does not run it. Guards also against a return to a target that
+// leaves, a second return, and one after another target may have run the request.
+func TestRequestReturnsToTheTargetThatWasGivenUp(t *testing.T) {
+	now := time.Unix(0, 0)
+	cases := map[string]struct {
+		second   Outcome
+		leaves   bool
+		returned bool
+	}{
+		"rejected":    {Rejected, false, true},
+		"unreachable": {Unreachable, false, true},
+		"broken":      {Broken, false, false},
+		"leaving":     {Rejected, true, false},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			gate := newGate(now, 1, 2, false)
+			gate.pools[drafts].budget.Earn(4)
+			request := newRequest(now, "clergy")
+			request.MaxAttempts = 2
+			first := gate.Submit(now, request)
+			require.Nil(t, first.Refusal)
+			require.True(t, gate.ReserveRetry(now, request))
+			gate.AttemptEnded(now, request, Broken)
+			second := gate.Submit(now, request)
+			require.Nil(t, second.Refusal)
+			require.NotEqual(t, first.Target.ID, second.Target.ID)
+			if test.leaves {
+				gate.RecordLeaving(first.Target.Run(), now)
+			}
+			gate.AttemptEnded(now, request, test.second)
+			third := gate.Submit(now, request)
+			if !test.returned {
+				require.NotNil(t, third.Refusal)
+				return
+			}
+			require.Nil(t, third.Refusal)
+			require.Equal(t, first.Target.ID, third.Target.ID)
+			require.False(t, gate.ReserveRetry(now, request))
+			gate.AttemptEnded(now, request, Rejected)
+			require.NotNil(t, gate.Submit(now, request).Refusal)
+		})
+	}
+}
+
 // Guards against sending requests, or fetching the KV cache of their prompts, outside the
 // regions that their route and their organisation allow.
 func TestRequestsStayInTheirRegions(t *testing.T) {
--- a/core/berylgate/outcome.go
+++ b/core/berylgate/outcome.go
@@ -52,6 +52,8 @@
 	gate.applyOutcome(now, attempt, outcome)
 	if outcome == Unreachable || outcome == NoConnection || outcome == Rejected {
 		gate.undoSend(now, attempt, outcome)
+	} else if target.ID != request.givenUp {
+		request.givenUp = ""
 	}
 }
 
--- a/io/beryledge/overload_test.go
+++ b/io/beryledge/overload_test.go
@@ -247,3 +247,30 @@
 func TestRequestsAreAdmittedOnceTheProcessorIsFree(t *testing.T) {
 	readOverload(t, "release").play(t)
 }
+
+// Guards against a request that fails because its target was silent for a while, though it answers in
+// time: the other target, which the request was taken to, rejects it.
+func TestSilentTargetAnswersIfTheOtherRejects(t *testing.T) {
+	const work = 1500 * time.Millisecond
+	var seen atomic.Int64
+	serve := func(writer http.ResponseWriter, request *http.Request) {
+		// The second arrival is at the other target.
+		if seen.Add(1) == 2 {
+			writer.Header().Set("X-Id", request.Header.Get("X-Id"))
+			writer.Header().Set("X-Not-Run", "1")
+			writer.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		select {
+		case <-time.After(work):
+			sealed(http.StatusOK, "done")(writer, request)
+		case <-request.Context().Done():
+		}
+	}
+	targets := map[string]*testTarget{"desk#1": newTestTarget(t, "d1", serve), "desk#2": newTestTarget(t, "d2", serve)}
+	daemon, _ := startServing(t, targets)
+	response, _, err := send(t, daemon, http.MethodGet, "/read/x", "id-1", "")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	require.EqualValues(t, 3, seen.Load())
+}
