Panics: the core goes on, callers get an answer, and the log tells

What callers would see: a request whose handler panics ends with its connection, and no log names it.

Cause: net/http and protoactor both recover panics, and their logs are discarded. The core's supervisor restarts an actor ten times.

Change: the core recovers by itself, logs the stack, counts, drops the message and replies to who waits for it; it never stops. A handler that panics answers 503 if nothing was sent to a target, else 502. Log lines are bounded to two a second.

No panic of the daemon is known; odd entries of the store are one way to one ("ended again and again, or stopped following it").

--- a/io/beryledge/actor.go
+++ b/io/beryledge/actor.go
@@ -4,7 +4,6 @@
 
 import (
 	"fmt"
-	"runtime/debug"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
@@ -44,8 +43,6 @@
 	// pullDelay is how long a watcher may lack changes that a peer has before it pulls
 	// them: the store sends them to both at about the same time.
 	pullDelay = 250 * time.Millisecond
-	// failedRetryAfter is the delay after which a caller may retry whose decision failed.
-	failedRetryAfter = 300 * time.Millisecond
 	// unknownContactAge is the age reported when no contact with the store is known.
 	unknownContactAge = time.Hour
 	// suspendThreshold is the gap between two ticks beyond which the process is assumed
@@ -237,43 +234,10 @@
 
 // Receive implements actor.Actor.
 func (core *core) Receive(context actor.Context) {
-	message := context.Message()
-	core.daemon.meters.coreMessages[kindOf(message)].Inc()
-	defer core.recoverFrom(message)
-	core.receive(time.Now(), message)
-}
-
-// recoverFrom keeps the core running if the handling of a message panics, and releases who waits for its
-// result. The actor system would stop the actor for good after some panics in a short time.
-func (core *core) recoverFrom(message any) {
-	failure := recover()
-	if failure == nil {
-		return
-	}
-	core.daemon.meters.coreFailures.Inc()
-	core.daemon.log.Error("core failed", zap.String("message", fmt.Sprintf("%T", message)), zap.Any("failure", failure), zap.ByteString("stack", debug.Stack()))
-	switch message := message.(type) {
-	case submit:
-		select {
-		case message.decision <- berylgate.Decision{Refusal: &berylspoke.Refusal{Reason: berylspoke.ReasonFailed, RetryAfter: failedRetryAfter}}:
-		default:
-		}
-	case reserve:
-		select {
-		case message.granted <- false:
-		default:
-		}
-	case inspect:
-		select {
-		case <-message.done:
-		default:
-			close(message.done)
-		}
-	}
-}
-
-func (core *core) receive(now time.Time, message any) {
-	switch message := message.(type) {
+	now := time.Now()
+	defer core.recoverMessage(now, context.Message())
+	core.daemon.meters.coreMessages[kindOf(context.Message())].Inc()
+	switch message := context.Message().(type) {
 	case *actor.Started, *actor.Stopping, *actor.Stopped:
 		// The daemon's address of the actor is not set when Started arrives.
 		return
--- a/io/beryledge/callerconn.go
+++ b/io/beryledge/callerconn.go
@@ -24,8 +24,10 @@
 	maxDrainedBytes = 1 << 20
 	// maxLingering bounds the connections of which the rest of a request is being read.
 	maxLingering = 256
-	// minLogInterval is the minimum time between two log lines on connections without an answer.
-	minLogInterval = 10 * time.Millisecond
+	// unansweredLogInterval is the minimum time between two log lines on connections without an answer,
+	// panicLogInterval that between two on panics.
+	unansweredLogInterval = 10 * time.Millisecond
+	panicLogInterval      = 500 * time.Millisecond
 )
 
 // callerConn is a connection of a caller. Only the goroutine that reads from it closes it for being
@@ -155,6 +157,13 @@
 	}
 }
 
+// answering reports whether the answer to the current request has begun.
+func (conn *callerConn) answering() bool {
+	conn.mutex.Lock()
+	defer conn.mutex.Unlock()
+	return conn.answered
+}
+
 // end closes the connection as soon as it is idle.
 func (conn *callerConn) end() {
 	conn.mutex.Lock()
@@ -221,7 +230,7 @@
 		return
 	}
 	daemon.meters.unanswered.Inc()
-	if !conn.listener.unansweredLog.due(now) {
+	if !conn.listener.unansweredLog.due(now, unansweredLogInterval) {
 		return
 	}
 	conn.mutex.Lock()
@@ -240,9 +249,9 @@
 type logLimit struct{ last atomic.Int64 }
 
 // due reports whether the next line may be logged.
-func (limit *logLimit) due(now time.Time) bool {
+func (limit *logLimit) due(now time.Time, interval time.Duration) bool {
 	last := limit.last.Load()
-	return now.UnixNano()-last >= int64(minLogInterval) && limit.last.CompareAndSwap(last, now.UnixNano())
+	return now.UnixNano()-last >= int64(interval) && limit.last.CompareAndSwap(last, now.UnixNano())
 }
 
 // lingering counts the connections of which the rest of a request is being read.
--- a/io/beryledge/callers.go
+++ b/io/beryledge/callers.go
@@ -89,6 +89,7 @@
 	defer daemon.active.Add(-1)
 	daemon.lastRequest.Store(arrived.UnixNano())
 	call := &call{daemon: daemon, writer: writer, incoming: incoming, arrived: arrived}
+	defer call.recoverHandler()
 	base, cancelBase := context.WithCancelCause(incoming.Context())
 	defer cancelBase(nil)
 	call.ctx, call.cancel = base, cancelBase
--- a/io/beryledge/daemon.go
+++ b/io/beryledge/daemon.go
@@ -91,6 +91,7 @@
 	// completeAsOf is the time as of which each feed is complete, in Unix nanoseconds.
 	completeAsOf [berylfeed.Count]atomic.Int64
 	meters       *meters
+	panicLog     logLimit
 	servers      []*http.Server
 	// callerListener accepts the connections of callers.
 	callerListener *admissionListener
--- a/io/beryledge/meters.go
+++ b/io/beryledge/meters.go
@@ -33,6 +33,8 @@
 	shed                *metrics.Counter
 	// requestsCut counts the requests that the end of a planned stop cut.
 	requestsCut *metrics.Counter
+	// panics counts the requests and the messages of the core whose processing panicked.
+	panics *metrics.Counter
 	// unanswered counts the connections that were closed though a request had begun to arrive on them
 	// and got no answer, unansweredLeft those of callers that had closed their end before.
 	unanswered, unansweredLeft *metrics.Counter
@@ -63,8 +65,6 @@
 	// coreMessages counts the messages of the core's actor, each of which may wake the
 	// process.
 	coreMessages [messageKinds]*metrics.Counter
-	// coreFailures counts the messages whose handling panicked.
-	coreFailures *metrics.Counter
 	// targetTraffic counts the bytes exchanged with targets, by link.
 	targetTraffic [berylpeer.LinkCount]berylconn.Traffic
 }
@@ -83,6 +83,7 @@
 		callersDisconnected: set.NewCounter("berylspoke_callers_left_total"),
 		shed:                set.NewCounter("berylspoke_connections_shed_total"),
 		requestsCut:         set.NewCounter("berylspoke_requests_cut_total"),
+		panics:              set.NewCounter("berylspoke_panics_total"),
 		unanswered:          set.NewCounter(`berylspoke_connections_unanswered_total{closed="daemon"}`),
 		unansweredLeft:      set.NewCounter(`berylspoke_connections_unanswered_total{closed="caller"}`),
 		rejections:          newRejections(set),
@@ -91,7 +92,6 @@
 		originsTold:         set.NewCounter("berylspoke_streams_told_total"),
 		accountsLearnt:      set.NewCounter("berylspoke_build_accounts_learnt_total"),
 		unusableItems:       make(map[berylspoke.TargetFault]*metrics.Counter),
-		coreFailures:        set.NewCounter("berylspoke_core_failures_total"),
 		latency:             make(map[berylspoke.Kind]*metrics.Histogram),
 	}
 	for _, fault := range berylspoke.TargetFaults {
--- a/verdict.go
+++ b/verdict.go
@@ -55,11 +55,12 @@
 	ReasonWaitedTooLong      Reason = "waitedTooLong"
 	ReasonCPUStarved         Reason = "processorShort"
 	ReasonTargetsResting     Reason = "targetsResting"
-	ReasonFailed             Reason = "failed"
 	// ReasonBuildGone refuses to continue a stream whose build no target has any more,
 	// ReasonOriginUnknown one whose build is not known.
 	ReasonBuildGone     Reason = "buildGone"
 	ReasonOriginUnknown Reason = "originUnknown"
+	// ReasonInternal refuses a request whose processing failed in the daemon.
+	ReasonInternal Reason = "internal"
 )
 
 // Refusal is the final error of a request, with its verdict.
