--- a/soak/doc.go
+++ b/soak/doc.go
@@ -10,6 +10,9 @@
 // caller and checks them against the guarantees of the fleet, which must serve
 // again after the last fault.
 //
+// A file may describe the world and its load instead: services, routes, how long and large requests
+// are, and callers, which then keep their connections themselves and tell how each attempt ended.
+//
 // The same seed gives the same plan and the same requests, but scheduling differs
 // from run to run. Guarantees are therefore checked in a form that does not depend
 // on the speed of the machine; time bounds are checked only with a wide margin.
--- a/soak/endings.go
+++ b/soak/endings.go
@@ -283,7 +283,7 @@
 		scanner.Buffer(nil, 4<<20)
 		for scanner.Scan() {
 			line := scanner.Bytes()
-			for _, alarm := range []string{"DATA RACE", "panic:", "fatal error:", "core failed"} {
+			for _, alarm := range []string{"DATA RACE", "panic:", "fatal error:", `"msg":"message of the core failed"`, `"msg":"request failed"`} {
 				if bytes.Contains(line, []byte(alarm)) {
 					logs.alarms = append(logs.alarms, filepath.Base(path)+": "+string(line))
 				}
