A stream that has begun is not given up for a late first byte

What callers see: a resumable stream, from a sound engine, that ends after some events without its last one, where no other engine may go on with it; else it runs twice. The connection to the engine is closed by the daemon.

Cause: the timer of the first byte asks the core whether the request may be retried, and cancels the attempt once the core agrees. Nothing ended that wait if the first byte came in between: the timer cannot be stopped any more, and the answer is cancelled while its events are passed on. The window is as long as the core takes, so it is wide on a machine that is busy or was held up for a moment, where the timer and the byte are due at once.

The wait now ends once, by the byte or by the timer, whichever is first. What was given up passes nothing on and is retried as before. Answers that are collected whole have the same wait.

--- a/io/beryledge/attempt.go
+++ b/io/beryledge/attempt.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -49,14 +50,15 @@
 	}()
 	if call.repeatable() && call.request.MaxAttempts > 1 {
 		timeout := max(minFirstByteTimeout, firstByteTimeoutFactor*decision.Expected)
-		timer := time.AfterFunc(timeout, func() {
+		wait := new(firstByteWait)
+		wait.timer = time.AfterFunc(timeout, func() {
 			// The last allowed attempt continues for as long as its caller waits.
-			if call.endsInTime(time.Now()) && call.daemon.reserve(call.request) {
+			if call.endsInTime(time.Now()) && call.daemon.reserve(call.request) && wait.end() {
 				cancel(errFirstByteTimeout)
 			}
 		})
-		defer timer.Stop()
-		call.stream.firstByteTimer = timer
+		defer wait.timer.Stop()
+		call.firstByteWait = wait
 	}
 	target := decision.Target
 	call.firstByte, call.status, call.advice = 0, 0, berylspoke.ResponseInfo{}
@@ -99,6 +101,25 @@
 	return call.forwardAnswer(decision, exchange, info)
 }
 
+// firstByteWait is the wait for the first byte of an answer. It ends once: as the byte arrives, or as it
+// is given up. An answer that has begun is not given up any more, although the time has passed.
+type firstByteWait struct {
+	timer *time.Timer
+	ended atomic.Bool
+}
+
+// end ends the wait and reports whether it had not ended before.
+func (wait *firstByteWait) end() bool { return wait.ended.CompareAndSwap(false, true) }
+
+// arrive ends the wait as the byte arrives, and returns false if it was given up before.
+func (wait *firstByteWait) arrive() bool {
+	if wait == nil {
+		return true
+	}
+	wait.timer.Stop()
+	return wait.end()
+}
+
 // withTimeoutCause adds the first-byte timeout to the error of an attempt that it ended.
 // The error of the closed connection alone does not show which side closed it.
 func withTimeoutCause(ctx context.Context, err error) error {
@@ -266,6 +287,10 @@
 // forwardAnswer forwards an answer once it is complete, so that a truncated one never
 // reaches the caller.
 func (call *call) forwardAnswer(decision berylgate.Decision, exchange *berylconn.Exchange, info berylspoke.ResponseInfo) bool {
+	if !call.firstByteWait.arrive() {
+		exchange.Discard()
+		return call.answerFailed(decision, errFirstByteTimeout)
+	}
 	call.reportFirstByte(info)
 	response := exchange.Response
 	body, err := berylconn.ReadAll(response.Body, call.daemon.answerLimit(), call.daemon.answerMemory)
--- a/io/beryledge/callers.go
+++ b/io/beryledge/callers.go
@@ -50,6 +50,8 @@
 	// its answer.
 	sent      time.Time
 	firstByte time.Duration
+	// firstByteWait is the wait for that byte, nil if it is not given up.
+	firstByteWait *firstByteWait
 	// status and advice are what the last attempt's answer says, zero if there was none.
 	status int
 	advice berylspoke.ResponseInfo
--- a/io/beryledge/stream.go
+++ b/io/beryledge/stream.go
@@ -41,8 +41,6 @@
 	// key is that of the stream, if recorded.
 	key      berylorigin.Key
 	recorded bool
-	// firstByteTimer cancels an attempt whose first byte does not arrive in time.
-	firstByteTimer *time.Timer
 }
 
 var (
@@ -99,8 +97,8 @@
 		buffer = buffer[:len(buffer)+read]
 		if read > 0 && first {
 			first = false
-			if call.stream.firstByteTimer != nil {
-				call.stream.firstByteTimer.Stop()
+			if !call.firstByteWait.arrive() {
+				return errFirstByteTimeout
 			}
 			call.reportFirstByte(info)
 		}
