Idle connections: nothing comes between the last read and the close

Requests that callers sent meanwhile were reset.

A request that came together with the one before it is in the server's buffer, so that no byte is read for it: it counts as begun once it is handled, or the end of its background read would shut its connection.

TestIdleConnectionsAreClosedAtOnce failed before: i/o timeout. TestRequestsSentTogetherAreAnswered holds on both.

--- a/io/beryledge/callerconn.go
+++ b/io/beryledge/callerconn.go
@@ -46,8 +46,8 @@
 	readDeadline time.Time
 	// ending is set once the connection is to be closed as soon as it is idle.
 	ending bool
-	// received counts the bytes of the current request, zero if the connection is idle; handled is set
-	// once it is parsed, and answered once its answer has begun.
+	// received counts the bytes that were read since the last answer; handled is set once a request is
+	// parsed, and answered once its answer has begun.
 	received          int
 	handled, answered bool
 	// requests counts those that have been answered.
@@ -102,7 +102,7 @@
 	expired := !conn.readDeadline.IsZero() && !now.Before(conn.readDeadline)
 	switch {
 	case !conn.busy() && (conn.ending || expired):
-		if count = conn.readArrived(buffer); count > 0 {
+		if count = conn.readOrShut(buffer); count > 0 {
 			return count, nil, false
 		}
 		return 0, os.ErrDeadlineExceeded, false
@@ -112,13 +112,18 @@
 	return 0, nil, conn.TCPConn.SetReadDeadline(conn.readDeadline) == nil
 }
 
-// readArrived reads what has arrived, whatever the deadline.
-func (conn *callerConn) readArrived(buffer []byte) (count int) {
+// readOrShut reads what has arrived, whatever the deadline. If that is nothing, it shuts the connection;
+// what arrives between the two steps has no answer.
+func (conn *callerConn) readOrShut(buffer []byte) (count int) {
 	raw, err := conn.SyscallConn()
 	if err != nil {
 		return 0
 	}
-	_ = raw.Control(func(fd uintptr) { count, _ = unix.Read(int(fd), buffer) })
+	_ = raw.Control(func(fd uintptr) {
+		if count, _ = unix.Read(int(fd), buffer); count <= 0 {
+			_, _, _ = unix.RawSyscall(unix.SYS_SHUTDOWN, fd, unix.SHUT_RDWR, 0)
+		}
+	})
 	return max(count, 0)
 }
 
@@ -190,7 +195,7 @@
 func (conn *callerConn) used() bool {
 	conn.mutex.Lock()
 	defer conn.mutex.Unlock()
-	return conn.requests > 0 || conn.received > 0
+	return conn.requests > 0 || conn.busy()
 }
 
 // answeredUnread notes that the current request is answered before all of it was read.
@@ -205,7 +210,7 @@
 func (conn *callerConn) Close() error {
 	conn.slot.release()
 	conn.mutex.Lock()
-	first, unread, unanswered := !conn.closed, conn.unread, conn.received > 0 && !conn.answered
+	first, unread, unanswered := !conn.closed, conn.unread, conn.busy() && !conn.answered
 	conn.closed = true
 	conn.mutex.Unlock()
 	if !first {
