Stop: an answer that was held up is sent as long as the process has time

Cause, by the line that was logged: connections are closed when half of the time between the end of the stop and the kill has passed, whatever is still being answered. If the process stands still meanwhile, its handlers have no time at all once it goes on.

Change: requests that are parsed are waited for until three quarters of the rest of that time have passed. They have been cut, so that this takes longer only where something was held up, or where a caller does not read its answer.

--- a/core/berylstop/stop.go
+++ b/core/berylstop/stop.go
@@ -31,6 +31,14 @@
 // Answered returns when the last answers must have been sent.
 func (stop Stop) Answered() time.Time { return stop.End.Add(stop.Killed.Sub(stop.End) / 2) }
 
+// exitFraction is the fraction of the time after Answered that remains for the exit of the process.
+const exitFraction = 1. / 4
+
+// Exits returns when the process ends at the latest. An answer that was held up may be sent until then.
+func (stop Stop) Exits() time.Time {
+	return stop.Killed.Add(-time.Duration(exitFraction * float64(stop.Killed.Sub(stop.Answered()))))
+}
+
 // Work is what is known of a request and of the time that it takes.
 type Work struct {
 	// Deadline is when the request is ended if it has no answer by then.
--- a/core/berylstop/stop_test.go
+++ b/core/berylstop/stop_test.go
@@ -65,6 +65,7 @@
 			work.Whole = whole
 		}
 		require.True(t, stop.End.Before(stop.Killed))
+		require.True(t, stop.Answered().Before(stop.Exits()) && stop.Exits().Before(stop.Killed))
 		if !stop.Accepts(now, work) || !work.Deadline.After(stop.End) {
 			return
 		}
--- a/io/beryledge/callerconn.go
+++ b/io/beryledge/callerconn.go
@@ -191,6 +191,13 @@
 // busy reports whether a request is arriving or being answered. The mutex is held.
 func (conn *callerConn) busy() bool { return conn.received > 0 || conn.handled }
 
+// handling reports whether the current request is parsed and has no complete answer.
+func (conn *callerConn) handling() bool {
+	conn.mutex.Lock()
+	defer conn.mutex.Unlock()
+	return conn.handled
+}
+
 // used reports whether a request has begun to arrive.
 func (conn *callerConn) used() bool {
 	conn.mutex.Lock()
--- a/io/beryledge/closing_test.go
+++ b/io/beryledge/closing_test.go
@@ -14,7 +14,11 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
 
+	"berylspoke"
 	"berylspoke/core/beryladmission"
 )
 
@@ -405,3 +409,31 @@
 	require.NoError(t, err)
 	require.Equal(t, http.StatusOK, response.StatusCode)
 }
+
+// Guards against a request that is cut at the end of a stop and ends with its connection, because the process
+// stood still while it was to be answered and had time left.
+func TestStopWaitsForAnswersAsLongAsItMay(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	target := newTestTarget(t, "d1", func(http.ResponseWriter, *http.Request) { <-release })
+	store := newTestStore()
+	store.put("c/1", "catalog")
+	store.put("t/d1", "desk "+target.address())
+	var daemon *Daemon
+	delayed := zap.Hooks(func(entry zapcore.Entry) error {
+		if entry.Message == "request cut by the planned stop" {
+			time.Sleep(time.Until(daemon.stop.Load().Answered().Add(10 * time.Millisecond)))
+		}
+		return nil
+	})
+	core, _ := observer.New(zapcore.InfoLevel)
+	daemon = startLogged(t, zap.New(core, delayed), 2*time.Second, store, testDialect{testCatalog()}, "a", map[berylspoke.FailureDomain]berylspoke.Region{"a": "r"})
+	require.Eventually(t, daemon.Ready, 10*time.Second, 10*time.Millisecond)
+	caller := dialRaw(t, daemon)
+	caller.write(t, rawRequest("/file/x", "id-1", "a letter"))
+	require.Eventually(t, func() bool { return target.seen.Load() == 1 }, 5*time.Second, time.Millisecond)
+	daemon.Stop()
+	response, err := caller.answer()
+	require.NoError(t, err)
+	require.Equal(t, http.StatusBadGateway, response.StatusCode)
+}
--- a/io/beryledge/listener.go
+++ b/io/beryledge/listener.go
@@ -284,6 +284,25 @@
 	}
 }
 
+// awaitAnswers waits until the requests that are parsed are answered, until a time at the latest.
+func (listener *admissionListener) awaitAnswers(until time.Time) {
+	for time.Now().Before(until) && listener.handling() {
+		time.Sleep(endPollInterval)
+	}
+}
+
+// handling reports whether a request that is parsed has no complete answer.
+func (listener *admissionListener) handling() bool {
+	listener.mutex.Lock()
+	defer listener.mutex.Unlock()
+	for conn := range listener.conns {
+		if conn.handling() {
+			return true
+		}
+	}
+	return false
+}
+
 // endIdle ends the idle connections and returns how many sockets are open.
 func (listener *admissionListener) endIdle(now time.Time) int {
 	open := int(listener.lingering.count.Load())
--- a/io/beryledge/stop.go
+++ b/io/beryledge/stop.go
@@ -53,6 +53,7 @@
 		call.cut()
 	}
 	daemon.callerListener.awaitClosed(stop.Answered())
+	daemon.callerListener.awaitAnswers(stop.Exits())
 	daemon.log.Info("stopped", zap.Int("active", len(active)), zap.Int64("left", daemon.active.Load()),
 		zap.Int("connections", open), zap.Int("connectionsLeft", daemon.callerListener.openConns()),
 		zap.Uint64("unanswered", daemon.meters.unanswered.Get()))
