Avoid a target that rejects what is meant for it as another has its address

Two entries had one address: another writer left a copy of a target's entry under another id, or under an odd one. The target rejects each request that names that id (421). A rejection says that a target is full, so the next request went there as well; on a route with one attempt each was refused with 503.

A 421 from a target whose address another published target has counts as a failure of it: it is paused, longer each time, until a request succeeds there. A 421 alone does not, as a caller may ask for a version that the engine does not have.

--- a/core/berylgate/bounds_test.go
+++ b/core/berylgate/bounds_test.go
@@ -43,3 +43,44 @@
 		}
 	}
 }
+
+// Guards against requests that go to an entry for as long as it is there, though it has the address of another
+// target, which rejects them all.
+func TestTargetWithTheAddressOfAnotherIsAvoided(t *testing.T) {
+	const requests = 80
+	for _, test := range []struct {
+		name    string
+		address string
+		most    int
+	}{
+		{"the address is that of another target", "10.0.0.0:1", 5},
+		{"a target rejects what asks for something else of it", "10.0.1.1:1", requests},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			gate := newGate(now, 1, 1, false)
+			odd := berylspoke.Target{ID: "odd", Service: drafts, Address: test.address, FailureDomain: "a", Slots: 64, Version: "v1"}
+			gate.SetTarget(now, odd)
+			sent := 0
+			for i := range requests {
+				now = now.Add(50 * time.Millisecond)
+				gate.Tick(now)
+				request := newRequest(now, "o", berylspoke.PromptSegment{ID: uint64(i), Tokens: 2000}, berylspoke.PromptSegment{ID: uint64(1000 + i), Tokens: 100})
+				decision := gate.Submit(now, request)
+				require.Nil(t, decision.Refusal)
+				if decision.Target.ID == odd.ID {
+					sent++
+					gate.AttemptEnded(now, request, Misdirected)
+					continue
+				}
+				gate.AnswerStarted(now, request, nil)
+				gate.AttemptEnded(now, request, Succeeded)
+			}
+			require.Positive(t, sent)
+			require.LessOrEqual(t, sent, test.most)
+			if test.most == requests {
+				require.Greater(t, sent, 5)
+			}
+		})
+	}
+}
--- a/core/berylgate/outcome.go
+++ b/core/berylgate/outcome.go
@@ -15,6 +15,9 @@
 	Succeeded Outcome = iota
 	// Rejected means that the target rejected the request without running it.
 	Rejected
+	// Misdirected means the same, as the target is not the one that the request was meant for, or
+	// not what the request asks for.
+	Misdirected
 	// Unreachable means that no connection was made, so nothing was sent.
 	Unreachable
 	// NoConnection means that all connections to the target were in use, or that the
@@ -32,7 +35,7 @@
 
 // String returns the outcome as it appears in logs and metrics.
 func (outcome Outcome) String() string {
-	return [...]string{"succeeded", "turned", "unreached", "crowded", "broken", "erred", "abandoned"}[outcome]
+	return [...]string{"succeeded", "turned", "misdirected", "unreached", "crowded", "broken", "erred", "abandoned"}[outcome]
 }
 
 // AttemptEnded records the end of a request's current attempt.
@@ -50,7 +53,7 @@
 		target.kvTokens -= attempt.kvTokens
 	}
 	gate.applyOutcome(now, attempt, outcome)
-	if outcome == Unreachable || outcome == NoConnection || outcome == Rejected {
+	if outcome == Unreachable || outcome == NoConnection || outcome == Rejected || outcome == Misdirected {
 		gate.undoSend(now, attempt, outcome)
 	} else if target.ID != request.givenUp {
 		request.givenUp = ""
@@ -79,6 +82,11 @@
 	case TargetFailed:
 		target.lastAnswer = now
 		target.errorRate += errorWeight * (1 - target.errorRate)
+	case Misdirected:
+		target.lastAnswer = now
+		if gate.sharesAddress(target) {
+			target.recordFailure(now)
+		}
 	case Rejected:
 		target.lastAnswer = now
 	}
@@ -90,7 +98,7 @@
 func (gate *Gate) undoSend(now time.Time, attempt *attempt, outcome Outcome) {
 	const stepMillis = 60.0
 	target := attempt.target
-	if outcome != Rejected {
+	if outcome != Rejected && outcome != Misdirected {
 		attempt.request.sends--
 	}
 	if target.engine == nil {
@@ -104,6 +112,17 @@
 	}
 }
 
+// sharesAddress reports whether another target is published with the address of a target. Only one of them
+// can be there.
+func (gate *Gate) sharesAddress(target *target) bool {
+	for _, other := range gate.sorted {
+		if other != target && other.Address == target.Address {
+			return true
+		}
+	}
+	return false
+}
+
 // countServed counts a request in its organisation's service unless an earlier attempt was
 // counted.
 func (gate *Gate) countServed(now time.Time, attempt *attempt) {
--- a/dialect.go
+++ b/dialect.go
@@ -153,6 +153,9 @@
 	Sealed bool
 	// NotRun answers state that the target did not execute the request.
 	NotRun bool
+	// Misdirected answers state that the target is not the one that the request was meant for, or not
+	// what the request asks for.
+	Misdirected bool
 	// Load is nil if the target reports none.
 	Load *EngineLoad
 	// Leaving answers state that the target is about to exit and accepts no new requests.
--- a/io/beryledge/attempt.go
+++ b/io/beryledge/attempt.go
@@ -92,7 +92,11 @@
 		} else {
 			call.drain(exchange)
 		}
-		call.endAttempt(decision, berylgate.Rejected, nil)
+		outcome := berylgate.Rejected
+		if info.Misdirected {
+			outcome = berylgate.Misdirected
+		}
+		call.endAttempt(decision, outcome, nil)
 		return false
 	}
 	if call.route.Kind == berylspoke.Streaming && exchange.Response.StatusCode == http.StatusOK {
