Soak: panics of the core that processes survive fail the run

Processes go on after a panic now, so that a soak would pass beside it. All soaks look for the line that tells of one, as those of a shape do.

--- a/soak/losses_test.go
+++ b/soak/losses_test.go
@@ -89,6 +89,7 @@
 	for _, violation := range world.judge.result(processLogs{}).Violations {
 		t.Errorf("%s", violation)
 	}
+	checkPanics(t, folder)
 	if t.Failed() {
 		t.Logf("logs are kept in %s", folder)
 	} else {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -1,6 +1,7 @@
 package berylsoak
 
 import (
+	"bytes"
 	"flag"
 	"fmt"
 	"os"
@@ -91,6 +92,7 @@
 	for _, violation := range result.Violations {
 		t.Errorf("seed %d: %s", seed, violation)
 	}
+	checkPanics(t, folder)
 	if t.Failed() {
 		t.Logf("logs are kept in %s; faults:\n%s", folder, steps.String())
 		return
@@ -98,6 +100,20 @@
 	_ = os.RemoveAll(folder)
 }
 
+// checkPanics fails the test for each process whose log tells of a panic that it has survived.
+func checkPanics(t *testing.T, folder string) {
+	t.Helper()
+	logs, err := filepath.Glob(filepath.Join(folder, "*.log"))
+	require.NoError(t, err)
+	for _, log := range logs {
+		text, err := os.ReadFile(log)
+		require.NoError(t, err)
+		if at := bytes.Index(text, []byte(`"msg":"message of the core failed"`)); at >= 0 {
+			t.Errorf("%s: %.2000s", log, text[at:])
+		}
+	}
+}
+
 // shortSize is the size of the soak that every test run includes.
 var shortSize = Size{VMs: 6, Engines: 6, Desks: 3, MemoryMB: 134, RequestsPerSecond: 25, Seconds: 12}
 
