A daemon that starts is ready after messages that arrive meanwhile

What callers saw: a process that was killed and started again is never ready; it refuses everything with 503 ('starting') until it is killed. Seen once with real processes on, on a busy machine (TestStreamsGoOnAfterAllProcessesButOneAreLost): its log ends with 'daemon started' and refusals, without membership and configuration, and its start had taken 435 ms.

Cause, by the mechanism and by trials, as panics of the core were not logged: the peers' socket delivers messages before the daemon has its transport. An answer to one panics; after eleven panics the actor system stops the core for good.

--- a/io/beryledge/daemon.go
+++ b/io/beryledge/daemon.go
@@ -95,8 +95,10 @@
 	servers      []*http.Server
 	// callerListener accepts the connections of callers.
 	callerListener *admissionListener
-	ctx            context.Context
-	cancel         context.CancelFunc
+	// opened is closed once transport is set.
+	opened chan struct{}
+	ctx    context.Context
+	cancel context.CancelFunc
 }
 
 // Start starts a daemon, which runs until Stop or Kill.
@@ -108,7 +110,7 @@
 		incarnation: berylspoke.Incarnation(now.UnixMicro()), started: now,
 		pool: berylconn.NewPool(), answerMemory: berylconn.NewMemory(settings.MemoryBytes / answersShare), idle: newIdleConns(), sendable: newSendableTargets(), calls: newActiveCalls(),
 	}
-	daemon.readDue = newReadDue()
+	daemon.readDue, daemon.opened = newReadDue(), make(chan struct{})
 	daemon.stopNanos.Store(int64(settings.StopTimeout))
 	daemon.durations.observed = berylstop.NewDurations(now)
 	daemon.origins = newOrigins(daemon)
@@ -144,27 +146,18 @@
 	daemon.core = daemon.system.Root.Spawn(actor.PropsFromProducer(func() actor.Actor { return core }))
 }
 
-// open opens the sockets, that of the peers first: messages that arrive early wait in
-// the actor's mailbox.
+// open opens the sockets, that of the peers first.
 func (daemon *Daemon) open(endpoints Endpoints) error {
-	// Peers may send before Listen has returned, and the core answers over the transport.
-	opened := make(chan struct{})
 	transport, err := berylpeer.Listen(berylpeer.Options{
 		VM: daemon.settings.VM, Address: string(daemon.settings.VM), Keys: [][]byte{[]byte(daemon.settings.FleetKey)},
 		Locator: daemon, Log: daemon.log,
-		Handler: func(from berylspoke.VMID, messages []berylspoke.Message) {
-			select {
-			case <-opened:
-				daemon.send(peerMessages{from, messages})
-			case <-daemon.ctx.Done():
-			}
-		},
+		Handler: daemon.receive,
 	})
 	if err != nil {
 		return err
 	}
 	daemon.transport = transport
-	close(opened)
+	close(daemon.opened)
 	if err := daemon.serve(daemon.settings.CallersAddress, http.HandlerFunc(daemon.serveCaller), true); err != nil {
 		return err
 	}
@@ -184,6 +177,16 @@
 	return nil
 }
 
+// receive passes messages of a peer on to the core. Those that arrive before the core can answer them
+// wait.
+func (daemon *Daemon) receive(from berylspoke.VMID, messages []berylspoke.Message) {
+	select {
+	case <-daemon.opened:
+		daemon.send(peerMessages{from, messages})
+	case <-daemon.ctx.Done():
+	}
+}
+
 // serve starts an HTTP server on an address. On the callers' address, connections pass
 // through the admission queue while the processor is overloaded.
 func (daemon *Daemon) serve(address string, handler http.Handler, callers bool) error {
