Serve: messages of peers wait until they can be answered, and a panic ends one message

The own interface's daemon had the same two faults as the edge: its peer socket delivered messages before the transport was set, and its actor was stopped for good after eleven panics in ten seconds, without a word.

--- a/io/berylserve/actor.go
+++ b/io/berylserve/actor.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
@@ -105,8 +106,10 @@
 
 var _ actor.Actor = (*nodeActor)(nil)
 
-// Receive implements actor.Actor.
+// Receive implements actor.Actor. A panic ends the message that caused it: the actor system would stop
+// the actor after a few, and the process would go on without it.
 func (runner *nodeActor) Receive(context actor.Context) {
+	defer runner.recoverPanic(context.Message())
 	now := time.Now()
 	switch message := context.Message().(type) {
 	case tick:
@@ -164,6 +167,13 @@
 	runner.scheduleFlush(context)
 }
 
+// recoverPanic logs a panic.
+func (runner *nodeActor) recoverPanic(message any) {
+	if reason := recover(); reason != nil {
+		runner.daemon.log.Error("core panicked", zap.Any("reason", reason), zap.String("message", fmt.Sprintf("%T", message)), zap.Stack("stack"))
+	}
+}
+
 func (runner *nodeActor) scheduleFlush(context actor.Context) {
 	if _, flushed := context.Message().(flush); flushed || runner.flushScheduled {
 		return
--- a/io/berylserve/daemon.go
+++ b/io/berylserve/daemon.go
@@ -48,9 +48,11 @@
 	callers         *http.Server
 	operators       *http.Server
 	activeCallers   atomic.Int64
-	ctx             context.Context
-	cancel          context.CancelFunc
-	drained         chan struct{}
+	// opened is closed once transport is set.
+	opened  chan struct{}
+	ctx     context.Context
+	cancel  context.CancelFunc
+	drained chan struct{}
 }
 
 // newIncarnation returns a unique number that grows with each start of the daemon on a
@@ -81,6 +83,7 @@
 		platform: berylplatform.NewClient(settings.Platform),
 		sealer:   berylticket.NewSealer(settings.DecodedKeys()[0]),
 		metrics:  metrics.NewSet(),
+		opened:   make(chan struct{}),
 		drained:  make(chan struct{}),
 	}
 	daemon.declarations.Store(new(berylconfig.Declarations))
@@ -126,18 +129,18 @@
 	}))
 }
 
-// listen opens the sockets, the peer socket first. Messages from peers reach the actor,
-// which already runs, as soon as that socket is open.
+// listen opens the sockets, the peer socket first.
 func (daemon *Daemon) listen() error {
 	transport, err := berylpeer.Listen(berylpeer.Options{
 		VM: daemon.settings.VM, Address: daemon.settings.PeerAddress, Keys: daemon.settings.DecodedKeys(),
 		Locator: daemon, Log: daemon.log,
-		Handler: func(from berylspoke.VMID, messages []berylspoke.Message) { daemon.send(fromPeer{from, messages}) },
+		Handler: daemon.receive,
 	})
 	if err != nil {
 		return err
 	}
 	daemon.transport = transport
+	close(daemon.opened)
 	if daemon.callers, err = daemon.serveCallers(); err != nil {
 		return err
 	}
@@ -145,6 +148,15 @@
 	return err
 }
 
+// receive passes messages of a peer on to the actor. Those that arrive before it can answer them wait.
+func (daemon *Daemon) receive(from berylspoke.VMID, messages []berylspoke.Message) {
+	select {
+	case <-daemon.opened:
+		daemon.send(fromPeer{from, messages})
+	case <-daemon.ctx.Done():
+	}
+}
+
 func (daemon *Daemon) runTicker() {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
