Soak: no SIGHUP before the program runs

TestShapes/nineEngines failed once in two runs beside load 45: vm-1 did not run again after its stop, and its log has no line of the new run. The text of the failure was not kept; a series of SIGHUPs was due at that moment. That a start handles signals in time is checked by TestSignalsAtTheStart.

--- a/soak/shapefaults.go
+++ b/soak/shapefaults.go
@@ -3,9 +3,11 @@
 // This file defines the faults of worlds that a file describes, and their plan.
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"os"
 	"slices"
+	"strings"
 	"syscall"
 	"time"
 )
@@ -25,6 +27,8 @@
 	maxAddedRoutes = 350
 	// settingsFraction is the fraction of SIGHUPs with changed settings.
 	settingsFraction = 0.5
+	// handlingTimeout bounds the time until a process that has started handles signals.
+	handlingTimeout = 5 * time.Second
 	// releaseGap is the time between two targets that a release replaces.
 	releaseGap = time.Second
 	// maxBurst is the greatest factor by which the load grows for a while.
@@ -108,10 +112,31 @@
 			_ = os.WriteFile(process.path, settings, 0o600)
 		}
 	}
+	for end := time.Now().Add(handlingTimeout); !process.handlesHangup() && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
 	world.judge.recordEvent(process.vm.Name, "SIGHUP", time.Now())
 	process.signal(syscall.SIGHUP)
 }
 
+// handlesHangup reports whether the current run of a process ignores or handles SIGHUP, or has ended. Nothing
+// keeps the signal from ending a program that has not begun to run.
+func (process *process) handlesHangup() bool {
+	body, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", process.pid()))
+	if err != nil {
+		return true
+	}
+	for _, name := range []string{"SigIgn:", "SigCgt:"} {
+		var mask uint64
+		_, after, _ := strings.Cut(string(body), name)
+		_, _ = fmt.Sscanf(after, "%x", &mask)
+		if mask&(1<<(syscall.SIGHUP-1)) != 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // reloadSeries sends SIGHUP to most processes, or several to one if the gap is short.
 func (world *World) reloadSeries(step step, gap time.Duration) {
 	for i := range int(hupFraction * float64(len(world.processes))) {
