Test that idle connections are closed by their readers, however requests arrive

Requests arrive at once, in parts, in chunks and without a body on connections that are closed when they have been idle for a millisecond. Only what crosses a close may be unanswered, which the caller sees by a reset: nobody has read it.

--- a/io/beryledge/closing_test.go
+++ b/io/beryledge/closing_test.go
@@ -3,10 +3,13 @@
 import (
 	"bufio"
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -14,9 +17,11 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/tailscale/hujson"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 	"go.uber.org/zap/zaptest/observer"
+	"golang.org/x/sys/unix"
 
 	"berylspoke"
 	"berylspoke/core/beryladmission"
@@ -437,3 +442,119 @@
 	require.NoError(t, err)
 	require.Equal(t, http.StatusBadGateway, response.StatusCode)
 }
+
+// arrival is how a request arrives.
+type arrival struct {
+	Case  string   `json:"case"`
+	Parts []string `json:"parts"`
+}
+
+// send sends a request in parts.
+func (arrival arrival) send(caller *rawCaller, id string) (err error) {
+	head := fmt.Sprintf("POST /read/x HTTP/1.1\r\nHost: h.example\r\nX-Id: %s\r\nX-Key: k\r\nX-Left: 600\r\n", id)
+	for i, part := range arrival.Parts {
+		if i > 0 {
+			time.Sleep(20 * time.Millisecond)
+		}
+		if _, err = io.WriteString(caller, strings.Replace(part, "HEAD", head, 1)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// wasReset reports whether a connection is reset: the other end has closed it without having read all.
+func wasReset(conn net.Conn) bool {
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	const wait = time.Second
+	polled := []unix.PollFd{{}}
+	_ = raw.Control(func(fd uintptr) {
+		polled[0].Fd = int32(fd)
+		for err = unix.EINTR; err == unix.EINTR; {
+			_, err = unix.Poll(polled, int(wait.Milliseconds()))
+		}
+	})
+	return polled[0].Revents&(unix.POLLHUP|unix.POLLERR) != 0
+}
+
+// closingCounts says what became of requests.
+type closingCounts struct {
+	mutex             sync.Mutex
+	answered, crossed int
+	unanswered        map[string]int
+}
+
+// callUntilClosed sends requests over one connection until it is closed.
+func (counts *closingCounts) callUntilClosed(conn net.Conn, arrivals []arrival, name string) {
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
+	caller := &rawCaller{conn, bufio.NewReader(conn)}
+	for number, open := 0, true; open; number++ {
+		arrival := arrivals[rand.IntN(len(arrivals))]
+		sent := arrival.send(caller, fmt.Sprint(name, "-", number))
+		response, err := caller.answer()
+		if err == nil {
+			_, err = io.Copy(io.Discard, response.Body)
+		}
+		open = err == nil && !response.Close
+		// A request that crosses the close of a kept connection is never read.
+		crossed := err != nil && number > 0 && (sent != nil || wasReset(conn))
+		counts.mutex.Lock()
+		switch {
+		case err == nil:
+			counts.answered++
+		case crossed:
+			counts.crossed++
+		default:
+			counts.unanswered[arrival.Case]++
+		}
+		counts.mutex.Unlock()
+		time.Sleep(time.Duration(rand.IntN(4)) * time.Millisecond)
+	}
+}
+
+// Guards against an idle connection that is closed after a request on it was read, however the request arrives.
+func TestIdleConnectionsAreClosedByTheirReaders(t *testing.T) {
+	text, err := os.ReadFile("testdata/arrivals.hujson")
+	require.NoError(t, err)
+	text, err = hujson.Standardize(text)
+	require.NoError(t, err)
+	var arrivals []arrival
+	require.NoError(t, json.Unmarshal(text, &arrivals))
+	daemon, _ := startServing(t, map[string]*testTarget{"desk": newTestTarget(t, "d1", sealed(http.StatusOK, "done"))})
+	counts := &closingCounts{unanswered: make(map[string]int)}
+	var calls sync.WaitGroup
+	const callers, conns = 24, 20
+	for number := range callers {
+		calls.Go(func() {
+			for i := range conns {
+				conn, err := net.Dial("tcp", daemon.settings.CallersAddress)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				counts.callUntilClosed(conn, arrivals, fmt.Sprint("id-", number, "-", i))
+			}
+		})
+	}
+	done := make(chan struct{})
+	go func() {
+		calls.Wait()
+		close(done)
+	}()
+	for calling := true; calling; {
+		select {
+		case <-done:
+			calling = false
+		case <-time.After(3 * time.Millisecond):
+			daemon.idle.sweep(time.Now().Add(time.Second), time.Millisecond)
+		}
+	}
+	t.Logf("%d answers, %d requests crossed a close", counts.answered, counts.crossed)
+	require.Empty(t, counts.unanswered, "beside %d answers", counts.answered)
+	require.Zero(t, daemon.meters.unanswered.Get())
+	require.Positive(t, counts.crossed)
+}
