An attempt that was given up counts as abandoned from then on

Found by reading.

TestAnswerThatComesAfterTheWaitEndsTheAttemptAsAbandoned; without the change the field was not set there. Known faults: SIGHUP in the first milliseconds, and a randomised stop on a machine that stands still.

--- a/io/beryledge/attempt.go
+++ b/io/beryledge/attempt.go
@@ -124,6 +124,14 @@
 	return wait.end()
 }
 
+// firstByteArrives ends the wait for the first byte of an answer, and returns false if the attempt was given
+// up before.
+func (call *call) firstByteArrives() bool {
+	arrived := call.firstByteWait.arrive()
+	call.abandoned = call.abandoned || !arrived
+	return arrived
+}
+
 // withTimeoutCause adds the first-byte timeout to the error of an attempt that it ended.
 // The error of the closed connection alone does not show which side closed it.
 func withTimeoutCause(ctx context.Context, err error) error {
@@ -291,7 +299,7 @@
 // forwardAnswer forwards an answer once it is complete, so that a truncated one never
 // reaches the caller.
 func (call *call) forwardAnswer(decision berylgate.Decision, exchange *berylconn.Exchange, info berylspoke.ResponseInfo) bool {
-	if !call.firstByteWait.arrive() {
+	if !call.firstByteArrives() {
 		exchange.Discard()
 		return call.answerFailed(decision, errFirstByteTimeout)
 	}
--- a/io/beryledge/firstbyte_test.go
+++ b/io/beryledge/firstbyte_test.go
@@ -39,3 +39,15 @@
 	require.Equal(t, count, strings.Count(text, "data: text"))
 	require.EqualValues(t, 1, one.seen.Load()+two.seen.Load(), "the stream ran twice")
 }
+
+// Guards against a request that a stop rejects as late, as its answer arrives between the end of the wait and the
+// cancellation of the attempt.
+func TestAnswerThatComesAfterTheWaitEndsTheAttemptAsAbandoned(t *testing.T) {
+	given := &call{firstByteWait: &firstByteWait{timer: time.NewTimer(time.Hour)}}
+	require.True(t, given.firstByteWait.end())
+	require.False(t, given.firstByteArrives())
+	require.True(t, given.abandoned)
+	begun := &call{firstByteWait: &firstByteWait{timer: time.NewTimer(time.Hour)}}
+	require.True(t, begun.firstByteArrives())
+	require.False(t, begun.abandoned)
+}
--- a/io/beryledge/stream.go
+++ b/io/beryledge/stream.go
@@ -97,7 +97,7 @@
 		buffer = buffer[:len(buffer)+read]
 		if read > 0 && first {
 			first = false
-			if !call.firstByteWait.arrive() {
+			if !call.firstByteArrives() {
 				return errFirstByteTimeout
 			}
 			call.reportFirstByte(info)
