Metrics: messages received by kind, and the bytes sent of every kind

Each kind has both now. No decision changes.

TestMessagesAreCountedByKind; io/berylpeer and io/beryledge pass.

--- a/io/beryledge/meters.go
+++ b/io/beryledge/meters.go
@@ -132,7 +132,12 @@
 	return meters
 }
 
-// addPeerMetrics registers the bytes sent to other daemons: by link with headers, by
+// edgeMessages are the kinds of messages that these daemons exchange.
+var edgeMessages = []string{
+	"heartbeat", "report", "usage", "pull", "delta", "crashes", "streamsBegan", "originQuestion", "originAnswer", "buildInquiry", "buildAccount",
+}
+
+// addPeerMetrics registers what is exchanged with other daemons: by link with headers, by
 // message without them.
 func (meters *meters) addPeerMetrics(daemon *Daemon) {
 	traffic := func(read func(*berylpeer.Traffic) uint64) func() float64 {
@@ -150,9 +155,11 @@
 			traffic(func(traffic *berylpeer.Traffic) uint64 { return traffic.Packets[link].Load() }))
 	}
 	meters.set.NewGauge("berylspoke_peer_packets_received_total", traffic(func(traffic *berylpeer.Traffic) uint64 { return traffic.PacketsReceived.Load() }))
-	for _, message := range []string{"heartbeat", "report", "usage", "pull", "delta"} {
+	for _, message := range edgeMessages {
 		meters.set.NewGauge(fmt.Sprintf("berylspoke_peer_message_bytes_total{message=%q}", message),
 			traffic(func(traffic *berylpeer.Traffic) uint64 { return traffic.SentByKind()[message].Bytes }))
+		meters.set.NewGauge(fmt.Sprintf("berylspoke_peer_messages_received_total{message=%q}", message),
+			traffic(func(traffic *berylpeer.Traffic) uint64 { return traffic.ReceivedByKind()[message].Messages }))
 	}
 }
 
--- a/io/berylpeer/codec.go
+++ b/io/berylpeer/codec.go
@@ -129,9 +129,9 @@
 	return append([]byte{byte(kind)}, body...), nil
 }
 
-// decode returns the messages of one datagram or stream. It stops at a malformed
-// message, because the start of the next one is not known.
-func decode(from berylspoke.VMID, packet []byte) ([]berylspoke.Message, error) {
+// decode returns the messages of one datagram or stream, and calls count with the kind and the
+// size of each. It stops at a malformed message, because the start of the next one is not known.
+func decode(from berylspoke.VMID, packet []byte, count func(kind kind, size int)) ([]berylspoke.Message, error) {
 	var messages []berylspoke.Message
 	for len(packet) > 0 {
 		newMessage, known := newWireMessage[kind(packet[0])]
@@ -144,6 +144,7 @@
 			return messages, errors.Wrapf(err, "message of kind %d is malformed", packet[0])
 		}
 		messages = append(messages, wire.message(from))
+		count(kind(packet[0]), len(packet)-len(rest))
 		packet = rest
 	}
 	return messages, nil
--- a/io/berylpeer/count.go
+++ b/io/berylpeer/count.go
@@ -35,30 +35,44 @@
 const datagramHeaders = 28
 
 // Traffic counts bytes sent, bytes received and packets sent by link, packets received,
-// and messages sent by kind.
+// and messages sent and received by kind.
 type Traffic struct {
 	Sent, Received, Packets [LinkCount]atomic.Uint64
 	PacketsReceived         atomic.Uint64
-	messages, messageBytes  [kindsEnd]atomic.Uint64
+	sent, received          kindCounts
 }
 
-// KindStats is the number of messages sent of one kind and their size without headers.
+// KindStats is the number of messages of one kind and their size in bytes without headers.
 type KindStats struct{ Messages, Bytes uint64 }
 
-func (traffic *Traffic) countSent(link Link, size int) {
-	traffic.Sent[link].Add(uint64(size + datagramHeaders))
-	traffic.Packets[link].Add(1)
+// kindCounts counts messages by kind.
+type kindCounts struct{ messages, bytes [kindsEnd]atomic.Uint64 }
+
+func (counts *kindCounts) add(kind kind, size int) {
+	counts.messages[kind].Add(1)
+	counts.bytes[kind].Add(uint64(size))
 }
 
-// SentByKind returns the messages sent, by the metric label of their kind.
-func (traffic *Traffic) SentByKind() map[string]KindStats {
+// byName returns the counts by the metric label of their kind.
+func (counts *kindCounts) byName() map[string]KindStats {
 	kinds := make(map[string]KindStats, len(kindNames))
 	for kind, name := range kindNames {
-		kinds[name] = KindStats{traffic.messages[kind].Load(), traffic.messageBytes[kind].Load()}
+		kinds[name] = KindStats{counts.messages[kind].Load(), counts.bytes[kind].Load()}
 	}
 	return kinds
 }
 
+func (traffic *Traffic) countSent(link Link, size int) {
+	traffic.Sent[link].Add(uint64(size + datagramHeaders))
+	traffic.Packets[link].Add(1)
+}
+
+// SentByKind returns the messages sent, by the metric label of their kind.
+func (traffic *Traffic) SentByKind() map[string]KindStats { return traffic.sent.byName() }
+
+// ReceivedByKind returns the messages received, by the metric label of their kind.
+func (traffic *Traffic) ReceivedByKind() map[string]KindStats { return traffic.received.byName() }
+
 // Locator resolves the address of a VM and the link to it.
 type Locator interface {
 	// PeerAddress returns the UDP address of a VM, or "" if it is unknown.
--- a/io/berylpeer/fuzz_test.go
+++ b/io/berylpeer/fuzz_test.go
@@ -47,14 +47,14 @@
 		f.Add(append([]byte{byte(number)}, body...))
 	}
 	f.Fuzz(func(t *testing.T, packet []byte) {
-		messages, _ := decode("vm-1", packet)
+		messages, _ := decode("vm-1", packet, new(kindCounts).add)
 		for _, message := range messages {
 			checkBounds(t, message)
 			encoded, err := encode(message)
 			if err != nil {
 				t.Fatalf("%T is not encoded again: %v", message, err)
 			}
-			again, err := decode("vm-1", encoded)
+			again, err := decode("vm-1", encoded, new(kindCounts).add)
 			if err != nil || len(again) != 1 || !reflect.DeepEqual(again[0], message) {
 				t.Fatalf("%#v became %#v, %v", message, again, err)
 			}
--- a/io/berylpeer/peer_test.go
+++ b/io/berylpeer/peer_test.go
@@ -100,7 +100,7 @@
 		require.NoError(t, err)
 		packet = append(packet, body...)
 	}
-	decoded, err := decode("kgn-a-1", packet)
+	decoded, err := decode("kgn-a-1", packet, new(kindCounts).add)
 	require.NoError(t, err)
 	require.Equal(t, sampleMessages(), decoded)
 	require.Len(t, decoded, len(newWireMessage), "sampleMessages lacks a kind of message")
@@ -117,11 +117,11 @@
 	f.Add([]byte{byte(kindDemand), 0x9f, 0xff})
 	f.Add([]byte{200, 1, 2, 3})
 	f.Fuzz(func(t *testing.T, packet []byte) {
-		messages, _ := decode("vm", packet)
+		messages, _ := decode("vm", packet, new(kindCounts).add)
 		for _, message := range messages {
 			body, err := encode(message)
 			require.NoError(t, err)
-			again, err := decode("vm", body)
+			again, err := decode("vm", body, new(kindCounts).add)
 			require.NoError(t, err)
 			require.True(t, reflect.DeepEqual(message, again[0]), "%#v became %#v", message, again[0])
 		}
@@ -250,7 +250,7 @@
 			body, _ := encode(heartbeat)
 			b.ReportAllocs()
 			for range b.N {
-				_, _ = decode("vm", body)
+				_, _ = decode("vm", body, new(kindCounts).add)
 			}
 		})
 	}
@@ -291,3 +291,14 @@
 		t.Fatal("the small message waits behind the large ones")
 	}
 }
+
+// Guards against messages of a kind that no metric shows: a flood of evidence on crashes stood in none.
+func TestMessagesAreCountedByKind(t *testing.T) {
+	body, err := encode(berylquarantine.Notices{Clearings: []berylquarantine.ClearingNotice{{Digest: 1}}})
+	require.NoError(t, err)
+	var traffic Traffic
+	_, err = decode("vm", append(body, body...), traffic.received.add)
+	require.NoError(t, err)
+	require.Equal(t, KindStats{Messages: 2, Bytes: uint64(2 * len(body))}, traffic.ReceivedByKind()["crashes"])
+	require.Len(t, traffic.ReceivedByKind(), len(newWireMessage), "each kind has a label")
+}
--- a/io/berylpeer/transport.go
+++ b/io/berylpeer/transport.go
@@ -204,8 +204,9 @@
 			transport.options.Log.Error("message cannot be sent and is dropped", zap.Error(err))
 			continue
 		}
-		transport.traffic.messages[body[0]].Add(uint64(receivers))
-		transport.traffic.messageBytes[body[0]].Add(uint64(receivers * len(body)))
+		for range receivers {
+			transport.traffic.sent.add(kind(body[0]), len(body))
+		}
 		if len(packet) > 0 && len(packet)+len(body) > maxDatagramBytes {
 			packets = append(packets, packet)
 			packet = nil
@@ -384,7 +385,7 @@
 }
 
 func (transport *Transport) deliver(vm berylspoke.VMID, packet []byte) {
-	messages, err := decode(vm, packet)
+	messages, err := decode(vm, packet, transport.traffic.received.add)
 	if err != nil {
 		transport.options.Log.Warn("packet cannot be decoded; remaining messages dropped", zap.String("peer", string(vm)), zap.Error(err))
 	}
