Evidence on crashes goes only to daemons that may lack it as members change

Each change of the membership made every daemon send all its evidence again: to the holders of each suspect, and what all know to all.

SetMembers is told who has started. A new holder of a suspect, or one that has started, hears of it from the daemons that saw the crashes and from the other holders; what all daemons know is told to a started one by three others. Holders are kept and ranked again only if one of them went or a member came.

TestRollingRestartCostsLittleEvidence failed before (12,447 bytes a second at one daemon, 3,000 allowed); now 789, and each holder knows all crashes under its suspects. core/berylquarantine and core/berylmodel pass.

--- a/core/berylmodel/parts.go
+++ b/core/berylmodel/parts.go
@@ -139,7 +139,7 @@
 		parts.entries = append(parts.entries, &partsEntry{quarantine: berylquarantine.New(entryName(entry)), ticks: entry})
 		fleet.schedule(now.Add(time.Duration(entry)*evidenceTick/time.Duration(len(fleet.gates))), func(now time.Time) { parts.tick(now, entry) })
 	}
-	parts.setMembers()
+	parts.setMembers(nil)
 	for i, storm := range options.Storms {
 		state := &stormState{Storm: storm, number: i}
 		parts.storms = append(parts.storms, state)
@@ -153,8 +153,8 @@
 	}
 }
 
-// setMembers tells all entry daemons which are live.
-func (parts *parts) setMembers() {
+// setMembers tells all entry daemons which are live, and which of them have started.
+func (parts *parts) setMembers(started []berylspoke.VMID) {
 	var live []berylspoke.VMID
 	for entry, state := range parts.entries {
 		if !state.down {
@@ -162,7 +162,7 @@
 		}
 	}
 	for _, state := range parts.entries {
-		state.quarantine.SetMembers(live)
+		state.quarantine.SetMembers(live, started)
 	}
 }
 
@@ -467,7 +467,7 @@
 			}
 		}
 		parts.fleet.gates[entry] = fresh
-		parts.setMembers()
+		parts.setMembers([]berylspoke.VMID{entryName(entry)})
 	})
 }
 
--- a/core/berylquarantine/notice.go
+++ b/core/berylquarantine/notice.go
@@ -4,13 +4,11 @@
 
 import (
 	"cmp"
-	"fmt"
 	"maps"
 	"slices"
 	"time"
 
 	"berylspoke"
-	"berylspoke/core/berylmember"
 )
 
 const (
@@ -69,7 +67,7 @@
 func (quarantine *Quarantine) Unsent(now time.Time) []Parcel {
 	quarantine.Verdicts(now)
 	quarantine.urgent = false
-	parcels := quarantine.forHolders(now)
+	parcels := slices.Concat(quarantine.forHolders(now), quarantine.forLacking(now))
 	all := batch{left: maxMessagesPerRound}
 	quarantine.addCrashes(now, &all)
 	quarantine.addClearings(now, &all)
@@ -139,14 +137,52 @@
 	return quarantine.parcels(batches)
 }
 
-// holders returns the other daemons that are told of every crash under a suspect.
-func (quarantine *Quarantine) holders(digest Digest) []berylspoke.VMID {
-	count := holderCount
-	if quarantine.allHold() {
-		count = len(quarantine.members)
+// forLacking returns what is due to single daemons that may lack it.
+func (quarantine *Quarantine) forLacking(now time.Time) []Parcel {
+	batches := make(map[berylspoke.VMID]*batch)
+	add := func(to berylspoke.VMID, add func(*batch) bool) bool {
+		if batches[to] == nil {
+			batches[to] = &batch{left: maxMessagesPerRound}
+		}
+		return add(batches[to])
+	}
+	for _, crash := range quarantine.sortedCrashes() {
+		for to, due := range quarantine.lacking(now, crash) {
+			if !add(to, func(batch *batch) bool { return batch.addCrash(due) }) {
+				quarantine.urgent = true
+				continue
+			}
+			for _, suspect := range due.Suspects {
+				crash.suspects[suspect.Suspect].owed.pay(to)
+			}
+		}
+	}
+	for _, digest := range slices.Sorted(maps.Keys(quarantine.cleared)) {
+		clearing := quarantine.cleared[digest]
+		for _, to := range slices.Sorted(maps.Keys(clearing.owed)) {
+			if add(to, func(batch *batch) bool {
+				return batch.addClearing(ClearingNotice{digest, max(now.Sub(clearing.at), 0)})
+			}) {
+				clearing.owed.pay(to)
+			}
+		}
+	}
+	return quarantine.parcels(batches)
+}
+
+// lacking returns the notices of a crash that are due to single daemons.
+func (quarantine *Quarantine) lacking(now time.Time, crash *crash) map[berylspoke.VMID]CrashNotice {
+	var receivers []berylspoke.VMID
+	for _, suspicion := range crash.suspects {
+		receivers = slices.AppendSeq(receivers, maps.Keys(suspicion.owed))
+	}
+	notices := make(map[berylspoke.VMID]CrashNotice)
+	for _, to := range receivers {
+		if _, done := notices[to]; !done {
+			notices[to] = crash.notice(now, func(suspicion *suspicion) bool { return suspicion.owed[to] > 0 })
+		}
 	}
-	ranked := berylmember.Ranked(fmt.Sprint("suspect ", uint64(digest)), quarantine.members, count)
-	return slices.DeleteFunc(ranked, func(vm berylspoke.VMID) bool { return vm == quarantine.self })
+	return notices
 }
 
 func (quarantine *Quarantine) parcels(batches map[berylspoke.VMID]*batch) []Parcel {
--- a/core/berylquarantine/quarantine.go
+++ b/core/berylquarantine/quarantine.go
@@ -94,12 +94,15 @@
 	// that are due to holders and to all.
 	spread             bool
 	forHolders, forAll int
+	// owed are the announcements that are due to single daemons, which may lack it.
+	owed debts
 }
 
 // clearing is when an answer last began under a suspect, as daemons have told each other.
 type clearing struct {
 	at     time.Time
 	unsent int
+	owed   debts
 }
 
 // Quarantine holds one daemon's evidence.
@@ -111,7 +114,9 @@
 	// index has the crashes under each suspect, repeated the suspects of several crashes.
 	index    map[Digest][]*crash
 	repeated map[Digest]bool
-	cleared  map[Digest]clearing
+	// held has the holders of each suspect, this daemon included.
+	held    map[Digest][]berylspoke.VMID
+	cleared map[Digest]clearing
 	// begun has the suspects under which answers began at this daemon last, begunBefore those
 	// before them.
 	begun, begunBefore map[Digest]time.Time
@@ -128,36 +133,11 @@
 func New(self berylspoke.VMID) *Quarantine {
 	return &Quarantine{
 		self: self, hash: VMHash(xxhash.Sum64String(string(self))), members: []berylspoke.VMID{self}, crashes: make(map[TargetRun]*crash),
-		index: make(map[Digest][]*crash), repeated: make(map[Digest]bool), cleared: make(map[Digest]clearing),
+		index: make(map[Digest][]*crash), repeated: make(map[Digest]bool), held: make(map[Digest][]berylspoke.VMID), cleared: make(map[Digest]clearing),
 		begun: make(map[Digest]time.Time), trials: make(map[Digest]time.Time), verdicts: new(Verdicts),
 	}
 }
 
-// SetMembers sets the live daemons, and makes all evidence that counts due to be sent once more, as
-// one may have started.
-func (quarantine *Quarantine) SetMembers(members []berylspoke.VMID) {
-	quarantine.members = slices.Clone(members)
-	for _, crash := range quarantine.crashes {
-		for suspect, suspicion := range crash.suspects {
-			switch {
-			case !suspicion.spread:
-				suspicion.forHolders = max(suspicion.forHolders, 1)
-			case quarantine.counts(crash, suspect.Digest):
-				suspicion.forAll = max(suspicion.forAll, 1)
-			}
-		}
-	}
-	for digest, clearing := range quarantine.cleared {
-		if quarantine.repeated[digest] || quarantine.allHold() && len(quarantine.index[digest]) > 0 {
-			clearing.unsent = max(clearing.unsent, 1)
-			quarantine.cleared[digest] = clearing
-		}
-	}
-}
-
-// allHold reports whether all daemons are holders of all suspects.
-func (quarantine *Quarantine) allHold() bool { return len(quarantine.members) <= maxHolders }
-
 // counts reports whether a crash counts against a suspect.
 func (quarantine *Quarantine) counts(crash *crash, digest Digest) bool {
 	cleared := quarantine.clearedAt(digest)
@@ -269,6 +249,9 @@
 
 // indexSuspect adds a crash to those under a suspect.
 func (quarantine *Quarantine) indexSuspect(under *crash, digest Digest) {
+	if quarantine.held[digest] == nil {
+		quarantine.held[digest] = quarantine.rankedHolders(digest, quarantine.members)
+	}
 	if crashes := quarantine.index[digest]; !slices.Contains(crashes, under) {
 		quarantine.index[digest] = append(crashes, under)
 	}
@@ -287,6 +270,7 @@
 	quarantine.index[suspect.Digest] = left
 	if len(left) == 0 {
 		delete(quarantine.index, suspect.Digest)
+		delete(quarantine.held, suspect.Digest)
 	}
 	if len(left) < 2 && quarantine.repeated[suspect.Digest] {
 		delete(quarantine.repeated, suspect.Digest)
--- a/core/berylquarantine/quarantine_test.go
+++ b/core/berylquarantine/quarantine_test.go
@@ -92,7 +92,7 @@
 	var daemons []*Quarantine
 	for _, vm := range allVMs {
 		daemon := New(vm)
-		daemon.SetMembers(allVMs)
+		daemon.SetMembers(allVMs, nil)
 		daemons = append(daemons, daemon)
 	}
 	return daemons
@@ -142,7 +142,7 @@
 			case 4:
 				exchangeAll(now, daemons)
 				daemons[daemon] = New(allVMs[daemon])
-				daemons[daemon].SetMembers(allVMs)
+				daemons[daemon].SetMembers(allVMs, nil)
 				exchangeAll(now, daemons)
 			}
 		}
@@ -163,10 +163,10 @@
 	}
 }
 
-// exchangeAll delivers all evidence to the daemons that it is for.
+// exchangeAll delivers all evidence to the daemons that it is for, as if all others had started.
 func exchangeAll(now time.Time, daemons []*Quarantine) {
 	for _, daemon := range daemons {
-		daemon.SetMembers(allVMs)
+		daemon.SetMembers(allVMs, allVMs)
 	}
 	for range 2 {
 		for _, daemon := range daemons {
@@ -282,7 +282,7 @@
 func TestLargeCrashIsToldInParts(t *testing.T) {
 	now := time.Unix(1000, 0)
 	quarantine, receiver := New("a"), New("b")
-	quarantine.SetMembers(allVMs[:2])
+	quarantine.SetMembers(allVMs[:2], nil)
 	for i := range maxSuspects {
 		quarantine.crash(now, 1, Digest(i+1))
 	}
@@ -304,7 +304,7 @@
 func TestOnlySuccessiveCrashesAreToldToAll(t *testing.T) {
 	now := time.Unix(1000, 0)
 	quarantine := New("a")
-	quarantine.SetMembers(allVMs)
+	quarantine.SetMembers(allVMs, nil)
 	toAll := func() bool {
 		return slices.ContainsFunc(quarantine.Unsent(now), func(parcel Parcel) bool { return parcel.To == nil })
 	}
--- a/core/berylquarantine/restarts_test.go
+++ b/core/berylquarantine/restarts_test.go
@@ -35,15 +35,15 @@
 		fleet.vms = append(fleet.vms, vm)
 		fleet.daemons[vm] = New(vm)
 	}
-	fleet.setMembers()
+	fleet.setMembers(nil)
 	return fleet
 }
 
-// setMembers tells all daemons which are live.
-func (fleet *restartFleet) setMembers() {
+// setMembers tells all daemons which are live and which of them have started.
+func (fleet *restartFleet) setMembers(started []berylspoke.VMID) {
 	live := slices.DeleteFunc(slices.Clone(fleet.vms), func(vm berylspoke.VMID) bool { return fleet.daemons[vm] == nil })
 	for _, vm := range live {
-		fleet.daemons[vm].SetMembers(live)
+		fleet.daemons[vm].SetMembers(live, started)
 	}
 }
 
@@ -75,6 +75,23 @@
 	}
 }
 
+// requireHeld checks that the holders of each suspect know all crashes under it that daemons know.
+func (fleet *restartFleet) requireHeld(t *testing.T) {
+	for _, daemon := range fleet.daemons {
+		if daemon == nil {
+			continue
+		}
+		for digest, crashes := range daemon.index {
+			for _, holder := range daemon.holders(digest) {
+				for _, crash := range crashes {
+					known := fleet.daemons[holder].crashes[crash.run]
+					require.True(t, known != nil && known.has(digest), "%s knows run %d under suspect %d", holder, crash.run, digest)
+				}
+			}
+		}
+	}
+}
+
 // Guards against evidence on targets that crashed together which all daemons send again whenever
 // one leaves or starts.
 func TestRollingRestartCostsLittleEvidence(t *testing.T) {
@@ -99,13 +116,15 @@
 	for now.Sub(started) < 16*time.Second {
 		now = now.Add(roundInterval)
 		if at := now.Sub(started); at%restartInterval == 0 {
+			var fresh []berylspoke.VMID
 			if back := restarted - int(downFor/restartInterval); back >= 0 {
 				vm := fleet.vms[back]
 				fleet.daemons[vm], fleet.received[vm] = New(vm), 0
+				fresh = []berylspoke.VMID{vm}
 			}
 			fleet.daemons[fleet.vms[restarted]] = nil
 			restarted++
-			fleet.setMembers()
+			fleet.setMembers(fresh)
 		}
 		fleet.round(now)
 	}
@@ -113,5 +132,7 @@
 	for _, vm := range fleet.vms[restarted:] {
 		most = max(most, fleet.received[vm])
 	}
+	fleet.requireHeld(t)
+	t.Logf("at most %d bytes of evidence a second", most/int(now.Sub(started).Seconds()))
 	require.LessOrEqual(t, float64(most)/now.Sub(started).Seconds(), float64(controlBytesPerSecond), "bytes a second")
 }
--- a/io/beryledge/members.go
+++ b/io/beryledge/members.go
@@ -94,6 +94,7 @@
 	}
 	core.appliedMembers = core.table.Version()
 	started := core.startedPeers()
+	core.quarantine.SetMembers(core.table.Live(), started)
 	if fresh := newEntries(now, core.table); !old.equal(fresh) {
 		core.applyEntries(now, fresh)
 	}
@@ -117,7 +118,6 @@
 // applyEntries applies other entries.
 func (core *core) applyEntries(now time.Time, fresh *entries) {
 	core.daemon.entries.Store(fresh)
-	core.quarantine.SetMembers(core.table.Live())
 	if core.daemon.transport != nil {
 		core.daemon.transport.UpdateLinks()
 	}
