Sums of usage tell how many daemons they cover, and daemons without one ask

Others could be served far beyond an organisation that is limited (FAIR) while daemons restart. Usage begins empty and was taken for the fleet's: a collector that has just started told the sum of itself as that of the fleet, so its domain limited nobody; a daemon that leaves gets no sums, as it is no member, and limited nobody from 2.3 s on though it still serves; one that starts limited nobody for up to 2 s.

A sum tells how many daemons it covers and does not replace a recent one that covers many more; a collector that covers few goes by the other collector's sum. A daemon without a recent sum says so in its own report and is answered at once. 'request refused by the gate' tells what the sums cover.

--- a/core/berylgate/allowance.go
+++ b/core/berylgate/allowance.go
@@ -73,9 +73,11 @@
 
 // Share is the demand and the service of an organisation in the fleet in tokens per
 // second, and how much it may get: its max-min level, and the cap beyond which nothing
-// more is sent for it.
+// more is sent for it. Covered is the number of daemons whose usage is summed up in a large fleet, zero if
+// no recent sum is known.
 type Share struct {
 	Demand, Served, Level, Cap float64
+	Covered                    int
 }
 
 // TokensOf returns the weighted tokens that a request counts in its organisation's usage.
@@ -128,6 +130,7 @@
 	return Share{
 		Demand: gate.shares.usage(organisation).demand.now(now) + gate.shares.others[organisation].demand,
 		Served: gate.served(now, organisation), Level: gate.shares.level, Cap: gate.shares.cap,
+		Covered: gate.shares.covered,
 	}
 }
 
--- a/core/berylgate/bounds_test.go
+++ b/core/berylgate/bounds_test.go
@@ -23,13 +23,13 @@
 	report := gate.Report(now.Add(time.Second))
 	require.Len(t, report.Organisations, 1)
 	require.EqualValues(t, math.MaxUint32, report.Organisations[0].Demand)
-	usage := gate.newUsage(FleetUsage, map[uint32]total{1: {demand: 1}, 2: {demand: 2}})
+	usage := gate.newUsage(FleetUsage, map[uint32]total{1: {demand: 1}, 2: {demand: 2}}, 1)
 	require.EqualValues(t, 3, usage.RestDemand)
 	many := make(map[uint32]total)
 	for organisation := range uint32(2 * maxOrganisations) {
 		many[organisation] = total{demand: math.MaxUint32}
 	}
-	require.EqualValues(t, math.MaxUint32, gate.newUsage(DaemonUsage, many).RestDemand)
+	require.EqualValues(t, math.MaxUint32, gate.newUsage(DaemonUsage, many, 1).RestDemand)
 }
 
 // Guards against an entry that claims more slots than any target of its service has.
--- a/core/berylgate/report.go
+++ b/core/berylgate/report.go
@@ -109,7 +109,7 @@
 		report.Waits = gate.waitReports(now)
 	} else {
 		report.Targets = gate.targetReports()
-		report.Organisations = gate.newUsage(DaemonUsage, gate.ownUsage(now)).Organisations
+		report.Organisations = gate.newUsage(DaemonUsage, gate.ownUsage(now), 1).Organisations
 	}
 	report.Silences = gate.silenceReports(now)
 	report.Leavings = gate.leavingReports(now)
--- a/core/berylgate/share.go
+++ b/core/berylgate/share.go
@@ -124,6 +124,8 @@
 	others map[uint32]total
 	// restDemand is the demand of the organisations that the fleet's sum does not list.
 	restDemand float64
+	// covered is the number of daemons that the fleet's sum covers, zero if there is none.
+	covered int
 	// level is the max-min level, cap the most that an organisation beyond it may get.
 	level, cap float64
 	computed   time.Time
--- a/core/berylgate/usage.go
+++ b/core/berylgate/usage.go
@@ -26,6 +26,13 @@
 	// to be listed in the fleet's sum. The others are summed up in one figure, since
 	// none of them can be beyond its share.
 	minDemandShare = 0.01
+	// lackingAge is the age of the fleet's sum at which a daemon asks for one: a report was lost, or the
+	// daemon gets none as it has just started or leaves. It then reports each lackingInterval.
+	lackingAge      = 3 * usageInterval / 2
+	lackingInterval = usageInterval / 3
+	// minCoverage is the fraction of the daemons that a sum must cover to replace one that covers
+	// them: a collector that has just started has heard of few.
+	minCoverage = 0.75
 )
 
 // Extent says whose usage a report sums up.
@@ -46,6 +53,10 @@
 	Organisations []OrganisationReport
 	// RestDemand is the demand of all other organisations together, in tokens per second.
 	RestDemand uint32
+	// Daemons is the number of daemons whose usage is summed up. Lacking is set if the sender has no
+	// recent sum of the fleet and asks the receiver for one.
+	Daemons int
+	Lacking bool
 }
 
 // PeerMessage implements berylspoke.Message.
@@ -75,10 +86,21 @@
 	receivedAt    time.Time
 	organisations map[uint32]total
 	restDemand    float64
+	// daemons is the number of daemons that are summed up.
+	daemons int
 }
 
 func (usage receivedUsage) fresh(now time.Time) bool { return now.Sub(usage.receivedAt) <= usageMaxAge }
 
+// supersedes reports whether the usage replaces what was received before: that is old, or covers
+// hardly more of the live daemons.
+func (usage receivedUsage) supersedes(now time.Time, before receivedUsage, live int) bool {
+	return !before.fresh(now) || covers(usage.daemons, min(before.daemons, live))
+}
+
+// covers reports whether a sum over a number of daemons covers most of the given number.
+func covers(daemons, of int) bool { return float64(daemons) >= minCoverage*float64(of) }
+
 func newCollected() collectedUsage {
 	return collectedUsage{
 		daemons: make(map[berylspoke.VMID]receivedUsage), domains: make(map[berylspoke.FailureDomain]receivedUsage),
@@ -101,21 +123,37 @@
 	if now.Before(collected.due) {
 		return UsageReports{}
 	}
-	collected.due = now.Add(usageInterval)
 	own := gate.ownUsage(now)
-	collected.reportedOwn = receivedUsage{receivedAt: now, organisations: own}
-	if !collects {
-		return UsageReports{ToCollectors: gate.newUsage(DaemonUsage, own)}
+	collected.reportedOwn = receivedUsage{receivedAt: now, organisations: own, daemons: 1}
+	report := gate.newUsage(DaemonUsage, own, 1)
+	domain, daemons := gate.domainUsage(now)
+	fleet, all := gate.fleetUsage(now, domain, daemons)
+	hears := collected.fleet.fresh(now) && now.Sub(collected.fleet.receivedAt) < lackingAge
+	report.Lacking = !hears && !(collects && covers(all, gate.live))
+	collected.due = now.Add(usageInterval)
+	if report.Lacking {
+		collected.due = now.Add(lackingInterval)
 	}
-	domain := gate.domainUsage(now)
+	if !collects || !gate.sumsUp(now, all) {
+		return UsageReports{ToCollectors: report}
+	}
+	// It may be a collector no more by the next report.
+	collected.fleet = receivedUsage{receivedAt: now, organisations: fleet, daemons: all}
 	return UsageReports{
 		// The other collector of the domain sums up this daemon too.
-		ToCollectors: gate.newUsage(DaemonUsage, own),
-		ToDomains:    gate.newUsage(DomainUsage, domain),
-		ToMembers:    gate.newUsage(FleetUsage, gate.fleetUsage(now, domain)),
+		ToCollectors: report,
+		ToDomains:    gate.newUsage(DomainUsage, domain, daemons),
+		ToMembers:    gate.newUsage(FleetUsage, fleet, all),
 	}
 }
 
+// sumsUp reports whether a collector's own sum over a number of daemons is to be used. One that has just
+// started uses what another collector tells it.
+func (gate *Gate) sumsUp(now time.Time, daemons int) bool {
+	own := receivedUsage{daemons: daemons}
+	return own.supersedes(now, gate.collected.fleet, gate.live)
+}
+
 // ownUsage returns the usage of organisations at this daemon and drops those with a
 // demand below minReportedRate.
 func (gate *Gate) ownUsage(now time.Time) map[uint32]total {
@@ -131,28 +169,31 @@
 	return own
 }
 
-// domainUsage returns the sum over this daemon and those that reported to it.
-func (gate *Gate) domainUsage(now time.Time) map[uint32]total {
-	sum := gate.ownUsage(now)
+// domainUsage returns the sum over this daemon and those that reported to it, and their number.
+func (gate *Gate) domainUsage(now time.Time) (sum map[uint32]total, daemons int) {
+	sum, daemons = gate.ownUsage(now), 1
 	for vm, received := range gate.collected.daemons {
 		if !received.fresh(now) {
 			delete(gate.collected.daemons, vm)
 			continue
 		}
 		addTotals(sum, received.organisations)
+		daemons++
 	}
-	return sum
+	return sum, daemons
 }
 
-// fleetUsage returns the sum over all failure domains with a recent report.
-func (gate *Gate) fleetUsage(now time.Time, domain map[uint32]total) map[uint32]total {
-	sum := maps.Clone(domain)
+// fleetUsage returns the sum over all failure domains with a recent report, and the number of its
+// daemons.
+func (gate *Gate) fleetUsage(now time.Time, domain map[uint32]total, daemons int) (sum map[uint32]total, all int) {
+	sum, all = maps.Clone(domain), daemons
 	for _, received := range gate.collected.domains {
 		if received.fresh(now) {
 			addTotals(sum, received.organisations)
+			all += received.daemons
 		}
 	}
-	return sum
+	return sum, all
 }
 
 func addTotals(sum, organisations map[uint32]total) {
@@ -162,8 +203,8 @@
 }
 
 // newUsage returns a report of the organisations with the highest demand.
-func (gate *Gate) newUsage(extent Extent, organisations map[uint32]total) *Usage {
-	usage := &Usage{Extent: extent, Domain: gate.options.FailureDomain}
+func (gate *Gate) newUsage(extent Extent, organisations map[uint32]total, daemons int) *Usage {
+	usage := &Usage{Extent: extent, Domain: gate.options.FailureDomain, Daemons: daemons}
 	minDemand := 0.0
 	if extent == FleetUsage {
 		minDemand = minDemandShare * float64(gate.capacity)
@@ -188,22 +229,47 @@
 	return usage
 }
 
-// ReceiveUsage stores a peer's report of usage.
-func (gate *Gate) ReceiveUsage(now time.Time, from berylspoke.VMID, usage Usage) {
-	received := receivedUsage{now, make(map[uint32]total, len(usage.Organisations)), float64(usage.RestDemand)}
+// ReceiveUsage stores a peer's report of usage. It returns the sum of the fleet to answer with, nil if
+// the peer does not lack it.
+func (gate *Gate) ReceiveUsage(now time.Time, from berylspoke.VMID, usage Usage) *Usage {
+	collected := &gate.collected
+	received := receivedUsage{now, make(map[uint32]total, len(usage.Organisations)), float64(usage.RestDemand), usage.Daemons}
 	for _, item := range usage.Organisations {
 		received.organisations[item.Organisation] = item.total()
 	}
 	switch usage.Extent {
 	case DaemonUsage:
-		gate.collected.daemons[from] = received
+		collected.daemons[from] = received
+		if !usage.Lacking || !collected.collects {
+			return nil
+		}
+		domain, daemons := gate.domainUsage(now)
+		fleet, all := gate.fleetUsage(now, domain, daemons)
+		if !gate.sumsUp(now, all) {
+			return nil
+		}
+		return gate.newUsage(FleetUsage, fleet, all)
 	case DomainUsage:
-		if usage.Domain != gate.options.FailureDomain {
-			gate.collected.domains[usage.Domain] = received
+		if usage.Domain != gate.options.FailureDomain && received.supersedes(now, collected.domains[usage.Domain], gate.liveIn(usage.Domain)) {
+			collected.domains[usage.Domain] = received
 		}
 	case FleetUsage:
-		gate.collected.fleet = received
+		if received.supersedes(now, collected.fleet, gate.live) {
+			collected.fleet = received
+		}
+	}
+	return nil
+}
+
+// liveIn returns the number of live daemons in a failure domain.
+func (gate *Gate) liveIn(domain berylspoke.FailureDomain) int {
+	count := 0
+	for _, other := range gate.domains {
+		if other == domain {
+			count++
+		}
 	}
+	return count
 }
 
 // largeFleetOthers returns the usage at the other daemons of a large fleet. Without a
@@ -211,15 +277,18 @@
 // targets bound what is admitted.
 func (gate *Gate) largeFleetOthers(now time.Time) map[uint32]total {
 	collected := &gate.collected
-	gate.shares.restDemand = 0
+	gate.shares.restDemand, gate.shares.covered = 0, 0
 	if collected.collects {
-		own := gate.ownUsage(now)
-		return subtract(gate.fleetUsage(now, gate.domainUsage(now)), own)
+		domain, daemons := gate.domainUsage(now)
+		if fleet, all := gate.fleetUsage(now, domain, daemons); gate.sumsUp(now, all) {
+			gate.shares.covered = all
+			return subtract(fleet, gate.ownUsage(now))
+		}
 	}
 	if !collected.fleet.fresh(now) {
 		return make(map[uint32]total)
 	}
-	gate.shares.restDemand = collected.fleet.restDemand
+	gate.shares.restDemand, gate.shares.covered = collected.fleet.restDemand, collected.fleet.daemons
 	return subtract(collected.fleet.organisations, collected.reportedOwn.organisations)
 }
 
--- a/core/berylgate/usage_test.go
+++ b/core/berylgate/usage_test.go
@@ -12,11 +12,14 @@
 )
 
 // usageFleet is a set of gates in several failure domains that exchange usage as
-// daemons do. The first gate of each domain is its collector.
-type usageFleet struct{ gates []*Gate }
+// daemons do. The first gate of each domain that does not leave is its collector.
+type usageFleet struct {
+	gates   []*Gate
+	leaving map[*Gate]bool
+}
 
 func newUsageFleet(now time.Time, domains, perDomain int) *usageFleet {
-	fleet := new(usageFleet)
+	fleet := &usageFleet{leaving: make(map[*Gate]bool)}
 	for domain := range domains {
 		for i := range perDomain {
 			gate := newGate(now, domain*perDomain+i+1, 4, false)
@@ -32,7 +35,7 @@
 func (fleet *usageFleet) exchange(now time.Time) {
 	collectors := make(map[berylspoke.FailureDomain]*Gate)
 	for _, gate := range fleet.gates {
-		if collectors[gate.options.FailureDomain] == nil {
+		if collectors[gate.options.FailureDomain] == nil && !fleet.leaving[gate] {
 			collectors[gate.options.FailureDomain] = gate
 		}
 	}
@@ -40,12 +43,14 @@
 		own := collectors[gate.options.FailureDomain]
 		reports := gate.UsageReports(now, own == gate)
 		if reports.ToCollectors != nil && own != gate {
-			own.ReceiveUsage(now, gate.options.VM, *reports.ToCollectors)
+			if sum := own.ReceiveUsage(now, gate.options.VM, *reports.ToCollectors); sum != nil {
+				gate.ReceiveUsage(now, own.options.VM, *sum)
+			}
 		}
 		for _, other := range fleet.gates {
 			near := other.options.FailureDomain == gate.options.FailureDomain
 			switch {
-			case other == gate:
+			case other == gate || fleet.leaving[other]:
 			case near && reports.ToMembers != nil:
 				other.ReceiveUsage(now, gate.options.VM, *reports.ToMembers)
 			case !near && reports.ToDomains != nil && collectors[other.options.FailureDomain] == other:
--- a/io/beryledge/actor.go
+++ b/io/beryledge/actor.go
@@ -427,7 +427,9 @@
 		core.compareFeeds(now, from, message.Feeds)
 		core.compareVersions(now, from, message)
 	case berylgate.Usage:
-		core.gate.ReceiveUsage(now, from, message)
+		if sum := core.gate.ReceiveUsage(now, from, message); sum != nil {
+			core.daemon.transport.Send(from, *sum)
+		}
 	case berylorigin.Began:
 		core.daemon.origins.receive(now, message)
 	case berylorigin.Inquiry:
--- a/io/beryledge/callers.go
+++ b/io/beryledge/callers.go
@@ -283,7 +283,7 @@
 		zap.Int("running", decision.Running), zap.Int64("tokens", int64(decision.Tokens)),
 		zap.Int64("input", int64(call.info.Input)), zap.Int64("output", int64(call.request.Output)),
 		zap.Float64("asked", decision.Share.Demand), zap.Float64("given", decision.Share.Served),
-		zap.Float64("level", decision.Share.Level), zap.Float64("cap", decision.Share.Cap), call.digestField(),
+		zap.Float64("level", decision.Share.Level), zap.Float64("cap", decision.Share.Cap), zap.Int("covered", decision.Share.Covered), call.digestField(),
 	}
 	if refusal.Reason == berylspoke.ReasonCrashesTargets {
 		fields = append(fields, call.partsField(), digestsField(call.request.Digests))
--- a/io/berylpeer/wirefeed.go
+++ b/io/berylpeer/wirefeed.go
@@ -162,12 +162,15 @@
 	Domain        string
 	Organisations []wireOrganisationReport
 	OtherDemand   uint32
+	Daemons       uint32
+	Lacking       bool
 }
 
 func usageToWire(usage berylgate.Usage) *wireUsage {
 	return &wireUsage{
 		Extent: uint8(usage.Extent), Domain: string(usage.Domain),
 		Organisations: organisationsToWire(usage.Organisations), OtherDemand: usage.RestDemand,
+		Daemons: uint32(usage.Daemons), Lacking: usage.Lacking,
 	}
 }
 
@@ -175,6 +178,7 @@
 	return berylgate.Usage{
 		Extent: berylgate.Extent(wire.Extent), Domain: berylspoke.FailureDomain(wire.Domain),
 		Organisations: organisationsFromWire(wire.Organisations), RestDemand: wire.OtherDemand,
+		Daemons: int(min(wire.Daemons, maxElements)), Lacking: wire.Lacking,
 	}
 }
 
