Members of a large fleet are applied at intervals

While daemons restart one after the other, members change at each tick, 23 times a second, and each change makes a daemon sort all members several times. In a large fleet they are now applied each 0.3 s at most.

--- a/io/beryledge/actor.go
+++ b/io/beryledge/actor.go
@@ -32,6 +32,9 @@
 	// rely on the load that engines report themselves and the rates of organisations
 	// change slowly.
 	largeFleetReportInterval = 400 * time.Millisecond
+	// largeFleetMembersInterval is the time between two applications of the membership in a large fleet. Each sorts
+	// all members, several times, and while daemons restart one after the other members change at each tick.
+	largeFleetMembersInterval = 300 * time.Millisecond
 	// silenceReportInterval replaces both while a target was found silent since the last
 	// report.
 	silenceReportInterval = 100 * time.Millisecond
@@ -154,6 +157,8 @@
 	// table that refreshMembers applied.
 	members        *membership
 	appliedMembers uint64
+	// membersApplied is when it did so.
+	membersApplied time.Time
 	// incarnations are the runs of the peers as of then.
 	incarnations map[berylspoke.VMID]berylspoke.Incarnation
 	feeds        [berylfeed.Count]*berylfeed.Feed
--- a/io/beryledge/members.go
+++ b/io/beryledge/members.go
@@ -77,10 +77,10 @@
 	return members
 }
 
-// membership returns what follows from the membership table, computed again only if the
-// table changed.
+// membership returns what follows from the membership table. In a large fleet it follows the table
+// at intervals, as refreshMembers applies it.
 func (core *core) membership() *membership {
-	if core.members == nil || core.members.version != core.table.Version() {
+	if core.members == nil || core.members.version != core.table.Version() && !core.gate.LargeFleet() {
 		core.members = newMembership(core.table, core.daemon.settings.VM)
 	}
 	return core.members
@@ -92,7 +92,13 @@
 	if core.appliedMembers == core.table.Version() && !old.outdated(now) {
 		return
 	}
-	core.appliedMembers = core.table.Version()
+	if core.gate.LargeFleet() && now.Sub(core.membersApplied) < largeFleetMembersInterval {
+		return
+	}
+	core.appliedMembers, core.membersApplied = core.table.Version(), now
+	if core.members == nil || core.members.version != core.appliedMembers {
+		core.members = newMembership(core.table, core.daemon.settings.VM)
+	}
 	started := core.startedPeers()
 	core.quarantine.SetMembers(core.table.Live(), started)
 	if fresh := newEntries(now, core.table); !old.equal(fresh) {
--- a/io/beryledge/members_test.go
+++ b/io/beryledge/members_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"berylspoke"
+	"berylspoke/core/berylmember"
 )
 
 // Guards against one daemon of which all others ask for the whole membership in the same
@@ -35,3 +36,39 @@
 		require.Less(t, count, 12, vm)
 	}
 }
+
+// Guards against a small VM that spends its processor on sorting the members of a large fleet at each tick
+// while daemons restart one after the other, and against changes that are not applied after that.
+func TestMembersOfALargeFleetAreAppliedAtIntervals(t *testing.T) {
+	const daemons, churn = 100, 3 * time.Second
+	now := time.Unix(1000, 0)
+	core := newSilentCore(t, now)
+	hear := func(i int, incarnation berylspoke.Incarnation, leaving bool) {
+		vm := berylspoke.VMID(fmt.Sprintf("10.1.0.%d:7020", i))
+		core.table.HandleHeartbeat(now, berylmember.Heartbeat{Self: berylmember.Rumour{
+			Process: berylspoke.Process{VM: vm, Incarnation: incarnation}, Leaving: leaving,
+			Attributes: berylmember.Attributes{FailureDomain: "a", CallAddress: fmt.Sprintf("10.1.0.%d:80", i), Capacity: 20},
+		}})
+	}
+	for i := range daemons {
+		hear(i, 1, false)
+	}
+	core.tick(now)
+	require.True(t, core.gate.LargeFleet())
+	applied, last := 0, core.appliedMembers
+	for step := range int(churn / urgentTickInterval) {
+		now = now.Add(urgentTickInterval)
+		hear(step%daemons, 2, step%2 == 0)
+		core.tick(now)
+		if core.appliedMembers != last {
+			applied, last = applied+1, core.appliedMembers
+		}
+	}
+	require.LessOrEqual(t, applied, int(churn/largeFleetMembersInterval)+1)
+	for end := now.Add(largeFleetMembersInterval); now.Before(end); {
+		now = now.Add(urgentTickInterval)
+		core.tick(now)
+	}
+	require.Equal(t, core.table.Live(), core.daemon.entries.Load().live)
+	require.Equal(t, core.table.Version(), core.membership().version)
+}
