What waited for a daemon during a standstill is dated before it

Here a daemon that stood still for less than the delay of a new version took reports and answers of the store that waited for it for new. If it heard nothing after that, it said that one version began all streams while others already sent some to another version.

After a gap of more than 0.3 s between ticks, what is handled until 0.5 s later is dated back by the gap.

Not played with real daemons.

--- a/io/beryledge/actor.go
+++ b/io/beryledge/actor.go
@@ -51,6 +51,10 @@
 	// suspendThreshold is the gap between two ticks beyond which the process is assumed
 	// to have been suspended.
 	suspendThreshold = time.Second
+	// maxTickGap is the gap between two ticks beyond which messages may have waited for the process, and
+	// drainTime how long after it such messages may still be handled.
+	maxTickGap = 3 * tickInterval
+	drainTime  = 500 * time.Millisecond
 )
 
 // The messages of the actor.
@@ -189,6 +193,9 @@
 	// graceEnd is when the first target becomes visible or invisible by time, zero for none.
 	graceEnd time.Time
 	lastTick time.Time
+	// stoodSince is the last tick before the process stood still, and drainedAt when what waited meanwhile
+	// is handled.
+	stoodSince, drainedAt time.Time
 	// lastTimerTick is the last tick that was not urgent, and urgentTickDue is set while an
 	// urgent one is scheduled.
 	lastTimerTick time.Time
@@ -310,7 +317,32 @@
 	core.lastTimerTick = now
 }
 
+// heldUp returns for how long a message that is handled now may have waited, in the socket or in the
+// mailbox, as the process stood still. Short waits count as none.
+func (core *core) heldUp(now time.Time) time.Duration {
+	since := core.lastTick
+	if now.Before(core.drainedAt) {
+		since = core.stoodSince
+	}
+	if held := now.Sub(since); held > maxTickGap {
+		return held
+	}
+	return 0
+}
+
+// observeStandstill records a gap between two ticks.
+func (core *core) observeStandstill(now time.Time) {
+	if now.Sub(core.lastTick) <= maxTickGap {
+		return
+	}
+	if !now.Before(core.drainedAt) {
+		core.stoodSince = core.lastTick
+	}
+	core.drainedAt = now.Add(drainTime)
+}
+
 func (core *core) tick(now time.Time) {
+	core.observeStandstill(now)
 	if now.Sub(core.lastTick) > suspendThreshold {
 		core.table.Resume(now)
 		core.daemon.log.Warn("process was suspended", zap.Duration("for", now.Sub(core.lastTick)))
@@ -428,7 +460,7 @@
 		}
 	case berylgate.Report:
 		core.closeLeft(now, from, core.gate.ReceiveReport(now, from, message))
-		core.observeContact(now, berylfeed.Contact{ID: message.ContactID, Age: message.Contact}, message.Complete)
+		core.observeContact(now, berylfeed.Contact{ID: message.ContactID, Age: message.Contact + core.heldUp(now)}, message.Complete)
 		core.compareFeeds(now, from, message.Feeds)
 		core.compareVersions(now, from, message)
 	case berylgate.Usage:
--- a/io/beryledge/feeds.go
+++ b/io/beryledge/feeds.go
@@ -115,8 +115,9 @@
 
 func (core *core) applyStoreAnswer(now time.Time, message storeAnswer) {
 	feed := core.feeds[message.feed]
-	core.currency.Confirm(message.feed, now)
-	if feed.Answered(now) {
+	answered := now.Add(-core.heldUp(now))
+	core.currency.Confirm(message.feed, answered)
+	if feed.Answered(answered) {
 		core.daemon.log.Info("store is reachable again", zap.Uint8("feed", uint8(message.feed)), era(message.asOf), revision(message.asOf))
 	}
 	change := feed.ApplyChanges
--- a/io/beryledge/replication_test.go
+++ b/io/beryledge/replication_test.go
@@ -117,6 +117,7 @@
 	core.applyStoreAnswer(start, storeAnswer{feed: berylfeed.Targets, asOf: at(1), full: true})
 	core.daemon.watcher.Store(false)
 	for now := start; now.Sub(start) < bound-answer; now = now.Add(reportInterval) {
+		core.lastTick = now // The process does not stand still.
 		core.deliver(now, "127.0.0.9:1", berylgate.Report{
 			Incarnation: 1, Feeds: []berylspoke.Position{at(0), at(5)}, ContactID: berylfeed.ContactID(now.UnixNano()),
 			Complete: []berylspoke.Position{at(1), at(5)},
