--- a/core/berylquarantine/members.go
+++ b/core/berylquarantine/members.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"iter"
 	"slices"
 
 	"berylspoke"
@@ -62,16 +63,15 @@
 		lacking := slices.DeleteFunc(quarantine.holders(digest), func(vm berylspoke.VMID) bool {
 			return slices.Contains(former, vm) && !slices.Contains(started, vm)
 		})
+		held := slices.Contains(former, quarantine.self)
 		for _, crash := range crashes {
-			for suspect, suspicion := range crash.suspects {
-				if suspect.Digest != digest {
-					continue
-				}
+			counts := quarantine.counts(crash, digest)
+			for suspicion := range crash.under(digest) {
 				suspicion.owed.forgive(removed)
 				switch {
-				case suspicion.spread && quarantine.counts(crash, digest):
+				case suspicion.spread && counts:
 					suspicion.owed.owe(told)
-				case !suspicion.spread && (suspicion.reporter == quarantine.hash || slices.Contains(former, quarantine.self)):
+				case !suspicion.spread && (held || suspicion.reporter == quarantine.hash):
 					suspicion.owed.owe(lacking)
 				}
 			}
@@ -86,6 +86,17 @@
 	}
 }
 
+// under yields the suspicions of a digest, one for each organisation.
+func (crash *crash) under(digest Digest) iter.Seq[*suspicion] {
+	return func(yield func(*suspicion) bool) {
+		for suspect, suspicion := range crash.suspects {
+			if suspect.Digest == digest && !yield(suspicion) {
+				return
+			}
+		}
+	}
+}
+
 // without returns the VMs that are not among others.
 func without(vms, others []berylspoke.VMID) []berylspoke.VMID {
 	excluded := make(map[berylspoke.VMID]bool, len(others))
