--- a/core/berylgate/collectors_test.go
+++ b/core/berylgate/collectors_test.go
@@ -37,6 +37,7 @@
 	fresh := newGate(now, index+1, 4, false)
 	fresh.options.FailureDomain = old.options.FailureDomain
 	fresh.SetDaemons(now, len(fleet.gates))
+	fresh.SetVMs(now, old.domains)
 	fleet.gates[index] = fresh
 	delete(fleet.leaving, old)
 	return fresh
--- a/core/berylgate/usage_test.go
+++ b/core/berylgate/usage_test.go
@@ -20,11 +20,14 @@
 
 func newUsageFleet(now time.Time, domains, perDomain int) *usageFleet {
 	fleet := &usageFleet{leaving: make(map[*Gate]bool)}
+	vms := make(map[berylspoke.VMID]berylspoke.FailureDomain)
 	for domain := range domains {
 		for i := range perDomain {
 			gate := newGate(now, domain*perDomain+i+1, 4, false)
 			gate.options.FailureDomain = berylspoke.FailureDomain(fmt.Sprint("d-", domain))
 			gate.SetDaemons(now, domains*perDomain)
+			gate.SetVMs(now, vms)
+			vms[gate.options.VM] = gate.options.FailureDomain
 			fleet.gates = append(fleet.gates, gate)
 		}
 	}
