--- a/io/beryledge/actor.go
+++ b/io/beryledge/actor.go
@@ -51,10 +51,6 @@
 	// suspendThreshold is the gap between two ticks beyond which the process is assumed
 	// to have been suspended.
 	suspendThreshold = time.Second
-	// maxTickGap is the gap between two ticks beyond which messages may have waited for the process, and
-	// drainTime how long after it such messages may still be handled.
-	maxTickGap = 3 * tickInterval
-	drainTime  = 500 * time.Millisecond
 )
 
 // The messages of the actor.
@@ -317,30 +313,6 @@
 	core.lastTimerTick = now
 }
 
-// heldUp returns for how long a message that is handled now may have waited, in the socket or in the
-// mailbox, as the process stood still. Short waits count as none.
-func (core *core) heldUp(now time.Time) time.Duration {
-	since := core.lastTick
-	if now.Before(core.drainedAt) {
-		since = core.stoodSince
-	}
-	if held := now.Sub(since); held > maxTickGap {
-		return held
-	}
-	return 0
-}
-
-// observeStandstill records a gap between two ticks.
-func (core *core) observeStandstill(now time.Time) {
-	if now.Sub(core.lastTick) <= maxTickGap {
-		return
-	}
-	if !now.Before(core.drainedAt) {
-		core.stoodSince = core.lastTick
-	}
-	core.drainedAt = now.Add(drainTime)
-}
-
 func (core *core) tick(now time.Time) {
 	core.observeStandstill(now)
 	if now.Sub(core.lastTick) > suspendThreshold {
