--- a/core/berylgate/collectors_test.go
+++ b/core/berylgate/collectors_test.go
@@ -31,7 +31,7 @@
 	return now
 }
 
-// restart replaces a gate by one that knows nothing.
+// restart replaces a gate by one without state.
 func (fleet *usageFleet) restart(now time.Time, index int) *Gate {
 	old := fleet.gates[index]
 	fresh := newGate(now, index+1, 4, false)
