Callers' heads, bodies, answers and connections are bounded together, at every listener of the edge

What callers saw: crowds of heads with many lines, of large or chunked bodies that stop short of their end, or of idle connections took a VM's memory or its descriptors; the platform ends such a process with all its callers.

Cause: bounds for one request, none for all. A head of 16 KB in short lines takes some 260 KB as a map and twice that once it is sent on; a body with a length took its whole buffer at its first byte, a chunked one up to three times its size; connections had no bound but the descriptors, which targets, peers and the store need too; the listeners for readiness, addresses and operators awaited bodies that nobody reads without a deadline.

Change: io/berylingress counts all of it in one ledger from the first byte on. Callers may hold 40% of the memory, connections 60% of that and half of the descriptors. A body is kept in parts as it arrives, never copied. Over the bound: 503 memoryShort with Retry-After for what was read (it has not run), or the connection is closed. Answers have 30 s to be read. Metrics berylspoke_intake_*, two log lines. beryllog.Limit replaces logLimit.

Tests of io/beryledge and platform pass.

--- a/interfaces.go
+++ b/interfaces.go
@@ -98,3 +98,11 @@
 	Adapters []string `json:"adapters,omitempty"`
 	Role     string   `json:"role"`
 }
+
+// MemoryBudget bounds the memory that is taken for something.
+type MemoryBudget interface {
+	// Reserve reserves bytes and returns an error if there is no room for them.
+	Reserve(bytes int64) error
+	// Release gives back reserved bytes.
+	Release(bytes int64)
+}
--- a/io/berylconn/limits.go
+++ b/io/berylconn/limits.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 
 	"github.com/pkg/errors"
+
+	"berylspoke"
 )
 
 const (
@@ -30,6 +32,8 @@
 	used  atomic.Int64
 }
 
+var _ berylspoke.MemoryBudget = (*Memory)(nil)
+
 // NewMemory returns a bound in bytes, zero for none.
 func NewMemory(limit int64) *Memory { return &Memory{limit: limit} }
 
@@ -61,13 +65,13 @@
 }
 
 // ReadAll reads a body of at most limit bytes, and returns ErrTooLarge if it is longer. The capacity of
-// the result stays reserved, also after an error.
-func ReadAll(body io.Reader, limit int64, memory *Memory) ([]byte, error) {
+// the result stays reserved, also after an error. Memory may be nil for no bound.
+func ReadAll(body io.Reader, limit int64, memory berylspoke.MemoryBudget) ([]byte, error) {
 	var read []byte
 	for {
 		if len(read) == cap(read) {
 			grown := max(2*cap(read), minReadBytes)
-			if err := memory.Reserve(int64(grown - cap(read))); err != nil {
+			if err := reserve(memory, int64(grown-cap(read))); err != nil {
 				return read, err
 			}
 			read = append(make([]byte, 0, grown), read...)
@@ -85,6 +89,13 @@
 	}
 }
 
+func reserve(memory berylspoke.MemoryBudget, bytes int64) error {
+	if memory == nil {
+		return nil
+	}
+	return memory.Reserve(bytes)
+}
+
 // readHead calls a function that reads the head of a response, of which no more than maxHeadBytes are
 // read from the connection.
 func (conn *conn) readHead(read func() error) error {
--- a/io/beryledge/attempt.go
+++ b/io/beryledge/attempt.go
@@ -3,7 +3,6 @@
 // This file defines one attempt of a request at one target.
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -18,6 +17,7 @@
 	"berylspoke"
 	"berylspoke/core/berylgate"
 	"berylspoke/io/berylconn"
+	"berylspoke/io/berylingress"
 )
 
 const (
@@ -267,10 +267,10 @@
 		Method: call.incoming.Method, Host: call.incoming.Host, Header: header,
 		URL: &url.URL{Opaque: path, RawQuery: query, ForceQuery: strings.HasSuffix(call.incoming.RequestURI, "?")},
 	}
-	if len(call.body) > 0 || call.incoming.ContentLength == 0 && call.incoming.Method == http.MethodPost {
-		request.Body, request.ContentLength = io.NopCloser(bytes.NewReader(call.body)), int64(len(call.body))
+	if call.body.Len() > 0 || call.incoming.ContentLength == 0 && call.incoming.Method == http.MethodPost {
+		request.Body, request.ContentLength = io.NopCloser(call.body.Reader()), call.body.Len()
 	}
-	if len(call.body) == 0 {
+	if call.body.Len() == 0 {
 		request.Body = http.NoBody
 	}
 	return request
@@ -305,8 +305,9 @@
 	}
 	call.reportFirstByte(info)
 	response := exchange.Response
-	body, err := berylconn.ReadAll(response.Body, call.daemon.answerLimit(), call.daemon.answerMemory)
-	defer call.daemon.answerMemory.Release(int64(cap(body)))
+	memory := call.newAnswerMemory()
+	body, err := berylconn.ReadAll(response.Body, call.daemon.answerLimit(), memory)
+	defer memory.Release(int64(cap(body)))
 	if err == nil {
 		err = checkAnswer(response, info)
 	}
@@ -336,11 +337,41 @@
 	}
 	call.daemon.meters.observeFirstByte(call.route.Kind, time.Since(call.arrived))
 	call.copyHeader(response)
+	call.conn.deliver(time.Now())
 	call.writer.WriteHeader(response.StatusCode)
 	_, _ = call.writer.Write(body)
 	return true
 }
 
+// answerMemory bounds the buffered answer to one request: all such answers have a bound of their own, and each is
+// part of what its caller makes the process hold.
+type answerMemory struct {
+	all  *berylconn.Memory
+	hold *berylingress.Hold
+}
+
+func (call *call) newAnswerMemory() answerMemory {
+	return answerMemory{call.daemon.answerMemory, call.hold}
+}
+
+// Reserve implements berylspoke.MemoryBudget.
+func (memory answerMemory) Reserve(bytes int64) error {
+	if err := memory.all.Reserve(bytes); err != nil {
+		return err
+	}
+	if !memory.hold.Grow(time.Now(), berylingress.Answer, bytes) {
+		memory.all.Release(bytes)
+		return berylconn.ErrNoMemory
+	}
+	return nil
+}
+
+// Release implements berylspoke.MemoryBudget.
+func (memory answerMemory) Release(bytes int64) {
+	memory.all.Release(bytes)
+	memory.hold.Grow(time.Now(), berylingress.Answer, -bytes)
+}
+
 // answerLimit returns the size of the longest answer of a plain service.
 func (daemon *Daemon) answerLimit() int64 {
 	if daemon.settings.MemoryBytes == 0 {
--- a/io/beryledge/callerconn.go
+++ b/io/beryledge/callerconn.go
@@ -15,6 +15,8 @@
 
 	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
+
+	"berylspoke/io/berylingress"
 )
 
 const (
@@ -28,6 +30,8 @@
 	// panicLogInterval that between two on panics.
 	unansweredLogInterval = 10 * time.Millisecond
 	panicLogInterval      = 500 * time.Millisecond
+	// deliveryTimeout bounds the time to write an answer to a caller.
+	deliveryTimeout = 30 * time.Second
 )
 
 // callerConn is a connection of a caller. Only the goroutine that reads from it closes it for being
@@ -35,6 +39,8 @@
 type callerConn struct {
 	*net.TCPConn
 	listener *admissionListener
+	// hold is what the connection makes the process hold.
+	hold *berylingress.Hold
 	// slot is held for the first request if that was admitted before the server got the connection.
 	slot   *slot
 	opened time.Time
@@ -54,7 +60,13 @@
 	requests int
 	// unread is set if the request was answered before all of it was read.
 	unread bool
-	closed bool
+	// whole is set once all of the current request was read, and delivering once its whole answer is ready.
+	whole, delivering bool
+	// writeBounded is set while the connection has a deadline for writes.
+	writeBounded bool
+	// evicted is set once others need the room that the current request takes.
+	evicted bool
+	closed  bool
 }
 
 // past is a deadline that wakes a blocked read.
@@ -73,7 +85,9 @@
 				continue
 			}
 		}
-		conn.countRead(count)
+		if count > 0 && !conn.countRead(buffer[:count]) {
+			return 0, os.ErrDeadlineExceeded
+		}
 		return count, err
 	}
 }
@@ -87,10 +101,17 @@
 	return count
 }
 
-func (conn *callerConn) countRead(count int) {
+// countRead counts bytes that were read, and rejects their request if there is no room for its head.
+func (conn *callerConn) countRead(data []byte) (room bool) {
 	conn.mutex.Lock()
-	defer conn.mutex.Unlock()
-	conn.received += count
+	conn.received += len(data)
+	conn.mutex.Unlock()
+	if conn.hold.Read(time.Now(), data) {
+		return true
+	}
+	conn.answeredUnread()
+	_, _ = conn.Write(rejection(nil, demand{}))
+	return false
 }
 
 // deadlineExceeded handles a read that a deadline has ended. An idle connection that is to be closed
@@ -99,7 +120,7 @@
 func (conn *callerConn) deadlineExceeded(buffer []byte, now time.Time) (count int, err error, again bool) {
 	conn.mutex.Lock()
 	defer conn.mutex.Unlock()
-	expired := !conn.readDeadline.IsZero() && !now.Before(conn.readDeadline)
+	expired := conn.evicted || !conn.readDeadline.IsZero() && !now.Before(conn.readDeadline)
 	switch {
 	case !conn.busy() && (conn.ending || expired):
 		if count = conn.readOrShut(buffer); count > 0 {
@@ -145,7 +166,7 @@
 		conn.received = max(conn.received, 1)
 	}
 	conn.readDeadline = deadline
-	if conn.ending && !conn.busy() {
+	if conn.evicted || conn.ending && !conn.busy() {
 		deadline = past
 	}
 	return conn.TCPConn.SetReadDeadline(deadline)
@@ -156,7 +177,13 @@
 	conn.mutex.Lock()
 	defer conn.mutex.Unlock()
 	conn.received, conn.handled, conn.answered, conn.unread = 0, false, false, false
+	conn.whole, conn.delivering = false, false
+	if conn.writeBounded {
+		conn.writeBounded = false
+		_ = conn.TCPConn.SetWriteDeadline(time.Time{})
+	}
 	conn.requests++
+	conn.hold.Idle(time.Now())
 	if conn.ending {
 		_ = conn.TCPConn.SetReadDeadline(past)
 	}
@@ -179,6 +206,60 @@
 	}
 }
 
+// evict ends the connection, whose caller keeps it waiting: an idle one is closed, a request that is arriving is
+// rejected, and an answer that is not read is cut. A request that is whole meanwhile is answered first.
+func (conn *callerConn) evict() {
+	conn.mutex.Lock()
+	defer conn.mutex.Unlock()
+	conn.ending = true
+	switch {
+	case conn.delivering:
+		_ = conn.TCPConn.SetWriteDeadline(past)
+	case conn.whole:
+	default:
+		conn.evicted = conn.busy()
+		_ = conn.TCPConn.SetReadDeadline(past)
+	}
+}
+
+// serve notes that all of the current request was read.
+func (conn *callerConn) serve() {
+	conn.hold.Serve()
+	conn.mutex.Lock()
+	defer conn.mutex.Unlock()
+	conn.whole = true
+}
+
+// deliver notes that the whole answer to the current request is ready, and bounds the time to write it.
+func (conn *callerConn) deliver(now time.Time) {
+	if conn == nil {
+		return
+	}
+	conn.boundWrites(now.Add(deliveryTimeout))
+	conn.mutex.Lock()
+	conn.delivering = true
+	conn.mutex.Unlock()
+	conn.hold.Deliver(now)
+}
+
+// boundWrites bounds the time to write the current answer.
+func (conn *callerConn) boundWrites(until time.Time) {
+	if conn == nil {
+		return
+	}
+	conn.mutex.Lock()
+	defer conn.mutex.Unlock()
+	conn.writeBounded = true
+	_ = conn.TCPConn.SetWriteDeadline(until)
+}
+
+// isEvicted reports whether others need the room that the current request takes.
+func (conn *callerConn) isEvicted() bool {
+	conn.mutex.Lock()
+	defer conn.mutex.Unlock()
+	return conn.evicted
+}
+
 // handle notes that the current request is parsed, and reports whether the connection is closed after its
 // answer.
 func (conn *callerConn) handle() (ends bool) {
@@ -224,6 +305,7 @@
 		return conn.TCPConn.Close()
 	}
 	conn.listener.remove(conn)
+	conn.hold.Close()
 	if unanswered {
 		conn.countUnanswered(time.Now())
 	}
@@ -242,7 +324,7 @@
 		return
 	}
 	daemon.meters.unanswered.Inc()
-	if !conn.listener.unansweredLog.due(now, unansweredLogInterval) {
+	if !conn.listener.unansweredLog.Due(now, unansweredLogInterval) {
 		return
 	}
 	conn.mutex.Lock()
@@ -257,15 +339,6 @@
 	daemon.log.Warn("connection closed without an answer", fields...)
 }
 
-// logLimit bounds how often something is logged.
-type logLimit struct{ last atomic.Int64 }
-
-// due reports whether the next line may be logged.
-func (limit *logLimit) due(now time.Time, interval time.Duration) bool {
-	last := limit.last.Load()
-	return now.UnixNano()-last >= int64(interval) && limit.last.CompareAndSwap(last, now.UnixNano())
-}
-
 // lingering counts the connections of which the rest of a request is being read.
 type lingering struct{ count atomic.Int64 }
 
--- a/io/beryledge/callers.go
+++ b/io/beryledge/callers.go
@@ -3,7 +3,6 @@
 // This file defines how a caller's request is received and answered.
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -19,6 +18,7 @@
 	"berylspoke"
 	"berylspoke/core/berylcatalog"
 	"berylspoke/core/berylgate"
+	"berylspoke/io/berylingress"
 )
 
 const (
@@ -38,12 +38,15 @@
 	daemon   *Daemon
 	writer   http.ResponseWriter
 	incoming *http.Request
-	info     berylspoke.RequestInfo
-	route    *berylspoke.Route
+	// conn is that of the request, hold what it makes the process hold; both are nil for a request without one.
+	conn  *callerConn
+	hold  *berylingress.Hold
+	info  berylspoke.RequestInfo
+	route *berylspoke.Route
 	// organisation has the share that the request is charged to.
 	organisation berylspoke.OrganisationID
 	request      *berylgate.Request
-	body         []byte
+	body         berylingress.BodyBytes
 	ctx          context.Context
 	arrived      time.Time
 	// sent is when the last attempt was sent, firstByte the time until the first byte of
@@ -90,14 +93,14 @@
 	daemon.active.Add(1)
 	defer daemon.active.Add(-1)
 	daemon.lastRequest.Store(arrived.UnixNano())
-	call := &call{daemon: daemon, writer: writer, incoming: incoming, arrived: arrived}
+	conn := incoming.Context().Value(connKey{}).(*callerConn)
+	call := &call{daemon: daemon, writer: writer, incoming: incoming, conn: conn, hold: conn.hold, arrived: arrived}
 	defer call.recoverHandler()
 	base, cancelBase := context.WithCancelCause(incoming.Context())
 	defer cancelBase(nil)
 	call.ctx, call.cancel = base, cancelBase
 	daemon.calls.add(call)
 	defer daemon.calls.remove(call)
-	conn := incoming.Context().Value(connKey{}).(*callerConn)
 	if conn.handle() {
 		writer.Header().Set("Connection", "close")
 	}
@@ -148,6 +151,10 @@
 		call.refuse(http.StatusUnauthorized, berylspoke.ReasonUnauthorised, 0)
 		return false
 	}
+	if !call.hold.Handle(call.arrived, call.incoming.Header, call.organisation) {
+		call.refuse(http.StatusServiceUnavailable, berylspoke.ReasonMemoryShort, berylingress.RetryAfter)
+		return false
+	}
 	call.request = call.newRequest(index)
 	if call.rejectsLate() {
 		return false
@@ -198,19 +205,22 @@
 // readBody reads the whole body, so that a slow caller does not occupy a target and the
 // request can be sent again where that is allowed.
 func (call *call) readBody() bool {
-	if call.incoming.ContentLength > 0 {
-		call.body = make([]byte, 0, min(call.incoming.ContentLength, call.bodyLimit)+bytes.MinRead)
-	}
-	buffer := bytes.NewBuffer(call.body)
 	call.beginBody()
-	_, err := io.Copy(buffer, call.incoming.Body)
+	err := call.body.Fill(call.hold, call.incoming.Body, call.incoming.ContentLength)
 	call.endBody()
-	call.body = buffer.Bytes()
+	// Trailers are not sent on.
+	call.incoming.Trailer = nil
 	now := time.Now()
 	if err == nil {
 		call.whole.Store(&wholeRequest{call.route.Name, now})
+		call.conn.serve()
 		return true
 	}
+	if errors.Is(err, berylingress.ErrNoRoom) || call.conn.isEvicted() {
+		call.body = berylingress.BodyBytes{}
+		call.refuse(http.StatusServiceUnavailable, berylspoke.ReasonMemoryShort, berylingress.RetryAfter)
+		return false
+	}
 	if call.daemon.stopping() && errors.Is(err, os.ErrDeadlineExceeded) && now.Before(call.request.Deadline) {
 		call.rejectLate(now)
 		return false
--- a/io/beryledge/daemon.go
+++ b/io/beryledge/daemon.go
@@ -22,6 +22,8 @@
 	"berylspoke/core/berylquarantine"
 	"berylspoke/core/berylstop"
 	"berylspoke/io/berylconn"
+	"berylspoke/io/berylingress"
+	"berylspoke/io/beryllog"
 	"berylspoke/io/berylpeer"
 )
 
@@ -35,6 +37,10 @@
 	keepAliveIdle     = 5 * time.Second
 	keepAliveInterval = 2 * time.Second
 	keepAliveProbes   = 2
+	// ownDescriptors are kept for files, peers and the store; callers and targets share the others.
+	ownDescriptors = 200
+	// writeTimeout bounds the time to answer at the listeners that serve no calls.
+	writeTimeout = time.Minute
 )
 
 // Endpoints are the handlers of requests in the platform's own protocol.
@@ -56,11 +62,13 @@
 	pool        *berylconn.Pool
 	// answerMemory bounds the answers of targets that are buffered.
 	answerMemory *berylconn.Memory
-	idle         *idleConns
-	pressure     cpuPressure
-	admission    *admission
-	index        atomic.Pointer[berylcatalog.Index]
-	entries      atomic.Pointer[entries]
+	// ingress bounds what callers make the process hold.
+	ingress   *berylingress.Ingress
+	idle      *idleConns
+	pressure  cpuPressure
+	admission *admission
+	index     atomic.Pointer[berylcatalog.Index]
+	entries   atomic.Pointer[entries]
 	// sendable holds the runs of targets that requests may be sent to.
 	sendable    *sendableTargets
 	origins     *origins
@@ -91,7 +99,7 @@
 	// completeAsOf is the time as of which each feed is complete, in Unix nanoseconds.
 	completeAsOf [berylfeed.Count]atomic.Int64
 	meters       *meters
-	panicLog     logLimit
+	panicLog     beryllog.Limit
 	servers      []*http.Server
 	// callerListener accepts the connections of callers.
 	callerListener *admissionListener
@@ -117,6 +125,7 @@
 	daemon.crashChecks = newCrashChecks(daemon)
 	daemon.verdicts.Store(new(berylquarantine.Verdicts))
 	daemon.meters = newMeters(daemon)
+	daemon.ingress = berylingress.New(berylingress.Limits(settings.MemoryBytes, settings.sockets()), daemon.meters.set, daemon.log)
 	daemon.entries.Store(new(entries))
 	daemon.ctx, daemon.cancel = context.WithCancel(context.Background())
 	var err error
@@ -195,15 +204,20 @@
 	if err != nil {
 		return errors.Wrapf(err, "cannot listen on address %s", address)
 	}
-	if callers {
-		daemon.callerListener = newAdmissionListener(listener.(*net.TCPListener), daemon)
-		listener = daemon.callerListener
-	}
 	server := &http.Server{
 		Handler: handler, MaxHeaderBytes: maxHeaderBytes,
 		ReadHeaderTimeout: headerTimeout,
 		ErrorLog:          zap.NewStdLog(zap.NewNop()), ConnState: daemon.idle.observe, ConnContext: withConn,
 	}
+	if callers {
+		daemon.callerListener = newAdmissionListener(listener.(*net.TCPListener), daemon)
+		listener = daemon.callerListener
+	} else {
+		// No handler reads a body; the server awaits it all the same.
+		server.ReadTimeout, server.WriteTimeout, server.IdleTimeout = headerTimeout, writeTimeout, writeTimeout
+		server.Handler, server.ConnContext = berylingress.Handler(handler), berylingress.ConnContext
+		listener = daemon.ingress.Listen(listener)
+	}
 	daemon.servers = append(daemon.servers, server)
 	go func() { _ = server.Serve(listener) }()
 	return nil
--- a/io/beryledge/digest.go
+++ b/io/beryledge/digest.go
@@ -51,7 +51,9 @@
 		_, _ = hash.WriteString(part)
 		_, _ = hash.Write([]byte{0})
 	}
-	_, _ = hash.Write(call.body)
+	for _, part := range call.body.Parts() {
+		_, _ = hash.Write(part)
+	}
 	return berylquarantine.Digest(hash.Sum64())
 }
 
--- a/io/beryledge/idle.go
+++ b/io/beryledge/idle.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"berylspoke/io/berylingress"
 )
 
 const (
@@ -55,6 +57,7 @@
 	if caller, ok := conn.(*callerConn); ok && state == http.StateIdle {
 		caller.becameIdle()
 	}
+	berylingress.ConnState(conn, state)
 	idle.mutex.Lock()
 	defer idle.mutex.Unlock()
 	if state == http.StateIdle {
--- a/io/beryledge/listener.go
+++ b/io/beryledge/listener.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sys/unix"
 
 	"berylspoke/core/beryladmission"
+	"berylspoke/io/beryllog"
 )
 
 const (
@@ -64,7 +65,7 @@
 	// shut is set once the listener accepts nothing more after it began to end.
 	shut bool
 	lingering
-	unansweredLog logLimit
+	unansweredLog beryllog.Limit
 	mutex         sync.Mutex
 	// conns are the open connections of the server.
 	conns map[*callerConn]struct{}
@@ -107,7 +108,9 @@
 			case remoteClosed(conn):
 				_ = conn.Close()
 			default:
-				return listener.track(&callerConn{TCPConn: conn}), nil
+				if tracked := listener.track(&callerConn{TCPConn: conn}); tracked != nil {
+					return tracked, nil
+				}
 			}
 			continue
 		}
@@ -196,15 +199,17 @@
 	if err != nil {
 		return nil, err
 	}
-	err = raw.Control(func(socket uintptr) { accepted, _ = acceptBacklog(socket) })
+	waiting := len(listener.pending) + len(listener.admitted) + int(listener.queued.Load())
+	batch := min(maxAcceptBatch, listener.daemon.ingress.Room(time.Now(), waiting, maxAcceptBatch))
+	err = raw.Control(func(socket uintptr) { accepted, _ = acceptBacklog(socket, batch) })
 	return accepted, err
 }
 
-// acceptBacklog accepts the connections in the backlog of a socket, up to maxAcceptBatch. The error is
+// acceptBacklog accepts the connections in the backlog of a socket, up to a number. The error is
 // EAGAIN if there are no more. If the process has no free descriptors, closing rejected connections frees
 // some.
-func acceptBacklog(socket uintptr) (accepted []int, errno unix.Errno) {
-	for len(accepted) < maxAcceptBatch {
+func acceptBacklog(socket uintptr, batch int) (accepted []int, errno unix.Errno) {
+	for len(accepted) < batch {
 		// The remote address is not needed to reject a request.
 		var descriptor uintptr
 		descriptor, _, errno = unix.RawSyscall6(unix.SYS_ACCEPT4, socket, 0, 0, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0, 0)
@@ -216,9 +221,17 @@
 	return accepted, errno
 }
 
-// track adds an accepted connection.
+// track adds an accepted connection. It closes it, and returns nil, if there is no room.
 func (listener *admissionListener) track(conn *callerConn) *callerConn {
 	conn.listener, conn.opened = listener, time.Now()
+	if conn.hold = listener.daemon.ingress.Await(conn.evict); conn.hold == nil {
+		_ = conn.TCPConn.Close()
+		return nil
+	}
+	if len(conn.head) > 0 && !conn.hold.Read(conn.opened, conn.head) {
+		conn.reject(demand{})
+		return nil
+	}
 	listener.mutex.Lock()
 	defer listener.mutex.Unlock()
 	listener.conns[conn] = struct{}{}
@@ -316,7 +329,7 @@
 const rejectionPrefix = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\nRetry-After: "
 
 // newConn returns a connection for a descriptor and the bytes that were read from it, nil if its
-// caller has disconnected.
+// caller has disconnected or there is no room for it.
 func (listener *admissionListener) newConn(descriptor int, head []byte, slot *slot) *callerConn {
 	conn := tcpConn(descriptor)
 	if conn == nil {
--- a/io/beryledge/listenerend.go
+++ b/io/beryledge/listenerend.go
@@ -29,7 +29,7 @@
 	}
 	err = raw.Control(func(socket uintptr) {
 		var errno unix.Errno
-		if accepted, errno = acceptBacklog(socket); errno == unix.EAGAIN {
+		if accepted, errno = acceptBacklog(socket, maxAcceptBatch); errno == unix.EAGAIN {
 			_, _, _ = unix.RawSyscall(unix.SYS_SHUTDOWN, socket, unix.SHUT_RD, 0)
 			listener.shut = true
 		}
--- a/io/beryledge/panics.go
+++ b/io/beryledge/panics.go
@@ -22,7 +22,7 @@
 	}
 	daemon, kind := core.daemon, messageNames[kindOf(message)]
 	daemon.meters.panics.Inc()
-	if daemon.panicLog.due(now, panicLogInterval) {
+	if daemon.panicLog.Due(now, panicLogInterval) {
 		daemon.log.Error("message of the core failed", zap.String("message", kind), zap.Any("panic", failure), zap.Stack("stack"))
 	}
 	switch message := message.(type) {
@@ -56,7 +56,7 @@
 		panic(failure)
 	}
 	call.daemon.meters.panics.Inc()
-	if call.daemon.panicLog.due(time.Now(), panicLogInterval) {
+	if call.daemon.panicLog.Due(time.Now(), panicLogInterval) {
 		call.log("request failed", zap.Any("panic", failure), zap.String("stage", string(call.stage)), zap.Stack("stack"))
 	}
 	if call.incoming.Context().Value(connKey{}).(*callerConn).answering() {
--- a/io/beryledge/settings.go
+++ b/io/beryledge/settings.go
@@ -77,6 +77,15 @@
 	return nil
 }
 
+// sockets returns how many sockets callers may use, and targets as many: half of the descriptors but for
+// ownDescriptors. Zero means no bound.
+func (settings *Settings) sockets() int {
+	if settings.MaxDescriptors == 0 {
+		return 0
+	}
+	return max(settings.MaxDescriptors-ownDescriptors, settings.MaxDescriptors/2) / 2
+}
+
 // waitsForPeers reports whether a daemon first waits until its peers send the published
 // items. It does if the whole fleet is starting and the daemon is not one of the seeds,
 // which read the store.
--- a/io/beryledge/stream.go
+++ b/io/beryledge/stream.go
@@ -81,7 +81,7 @@
 func (call *call) copyEvents(decision berylgate.Decision, exchange *berylconn.Exchange, info berylspoke.ResponseInfo) error {
 	buffer := make([]byte, 0, initialBufferBytes)
 	first, proven := true, false
-	memory := call.daemon.answerMemory
+	memory := call.newAnswerMemory()
 	defer func() { memory.Release(int64(cap(buffer) - initialBufferBytes)) }()
 	for {
 		if len(buffer) == cap(buffer) {
@@ -159,6 +159,8 @@
 func (call *call) startStream(decision berylgate.Decision, response *http.Response) {
 	call.beginStream(decision)
 	call.copyHeader(response)
+	// A caller that does not read would otherwise hold the stream for as long as it stays.
+	call.conn.boundWrites(call.request.Deadline.Add(deliveryTimeout))
 	call.writer.WriteHeader(http.StatusOK)
 	call.stream.started, call.stream.began = true, decision.Target
 	call.stream.build = decision.Build
--- a/verdict.go
+++ b/verdict.go
@@ -55,6 +55,8 @@
 	ReasonWaitedTooLong      Reason = "waitedTooLong"
 	ReasonCPUStarved         Reason = "processorShort"
 	ReasonTargetsResting     Reason = "targetsResting"
+	// ReasonMemoryShort refuses a request as callers hold all the memory that they may.
+	ReasonMemoryShort Reason = "memoryShort"
 	// ReasonBuildGone refuses to continue a stream whose build no target has any more,
 	// ReasonOriginUnknown one whose build is not known.
 	ReasonBuildGone     Reason = "buildGone"
