Handshakes at the peers' port are bounded

What callers saw: nothing yet; whoever reaches the port of the peers could end a process. 6,000 first packets of handshakes in about a second took 185 MiB.

Cause: each such packet opened a connection, with its buffers and goroutines, until its handshake failed after a second; nothing bounded them.

Change: with 32 open handshakes a further one has to prove the address that it comes from (QUIC's Retry, which keeps no state); at 256 it is refused. Metrics berylspoke_peer_handshakes_*, a log line a second at most.

--- a/io/beryledge/meters.go
+++ b/io/beryledge/meters.go
@@ -155,6 +155,17 @@
 			traffic(func(traffic *berylpeer.Traffic) uint64 { return traffic.Packets[link].Load() }))
 	}
 	meters.set.NewGauge("berylspoke_peer_packets_received_total", traffic(func(traffic *berylpeer.Traffic) uint64 { return traffic.PacketsReceived.Load() }))
+	handshakes := func(read func(open int64, refused, verified uint64) float64) func() float64 {
+		return func() float64 {
+			if daemon.transport == nil {
+				return 0
+			}
+			return read(daemon.transport.Handshakes())
+		}
+	}
+	meters.set.NewGauge("berylspoke_peer_handshakes_open", handshakes(func(open int64, _, _ uint64) float64 { return float64(open) }))
+	meters.set.NewGauge("berylspoke_peer_handshakes_refused_total", handshakes(func(_ int64, refused, _ uint64) float64 { return float64(refused) }))
+	meters.set.NewGauge("berylspoke_peer_handshakes_verified_total", handshakes(func(_ int64, _, verified uint64) float64 { return float64(verified) }))
 	for _, message := range edgeMessages {
 		meters.set.NewGauge(fmt.Sprintf("berylspoke_peer_message_bytes_total{message=%q}", message),
 			traffic(func(traffic *berylpeer.Traffic) uint64 { return traffic.SentByKind()[message].Bytes }))
--- a/io/berylpeer/transport.go
+++ b/io/berylpeer/transport.go
@@ -75,6 +75,8 @@
 	mutex   sync.Mutex
 	peers   map[berylspoke.VMID]*peer
 	flows   map[berylspoke.VMID]*flow
+	// handshakes are those that others have begun.
+	handshakes handshakes
 }
 
 var _ berylspoke.Peers = (*Transport)(nil)
@@ -121,6 +123,7 @@
 			MaxIncomingUniStreams:   16,
 		},
 	}
+	transport.handshakes.log = options.Log
 	transport.ctx, transport.stop = context.WithCancel(context.Background())
 	transport.socket = &countingSocket{PacketConn: udp, udp: udp, traffic: &transport.traffic, links: make(map[string]Link)}
 	transport.socket.datagrams = func(from netip.AddrPort, packet []byte) {
@@ -132,7 +135,10 @@
 	}
 	// A restarted daemon has the same stateless reset key, so peers detect at once
 	// that their old connections to it are gone.
-	transport.quic = &quic.Transport{Conn: transport.socket, StatelessResetKey: (*quic.StatelessResetKey)(resetKey)}
+	transport.quic = &quic.Transport{
+		Conn: transport.socket, StatelessResetKey: (*quic.StatelessResetKey)(resetKey),
+		ConnContext: transport.handshakes.begin, VerifySourceAddress: transport.handshakes.verifies,
+	}
 	listener, err := transport.quic.Listen(tlsConfig, transport.config)
 	if err != nil {
 		return nil, errors.Wrap(err, "peer listener cannot be opened")
@@ -362,6 +368,7 @@
 		if err != nil {
 			return
 		}
+		transport.handshakes.end(conn)
 		vm := certifiedVM(conn)
 		transport.socket.setLink(conn.RemoteAddr(), transport.options.Locator.Link(vm))
 		transport.setConnection(vm, conn)
