Test: the crowds' filler lines are built without a large string for each

Change: a line is built in its own style only. What is sent is the same to the byte, bounds and checks too.

--- a/crowds/crowd_test.go
+++ b/crowds/crowd_test.go
@@ -173,11 +173,7 @@
 	const letters = "abcdefghijklmnopqrstuvwxyz0123456789!#$%&'*^_`|~"
 	var lines strings.Builder
 	for i := 0; style != ""; i++ {
-		name := string([]byte{letters[i%len(letters)], letters[i/len(letters)%len(letters)]})
-		line := map[string]string{
-			"short": name + ":\r\n", "bare": name + ":\n", "same": "x:\r\n", "folded": "x: y\r\n z\r\n", "values": name + ": 1\r\n",
-			"long": "x: " + strings.Repeat("y", max(size-len("x: \r\n"), 0)) + "\r\n",
-		}[style]
+		line := fillerLine(style, string([]byte{letters[i%len(letters)], letters[i/len(letters)%len(letters)]}), size)
 		if lines.Len()+len(line) > size {
 			break
 		}
@@ -186,6 +182,24 @@
 	return lines.String()
 }
 
+// fillerLine returns a line of a style; only a long line has the whole size.
+func fillerLine(style, name string, size int) string {
+	switch style {
+	case "short":
+		return name + ":\r\n"
+	case "bare":
+		return name + ":\n"
+	case "values":
+		return name + ": 1\r\n"
+	case "same":
+		return "x:\r\n"
+	case "folded":
+		return "x: y\r\n z\r\n"
+	default:
+		return "x: " + strings.Repeat("y", max(size-len("x: \r\n"), 0)) + "\r\n"
+	}
+}
+
 // writeBody writes the body but its last bytes.
 func (caller *caller) writeBody(writer *bufio.Writer) error {
 	crowd := caller.crowd
