Connections to all targets have a bound together

Cause: each request of a caller may open a connection to a target; the bound of each target says nothing of the sum, and descriptors are shared by callers, targets, peers and the store. 480 callers had 674 descriptors open of 640.

Beyond that an idle connection to another target is closed, or the attempt has no connection, as at a target whose own bound is reached.

--- a/io/berylconn/pool.go
+++ b/io/berylconn/pool.go
@@ -45,9 +45,13 @@
 
 // Pool holds the connections to all targets.
 type Pool struct {
-	mutex sync.Mutex
-	idle  map[string][]*conn
-	open  map[string]int
+	// maxOpen bounds the open connections to all targets together, zero for no bound.
+	maxOpen int
+	mutex   sync.Mutex
+	idle    map[string][]*conn
+	open    map[string]int
+	// total is the number of open connections to all targets.
+	total int
 	// dials counts the dials since the start, including failed ones.
 	dials uint64
 }
@@ -92,9 +96,9 @@
 	return count, err
 }
 
-// NewPool returns an empty pool.
-func NewPool() *Pool {
-	return &Pool{idle: make(map[string][]*conn), open: make(map[string]int)}
+// NewPool returns an empty pool with a bound on its open connections, zero for none.
+func NewPool(maxOpen int) *Pool {
+	return &Pool{maxOpen: maxOpen, idle: make(map[string][]*conn), open: make(map[string]int)}
 }
 
 // DialCount returns the number of dials since the start, including failed ones.
@@ -130,14 +134,41 @@
 		pool.idle[address] = idle[:len(idle)-1]
 		return last, nil
 	}
-	if pool.open[address] >= maxOpen {
+	if pool.open[address] >= maxOpen || !pool.makeRoom() {
 		return nil, ErrBusy
 	}
 	pool.open[address]++
+	pool.total++
 	pool.dials++
 	return nil, nil
 }
 
+// makeRoom closes an idle connection to another target if too many are open, and reports whether there is room for
+// one more. The caller holds the mutex.
+func (pool *Pool) makeRoom() bool {
+	if pool.maxOpen == 0 || pool.total < pool.maxOpen {
+		return true
+	}
+	for address, idle := range pool.idle {
+		if len(idle) == 0 {
+			continue
+		}
+		_ = idle[0].Close()
+		pool.idle[address] = idle[1:]
+		pool.remove(address)
+		return true
+	}
+	return false
+}
+
+// remove counts a connection as closed. The caller holds the mutex.
+func (pool *Pool) remove(address string) {
+	pool.total--
+	if pool.open[address]--; pool.open[address] <= 0 {
+		delete(pool.open, address)
+	}
+}
+
 // put returns a connection to the pool for the next request.
 func (pool *Pool) put(now time.Time, conn *conn) {
 	conn.idleSince = now
@@ -153,6 +184,7 @@
 func (pool *Pool) Probe(ctx context.Context, address string, request *http.Request) (probed Probed) {
 	pool.mutex.Lock()
 	pool.open[address]++
+	pool.total++
 	pool.dials++
 	pool.mutex.Unlock()
 	conn, err := pool.dial(ctx, address)
@@ -211,9 +243,7 @@
 func (pool *Pool) release(address string) {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
-	if pool.open[address]--; pool.open[address] <= 0 {
-		delete(pool.open, address)
-	}
+	pool.remove(address)
 }
 
 // CloseExpired closes the connections whose idle timeout has expired.
--- a/io/beryledge/daemon.go
+++ b/io/beryledge/daemon.go
@@ -116,7 +116,7 @@
 		settings: settings, dialect: dialect, store: store,
 		log:         log.With(zap.String("vm", settings.Name)),
 		incarnation: berylspoke.Incarnation(now.UnixMicro()), started: now,
-		pool: berylconn.NewPool(), answerMemory: berylconn.NewMemory(settings.MemoryBytes / answersShare), idle: newIdleConns(), sendable: newSendableTargets(), calls: newActiveCalls(),
+		pool: berylconn.NewPool(settings.sockets()), answerMemory: berylconn.NewMemory(settings.MemoryBytes / answersShare), idle: newIdleConns(), sendable: newSendableTargets(), calls: newActiveCalls(),
 	}
 	daemon.readDue, daemon.opened = newReadDue(), make(chan struct{})
 	daemon.stopNanos.Store(int64(settings.StopTimeout))
--- a/io/beryledge/replication_test.go
+++ b/io/beryledge/replication_test.go
@@ -179,7 +179,7 @@
 	settings := &Settings{Name: t.Name(), VM: berylspoke.VMID(host + ":7001"), FailureDomain: "a", Region: "r", RegionOf: domains}
 	daemon := &Daemon{
 		settings: settings, dialect: testDialect{testCatalog()}, started: now, incarnation: 1, log: zap.NewNop(),
-		pool: berylconn.NewPool(), idle: newIdleConns(), readDue: newReadDue(),
+		pool: berylconn.NewPool(0), idle: newIdleConns(), readDue: newReadDue(),
 	}
 	daemon.meters = newMeters(daemon)
 	daemon.entries.Store(new(entries))
