The own interface bounds heads, bodies and connections together

What callers saw: bodies that stop short of their end and heads of many lines took 295 to 816 MiB of a daemon of berylspoke serve, whose operators' address had no bound on its connections.

Cause: as at the edge: bounds for one request and one listener, none for all.

Change: both listeners share one berylingress; memoryMB in the settings (256 by default) says what the process may take, and the runtime collects garbage by it. Refusals are 503 memoryShort, notRun. callers.maxConnections holds for both listeners together; beyond it the connection that keeps the process waiting longest is closed, where new callers were left unaccepted. TLS is below the bound, without HTTP/2, whose connections carry many requests. The write deadline of an answer no longer outlives it.

--- a/cmd/berylspoke/serve.go
+++ b/cmd/berylspoke/serve.go
@@ -51,6 +51,7 @@
 	if err != nil {
 		return fail(err)
 	}
+	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(settings.MemoryBytes())))
 	log, err := newLog(settings.LogLevel)
 	if err != nil {
 		return fail(err)
--- a/io/berylingress/body.go
+++ b/io/berylingress/body.go
@@ -3,6 +3,7 @@
 // This file defines bodies that are read as far as there is room.
 
 import (
+	"bytes"
 	"io"
 	"time"
 
@@ -31,6 +32,14 @@
 // Parts returns the body in parts.
 func (body *BodyBytes) Parts() [][]byte { return body.parts }
 
+// Bytes returns the body in one piece, which is a copy if it has several parts.
+func (body *BodyBytes) Bytes() []byte {
+	if len(body.parts) == 1 {
+		return body.parts[0]
+	}
+	return bytes.Join(body.parts, nil)
+}
+
 // Reader returns a reader of the whole body.
 func (body *BodyBytes) Reader() io.Reader { return &bodyReader{parts: body.parts} }
 
--- a/io/berylingress/listener.go
+++ b/io/berylingress/listener.go
@@ -85,10 +85,11 @@
 	return context.WithValue(ctx, connKey{}, conn)
 }
 
-// ConnState implements http.Server.ConnState.
+// ConnState implements http.Server.ConnState. The next answer has its own deadline.
 func ConnState(conn net.Conn, state http.ConnState) {
 	if bounded, ok := conn.(*Conn); ok && state == http.StateIdle {
 		bounded.Idle(time.Now())
+		_ = bounded.SetWriteDeadline(time.Time{})
 	}
 }
 
--- a/io/berylserve/callers.go
+++ b/io/berylserve/callers.go
@@ -3,6 +3,7 @@
 // This file defines the HTTP server for callers, its limits and their authentication.
 
 import (
+	"crypto/tls"
 	"encoding/json"
 	"fmt"
 	"math"
@@ -12,9 +13,9 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"golang.org/x/net/netutil"
 
 	"berylspoke"
+	"berylspoke/io/berylingress"
 	"berylspoke/io/berylsettings"
 )
 
@@ -55,20 +56,24 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "cannot listen on the callers' address")
 	}
-	listener = netutil.LimitListener(listener, daemon.settings.Callers.MaxConnections)
+	if files := daemon.settings.CallTLS; files != nil {
+		certificate, err := tls.LoadX509KeyPair(files.CertificateFile, files.KeyFile)
+		if err != nil {
+			_ = listener.Close()
+			return nil, errors.Wrap(err, "certificate for callers cannot be loaded")
+		}
+		// HTTP/2 would carry many requests on one connection, beside the bounds of it.
+		listener = tls.NewListener(listener, &tls.Config{Certificates: []tls.Certificate{certificate}, NextProtos: []string{"http/1.1"}})
+	}
 	server := &http.Server{
-		Handler:           daemon.callerRoutes(),
+		Handler:           berylingress.Handler(daemon.callerRoutes()),
 		ReadHeaderTimeout: berylsettings.Millis(daemon.settings.Callers.ReadTimeoutMillis),
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    daemon.settings.Callers.MaxHeaderBytes,
+		ConnContext:       berylingress.ConnContext,
+		ConnState:         berylingress.ConnState,
 	}
-	go func() {
-		if tls := daemon.settings.CallTLS; tls != nil {
-			_ = server.ServeTLS(listener, tls.CertificateFile, tls.KeyFile)
-			return
-		}
-		_ = server.Serve(listener)
-	}()
+	go func() { _ = server.Serve(daemon.ingress.Listen(listener)) }()
 	return server, nil
 }
 
@@ -103,6 +108,10 @@
 		deadline := time.Now().Add(berylsettings.Millis(daemon.settings.Callers.ReadTimeoutMillis))
 		_ = http.NewResponseController(writer).SetReadDeadline(deadline)
 		request.Body = http.MaxBytesReader(writer, request.Body, daemon.settings.Callers.MaxBodyBytes)
+		if !berylingress.Of(request.Context()).Handle(time.Now(), request.Header, organisation) {
+			daemon.refuse(writer, 0, memoryShort())
+			return
+		}
 		serve(writer, request, caller{organisation})
 	}
 }
@@ -131,6 +140,7 @@
 	berylspoke.ReasonOrganisationLimit:  http.StatusTooManyRequests,
 	berylspoke.ReasonOverload:           http.StatusServiceUnavailable,
 	berylspoke.ReasonTargetsResting:     http.StatusServiceUnavailable,
+	berylspoke.ReasonMemoryShort:        http.StatusServiceUnavailable,
 	berylspoke.ReasonStarting:           http.StatusServiceUnavailable,
 	berylspoke.ReasonDraining:           http.StatusServiceUnavailable,
 	berylspoke.ReasonNoTarget:           http.StatusServiceUnavailable,
@@ -168,6 +178,33 @@
 	daemon.countRefusal(refusal)
 }
 
+// memoryShort refuses a request as callers hold all the memory that they may.
+func memoryShort() *berylspoke.Refusal {
+	return &berylspoke.Refusal{
+		Verdict: berylspoke.NotRun, Reason: berylspoke.ReasonMemoryShort, RetryAfter: berylingress.RetryAfter, Cause: berylingress.ErrNoRoom,
+	}
+}
+
+// readBody reads the body of a request, of which there are copies in memory as it is processed. It returns false
+// once it has refused the request with a status, or for lack of room.
+func (daemon *Daemon) readBody(writer http.ResponseWriter, request *http.Request, copies int64, status int) (body berylingress.BodyBytes, read bool) {
+	hold := berylingress.Of(request.Context())
+	err := body.Fill(hold, request.Body, request.ContentLength)
+	if err == nil && !hold.Grow(time.Now(), berylingress.Body, copies*body.Len()) {
+		err = berylingress.ErrNoRoom
+	}
+	switch {
+	case errors.Is(err, berylingress.ErrNoRoom):
+		daemon.refuse(writer, 0, memoryShort())
+		return body, false
+	case err != nil:
+		daemon.refuse(writer, status, malformed("body cannot be read: %v", err))
+		return body, false
+	}
+	hold.Serve()
+	return body, true
+}
+
 func malformed(format string, args ...any) *berylspoke.Refusal {
 	return &berylspoke.Refusal{
 		Verdict: berylspoke.NotRun, Reason: berylspoke.ReasonMalformed, Cause: errors.Errorf(format, args...),
--- a/io/berylserve/calls.go
+++ b/io/berylserve/calls.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"time"
 
@@ -24,6 +23,10 @@
 	maxIdempotentAttempts = 3
 	// outcomePollInterval is the time between two checks of an unfinished id.
 	outcomePollInterval = 20 * time.Millisecond
+	// callCopies is how often the body of a call is in memory beside its parts.
+	callCopies = 1
+	// answerWriteTimeout bounds the time to write an answer to a caller.
+	answerWriteTimeout = 30 * time.Second
 )
 
 // idempotent reports whether calls with this method may be repeated.
@@ -37,9 +40,8 @@
 		daemon.refuse(writer, 0, &berylspoke.Refusal{Verdict: berylspoke.NotRun, Reason: berylspoke.ReasonUnknownService})
 		return
 	}
-	body, err := io.ReadAll(request.Body)
-	if err != nil {
-		daemon.refuse(writer, http.StatusRequestEntityTooLarge, malformed("body cannot be read: %v", err))
+	body, read := daemon.readBody(writer, request, callCopies, http.StatusRequestEntityTooLarge)
+	if !read {
 		return
 	}
 	_ = http.NewResponseController(writer).SetReadDeadline(time.Time{})
@@ -47,7 +49,7 @@
 	if request.URL.RawQuery != "" {
 		path += "?" + request.URL.RawQuery
 	}
-	call := berylspoke.Call{Method: request.Method, Path: path, ContentType: request.Header.Get("Content-Type"), Body: body}
+	call := berylspoke.Call{Method: request.Method, Path: path, ContentType: request.Header.Get("Content-Type"), Body: body.Bytes()}
 	if idempotent(request.Method) {
 		daemon.runIdempotent(request.Context(), writer, from, service, call)
 		return
@@ -92,6 +94,7 @@
 		writer.Header().Set("Content-Type", answer.ContentType)
 	}
 	writer.Header().Set(verdictHeader, berylspoke.Ran.String())
+	_ = http.NewResponseController(writer).SetWriteDeadline(time.Now().Add(answerWriteTimeout))
 	writer.WriteHeader(answer.Status)
 	_, _ = writer.Write(answer.Body)
 }
--- a/io/berylserve/daemon.go
+++ b/io/berylserve/daemon.go
@@ -20,6 +20,7 @@
 	"berylspoke/core/berylconfig"
 	"berylspoke/core/berylnode"
 	"berylspoke/core/berylticket"
+	"berylspoke/io/berylingress"
 	"berylspoke/io/berylpeer"
 	"berylspoke/io/berylplatform"
 	"berylspoke/io/berylsettings"
@@ -38,11 +39,13 @@
 	sealer    *berylticket.Sealer
 	// incarnation changes if an earlier run on this VM had a higher one, but only until
 	// the daemon is ready.
-	incarnation     atomic.Uint64
-	declarations    atomic.Pointer[berylconfig.Declarations]
-	keys            atomic.Pointer[keyIndex]
-	members         atomic.Pointer[memberIndex]
-	metrics         *metrics.Set
+	incarnation  atomic.Uint64
+	declarations atomic.Pointer[berylconfig.Declarations]
+	keys         atomic.Pointer[keyIndex]
+	members      atomic.Pointer[memberIndex]
+	metrics      *metrics.Set
+	// ingress bounds what callers and operators make the process hold.
+	ingress         *berylingress.Ingress
 	dataTraffic     dataTraffic
 	requestSequence atomic.Uint64
 	callers         *http.Server
@@ -86,6 +89,7 @@
 		opened:   make(chan struct{}),
 		drained:  make(chan struct{}),
 	}
+	daemon.ingress = berylingress.New(berylingress.Limits(settings.MemoryBytes(), settings.Callers.MaxConnections), daemon.metrics, daemon.log)
 	daemon.declarations.Store(new(berylconfig.Declarations))
 	daemon.keys.Store(newKeyIndex(daemon.Declarations()))
 	daemon.members.Store(newMemberIndex(settings, nil, daemon.Declarations()))
--- a/io/berylserve/generation.go
+++ b/io/berylserve/generation.go
@@ -22,6 +22,9 @@
 	// chargeInterval is the time between two charges of received tokens to the
 	// organisation while a stream runs.
 	chargeInterval = 200 * time.Millisecond
+	// draftCopies is how often a draft's text is in memory beside its parts: in the decoder, which may take twice
+	// its size, as a prompt, and in what is sent to the engine.
+	draftCopies = 4
 )
 
 type wireGenerationRequest struct {
@@ -95,8 +98,12 @@
 		daemon.refuse(writer, 0, &berylspoke.Refusal{Verdict: berylspoke.NotRun, Reason: berylspoke.ReasonUnknownService})
 		return
 	}
+	text, read := daemon.readBody(writer, request, draftCopies, http.StatusBadRequest)
+	if !read {
+		return
+	}
 	var body wireGenerationRequest
-	decoder := json.NewDecoder(request.Body)
+	decoder := json.NewDecoder(text.Reader())
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&body); err != nil {
 		daemon.refuse(writer, 0, malformed("draft is not valid: %v", err))
--- a/io/berylserve/operators.go
+++ b/io/berylserve/operators.go
@@ -13,9 +13,13 @@
 	"github.com/pkg/errors"
 
 	"berylspoke/core/berylnode"
+	"berylspoke/io/berylingress"
 	"berylspoke/io/berylpeer"
 )
 
+// operatorReadTimeout bounds the time to read a request of an operator.
+const operatorReadTimeout = 5 * time.Second
+
 func (daemon *Daemon) serveOperators() (*http.Server, error) {
 	listener, err := net.Listen("tcp", daemon.settings.OperatorAddress)
 	if err != nil {
@@ -26,8 +30,11 @@
 	mux.HandleFunc("GET /metrics", func(writer http.ResponseWriter, _ *http.Request) { daemon.metrics.WritePrometheus(writer) })
 	mux.HandleFunc("GET /ready", daemon.serveReady)
 	mux.HandleFunc("POST /drain", daemon.serveDrain)
-	server := &http.Server{Handler: daemon.requireOperatorToken(mux), ReadHeaderTimeout: 5 * time.Second, IdleTimeout: idleTimeout}
-	go func() { _ = server.Serve(listener) }()
+	server := &http.Server{
+		Handler: berylingress.Handler(daemon.requireOperatorToken(mux)), ReadTimeout: operatorReadTimeout, IdleTimeout: idleTimeout,
+		ConnContext: berylingress.ConnContext, ConnState: berylingress.ConnState,
+	}
+	go func() { _ = server.Serve(daemon.ingress.Listen(listener)) }()
 	return server, nil
 }
 
--- a/io/berylsettings/settings.go
+++ b/io/berylsettings/settings.go
@@ -29,6 +29,7 @@
 	CallTLS         *TLS                     `json:"callTLS"`
 	Policy          berylshare.Policy        `json:"policy"`
 	LogLevel        string                   `json:"logLevel"`
+	MemoryMB        int                      `json:"memoryMB"`
 	Callers         Callers                  `json:"callers"`
 	Fairness        Fairness                 `json:"fairness"`
 	Regions         Regions                  `json:"regions"`
@@ -84,6 +85,7 @@
 	return Settings{
 		Policy:   berylshare.FleetFair,
 		LogLevel: "info",
+		MemoryMB: 256,
 		Callers: Callers{
 			MaxBodyBytes: 4 << 20, MaxHeaderBytes: 16 << 10, MaxConnections: 4096,
 			ReadTimeoutMillis: 10_000, MaxWaitMillis: 120_000, HeartbeatMillis: 2_000, AddressTTLMillis: 30_000,
@@ -161,6 +163,7 @@
 		field string
 		value int64
 	}{
+		{"memoryMB", int64(settings.MemoryMB)},
 		{"callers.maxBodyBytes", settings.Callers.MaxBodyBytes},
 		{"callers.maxHeaderBytes", int64(settings.Callers.MaxHeaderBytes)},
 		{"callers.maxConnections", int64(settings.Callers.MaxConnections)},
@@ -186,6 +189,9 @@
 	return faults
 }
 
+// MemoryBytes returns the memory that the process may take.
+func (settings *Settings) MemoryBytes() int64 { return int64(settings.MemoryMB) << 20 }
+
 const (
 	minTokenLength = 16
 	minKeyBytes    = 16
