Requests in service and answers leave room: by organisation, and without failing what has run

Change: a parsed head counts for what it is; an answer counts, but is bounded only by the bound of all answers; requests and answers of 8 KB need no room. An organisation has at most as many requests in service as it leaves connections, or gets 503 connectionsShort (not run). Bytes that arrive while a request is served are never rejected, as its answer may be on its way.

--- a/core/berylintake/doc.go
+++ b/core/berylintake/doc.go
@@ -1,7 +1,7 @@
 // Package berylintake decides what callers may make a process hold: how many connections, and how much of
 // their heads, bodies and answers in memory.
 //
-// Each organisation may hold at most as much as it leaves free, so that none can take all of the memory and
-// several share it evenly. What falls short evicts a connection that has kept the process waiting, if there is
+// Each organisation may hold at most as much memory as it leaves free, and have at most as many requests in service
+// as it leaves connections, so that none can take all and several share evenly. What falls short evicts a connection that has kept the process waiting, if there is
 // one, and is refused otherwise.
 package berylintake
--- a/core/berylintake/ledger.go
+++ b/core/berylintake/ledger.go
@@ -11,7 +11,7 @@
 	// ConnectionBytes is what a connection takes in itself: the stack of its goroutine, its buffers and a
 	// small request.
 	ConnectionBytes = 20 << 10
-	// FreeBytes is the size up to which a request is part of ConnectionBytes.
+	// FreeBytes is what a request, and its answer, may take as part of ConnectionBytes.
 	FreeBytes = 8 << 10
 	// patience is how long a connection may keep the process waiting before it may be evicted for memory.
 	patience = time.Second
@@ -41,7 +41,9 @@
 	// organisation holds bytes for the connection's request; it is empty while it is not known.
 	organisation berylspoke.OrganisationID
 	bytes        int64
-	leaving      bool
+	// serving is set while a whole request is served, for an organisation, and leaving once the connection is evicted.
+	serving, leaving bool
+	servedFor        berylspoke.OrganisationID
 }
 
 // Ledger holds what callers make a process hold. It is not safe for concurrent use.
@@ -52,13 +54,16 @@
 	leavingBytes         int64
 	held                 map[berylspoke.OrganisationID]int64
 	heldTotal            int64
+	// served are the requests in service, serving their number.
+	served  map[berylspoke.OrganisationID]int
+	serving int
 	// waiting are the connections that wait for their callers, the longest first.
 	waiting *list.List
 }
 
 // NewLedger returns a ledger without connections.
 func NewLedger(limits Limits) *Ledger {
-	return &Ledger{limits: limits, held: make(map[berylspoke.OrganisationID]int64), waiting: list.New()}
+	return &Ledger{limits: limits, held: make(map[berylspoke.OrganisationID]int64), served: make(map[berylspoke.OrganisationID]int), waiting: list.New()}
 }
 
 // Connections returns the number of open connections that are not evicted.
@@ -99,20 +104,51 @@
 // Begin notes that a request has begun to arrive.
 func (ledger *Ledger) Begin(now time.Time, entry *Entry) { ledger.wait(now, entry) }
 
-// Serve notes that a request is whole.
-func (ledger *Ledger) Serve(entry *Entry) { ledger.unlist(entry) }
+// Serve notes that a request is whole. It returns false, and changes nothing, if its organisation has more requests in
+// service than it leaves connections for others.
+func (ledger *Ledger) Serve(entry *Entry) bool {
+	if entry.serving {
+		return true
+	}
+	free := ledger.limits.Connections - ledger.serving
+	if ledger.limits.Connections > 0 && ledger.served[entry.organisation] >= free {
+		return false
+	}
+	entry.serving, entry.servedFor = true, entry.organisation
+	ledger.serving++
+	ledger.served[entry.organisation]++
+	ledger.unlist(entry)
+	return true
+}
+
+// endService notes that a request is no longer in service.
+func (ledger *Ledger) endService(entry *Entry) {
+	if !entry.serving {
+		return
+	}
+	entry.serving = false
+	ledger.serving--
+	if ledger.served[entry.servedFor]--; ledger.served[entry.servedFor] == 0 {
+		delete(ledger.served, entry.servedFor)
+	}
+}
 
 // Deliver notes that the whole answer to a request is ready.
-func (ledger *Ledger) Deliver(now time.Time, entry *Entry) { ledger.wait(now, entry) }
+func (ledger *Ledger) Deliver(now time.Time, entry *Entry) {
+	ledger.endService(entry)
+	ledger.wait(now, entry)
+}
 
 // Idle notes that a request is answered, which releases what it held.
 func (ledger *Ledger) Idle(now time.Time, entry *Entry) {
+	ledger.endService(entry)
 	ledger.set(entry, "", 0)
 	ledger.wait(now, entry)
 }
 
 // Close removes a connection.
 func (ledger *Ledger) Close(entry *Entry) {
+	ledger.endService(entry)
 	if entry.leaving {
 		ledger.leaving--
 		ledger.leavingBytes -= entry.bytes
@@ -123,14 +159,11 @@
 	ledger.connections--
 }
 
-// Charge sets what a request holds on behalf of an organisation. It returns false if that is too much, and
-// changes nothing then. Connections are evicted for it if they belong to the same organisation.
+// Charge sets what a request holds on behalf of an organisation, beyond FreeBytes. It returns false if that is too
+// much, and changes nothing then. Connections are evicted for it if they belong to the same organisation.
 func (ledger *Ledger) Charge(now time.Time, entry *Entry, organisation berylspoke.OrganisationID, bytes int64) (evicted []*Entry, charged bool) {
-	if bytes <= FreeBytes {
-		bytes = 0
-	}
 	if entry.leaving {
-		return nil, bytes == 0
+		return nil, bytes <= entry.bytes
 	}
 	for !ledger.fits(entry, organisation, bytes) {
 		stalled := ledger.stalled(now, entry, organisation)
@@ -144,6 +177,9 @@
 	return evicted, true
 }
 
+// Force is Charge for what is not refused, as another bound holds for it.
+func (ledger *Ledger) Force(entry *Entry, bytes int64) { ledger.set(entry, entry.organisation, bytes) }
+
 // fits reports whether an organisation leaves as much free as it holds once a request holds some bytes.
 func (ledger *Ledger) fits(entry *Entry, organisation berylspoke.OrganisationID, bytes int64) bool {
 	if ledger.limits.Bytes == 0 || bytes == 0 || bytes <= entry.bytes && organisation == entry.organisation {
--- a/io/beryledge/attempt.go
+++ b/io/beryledge/attempt.go
@@ -359,17 +359,14 @@
 	if err := memory.all.Reserve(bytes); err != nil {
 		return err
 	}
-	if !memory.hold.Grow(time.Now(), berylingress.Answer, bytes) {
-		memory.all.Release(bytes)
-		return berylconn.ErrNoMemory
-	}
+	memory.hold.GrowAnswer(bytes)
 	return nil
 }
 
 // Release implements berylspoke.MemoryBudget.
 func (memory answerMemory) Release(bytes int64) {
 	memory.all.Release(bytes)
-	memory.hold.Grow(time.Now(), berylingress.Answer, -bytes)
+	memory.hold.GrowAnswer(-bytes)
 }
 
 // answerLimit returns the size of the longest answer of a plain service.
--- a/io/beryledge/callerconn.go
+++ b/io/beryledge/callerconn.go
@@ -85,7 +85,8 @@
 				continue
 			}
 		}
-		if count > 0 && !conn.countRead(buffer[:count]) {
+		if conn.countRead(count) && len(buffer) > 1 && !conn.hold.Read(time.Now(), buffer[:count]) {
+			conn.rejectHead()
 			return 0, os.ErrDeadlineExceeded
 		}
 		return count, err
@@ -101,17 +102,19 @@
 	return count
 }
 
-// countRead counts bytes that were read, and rejects their request if there is no room for its head.
-func (conn *callerConn) countRead(data []byte) (room bool) {
+// countRead counts bytes that were read, and reports whether they belong to a head that is arriving. While a request
+// is served, the server reads a single byte to learn whether its caller leaves.
+func (conn *callerConn) countRead(count int) (head bool) {
 	conn.mutex.Lock()
-	conn.received += len(data)
-	conn.mutex.Unlock()
-	if conn.hold.Read(time.Now(), data) {
-		return true
-	}
+	defer conn.mutex.Unlock()
+	conn.received += count
+	return count > 0 && !conn.handled
+}
+
+// rejectHead answers that a request whose head finds no room did not run.
+func (conn *callerConn) rejectHead() {
 	conn.answeredUnread()
 	_, _ = conn.Write(rejection(nil, demand{}))
-	return false
 }
 
 // deadlineExceeded handles a read that a deadline has ended. An idle connection that is to be closed
@@ -222,12 +225,15 @@
 	}
 }
 
-// serve notes that all of the current request was read.
-func (conn *callerConn) serve() {
-	conn.hold.Serve()
+// serve notes that all of the current request was read. It returns false if it may not be served now.
+func (conn *callerConn) serve(now time.Time) bool {
+	if !conn.hold.Serve(now) {
+		return false
+	}
 	conn.mutex.Lock()
 	defer conn.mutex.Unlock()
 	conn.whole = true
+	return true
 }
 
 // deliver notes that the whole answer to the current request is ready, and bounds the time to write it.
--- a/io/beryledge/callers.go
+++ b/io/beryledge/callers.go
@@ -130,6 +130,9 @@
 func (call *call) prepare(index *berylcatalog.Index) bool {
 	var err error
 	call.info, err = call.daemon.dialect.ParseRequest(call.incoming.Header)
+	if !call.holdHead() {
+		return false
+	}
 	if index == nil {
 		call.refuse(http.StatusServiceUnavailable, berylspoke.ReasonStarting, startingRetryAfter)
 		return false
@@ -151,8 +154,7 @@
 		call.refuse(http.StatusUnauthorized, berylspoke.ReasonUnauthorised, 0)
 		return false
 	}
-	if !call.hold.Handle(call.arrived, call.incoming.Header, call.organisation) {
-		call.refuse(http.StatusServiceUnavailable, berylspoke.ReasonMemoryShort, berylingress.RetryAfter)
+	if !call.holdHead() {
 		return false
 	}
 	call.request = call.newRequest(index)
@@ -166,6 +168,15 @@
 	return true
 }
 
+// holdHead counts the head on behalf of the organisation, if that is known, or refuses the request.
+func (call *call) holdHead() bool {
+	if call.hold.Handle(call.arrived, call.incoming.Header, call.organisation) {
+		return true
+	}
+	call.refuse(http.StatusServiceUnavailable, berylspoke.ReasonMemoryShort, berylingress.RetryAfter)
+	return false
+}
+
 func (call *call) newRequest(index *berylcatalog.Index) *berylgate.Request {
 	wait := call.info.TimeRemaining
 	if wait == 0 {
@@ -213,8 +224,12 @@
 	now := time.Now()
 	if err == nil {
 		call.whole.Store(&wholeRequest{call.route.Name, now})
-		call.conn.serve()
-		return true
+		if call.conn.serve(now) {
+			return true
+		}
+		call.body = berylingress.BodyBytes{}
+		call.refuse(http.StatusServiceUnavailable, berylspoke.ReasonConnectionsShort, berylingress.RetryAfter)
+		return false
 	}
 	if errors.Is(err, berylingress.ErrNoRoom) || call.conn.isEvicted() {
 		call.body = berylingress.BodyBytes{}
--- a/io/berylingress/body.go
+++ b/io/berylingress/body.go
@@ -70,7 +70,7 @@
 		if length >= 0 {
 			size = min(size, length-body.size)
 		}
-		if !hold.Grow(time.Now(), Body, size) {
+		if !hold.GrowBody(time.Now(), size) {
 			return ErrNoRoom
 		}
 		err := body.readPart(source, size)
--- a/io/berylingress/ingress.go
+++ b/io/berylingress/ingress.go
@@ -186,29 +186,39 @@
 		hold.ingress.ledger.Begin(now, &hold.entry)
 	}
 	hold.begun, hold.handled, hold.organisation = true, true, organisation
-	return hold.charge(now, Head, max(hold.held[Head], bytes))
+	// What was read with the head is in the buffer of the connection.
+	return hold.charge(now, Head, bytes)
 }
 
-// Grow adds to a part of what the request holds. It returns false, and adds nothing, if there is no room.
-func (hold *Hold) Grow(now time.Time, part Part, bytes int64) bool {
+// GrowBody adds to what the body holds. It returns false, and adds nothing, if there is no room.
+func (hold *Hold) GrowBody(now time.Time, bytes int64) bool {
 	if hold == nil {
 		return true
 	}
 	hold.ingress.mutex.Lock()
-	return hold.charge(now, part, hold.held[part]+bytes)
+	return hold.charge(now, Body, hold.held[Body]+bytes)
+}
+
+// GrowAnswer adds to what the answer holds, or takes from it if bytes are negative. It leaves less room for what
+// arrives, but is not refused: the request has run.
+func (hold *Hold) GrowAnswer(bytes int64) {
+	if hold == nil {
+		return
+	}
+	hold.ingress.mutex.Lock()
+	defer hold.ingress.mutex.Unlock()
+	hold.held[Answer] += bytes
+	hold.ingress.ledger.Force(&hold.entry, hold.total())
 }
 
 // charge sets the bytes of a part. It releases the mutex.
 func (hold *Hold) charge(now time.Time, part Part, bytes int64) bool {
-	total := bytes
-	for other, held := range hold.held {
-		if Part(other) != part {
-			total += held
-		}
-	}
+	before := hold.held[part]
+	hold.held[part] = bytes
+	total := hold.total()
 	evicted, charged := hold.ingress.ledger.Charge(now, &hold.entry, hold.organisation, total)
-	if charged {
-		hold.held[part] = bytes
+	if !charged {
+		hold.held[part] = before
 	}
 	organisation := hold.organisation
 	hold.ingress.mutex.Unlock()
@@ -219,14 +229,25 @@
 	return charged
 }
 
-// Serve notes that the request is whole.
-func (hold *Hold) Serve() {
+// total returns what the request and its answer take beyond what is part of their connection.
+func (hold *Hold) total() int64 {
+	request := hold.held[Head] + hold.held[Body] - berylintake.FreeBytes
+	answer := hold.held[Answer] - berylintake.FreeBytes
+	return max(request, 0) + max(answer, 0)
+}
+
+// Serve notes that the request is whole. It returns false if its organisation has too many in service.
+func (hold *Hold) Serve(now time.Time) bool {
 	if hold == nil {
-		return
+		return true
 	}
 	hold.ingress.mutex.Lock()
-	defer hold.ingress.mutex.Unlock()
-	hold.ingress.ledger.Serve(&hold.entry)
+	served, organisation := hold.ingress.ledger.Serve(&hold.entry), hold.organisation
+	hold.ingress.mutex.Unlock()
+	if !served {
+		hold.ingress.refuse(now, Connection, organisation, 0)
+	}
+	return served
 }
 
 // Deliver notes that the whole answer is ready.
--- a/io/berylingress/listener.go
+++ b/io/berylingress/listener.go
@@ -61,7 +61,8 @@
 	closing sync.Once
 }
 
-func (conn *Conn) evict() { _ = conn.Conn.Close() }
+// evict closes the connection. It does not wait: a TLS connection tells its caller first.
+func (conn *Conn) evict() { go func() { _ = conn.Conn.Close() }() }
 
 // Read implements net.Conn. It fails if there is no room for a head.
 func (conn *Conn) Read(buffer []byte) (int, error) {
--- a/io/berylserve/callers.go
+++ b/io/berylserve/callers.go
@@ -141,6 +141,7 @@
 	berylspoke.ReasonOverload:           http.StatusServiceUnavailable,
 	berylspoke.ReasonTargetsResting:     http.StatusServiceUnavailable,
 	berylspoke.ReasonMemoryShort:        http.StatusServiceUnavailable,
+	berylspoke.ReasonConnectionsShort:   http.StatusServiceUnavailable,
 	berylspoke.ReasonStarting:           http.StatusServiceUnavailable,
 	berylspoke.ReasonDraining:           http.StatusServiceUnavailable,
 	berylspoke.ReasonNoTarget:           http.StatusServiceUnavailable,
@@ -190,7 +191,7 @@
 func (daemon *Daemon) readBody(writer http.ResponseWriter, request *http.Request, copies int64, status int) (body berylingress.BodyBytes, read bool) {
 	hold := berylingress.Of(request.Context())
 	err := body.Fill(hold, request.Body, request.ContentLength)
-	if err == nil && !hold.Grow(time.Now(), berylingress.Body, copies*body.Len()) {
+	if err == nil && !hold.GrowBody(time.Now(), copies*body.Len()) {
 		err = berylingress.ErrNoRoom
 	}
 	switch {
@@ -201,7 +202,13 @@
 		daemon.refuse(writer, status, malformed("body cannot be read: %v", err))
 		return body, false
 	}
-	hold.Serve()
+	if !hold.Serve(time.Now()) {
+		daemon.refuse(writer, 0, &berylspoke.Refusal{
+			Verdict: berylspoke.NotRun, Reason: berylspoke.ReasonConnectionsShort, RetryAfter: berylingress.RetryAfter,
+			Cause: errors.New("organisation has too many requests in service"),
+		})
+		return body, false
+	}
 	return body, true
 }
 
--- a/verdict.go
+++ b/verdict.go
@@ -55,8 +55,10 @@
 	ReasonWaitedTooLong      Reason = "waitedTooLong"
 	ReasonCPUStarved         Reason = "processorShort"
 	ReasonTargetsResting     Reason = "targetsResting"
-	// ReasonMemoryShort refuses a request as callers hold all the memory that they may.
-	ReasonMemoryShort Reason = "memoryShort"
+	// ReasonMemoryShort refuses a request as its organisation, or all callers, hold the memory that they may, and
+	// ReasonConnectionsShort one as its organisation has too many requests in service.
+	ReasonMemoryShort      Reason = "memoryShort"
+	ReasonConnectionsShort Reason = "connectionsShort"
 	// ReasonBuildGone refuses to continue a stream whose build no target has any more,
 	// ReasonOriginUnknown one whose build is not known.
 	ReasonBuildGone     Reason = "buildGone"
