A request that is evicted as it becomes whole is refused, and a body that is announced too large at once

Cause: by reading: an eviction that was decided before a request was whole and takes effect after it would fail the server's next read, which cancels the request though a target may be at work on it.

Change: whichever comes first holds: an evicted request is refused as not run, one that is whole is answered and its connection closed then. A length over the limit is refused before its body is read.

--- a/io/beryledge/callerconn.go
+++ b/io/beryledge/callerconn.go
@@ -225,15 +225,16 @@
 	}
 }
 
-// serve notes that all of the current request was read. It returns false if it may not be served now.
+// serve notes that all of the current request was read. It returns false if it may not be served now. Once it is
+// served, the connection is no longer evicted for it.
 func (conn *callerConn) serve(now time.Time) bool {
 	if !conn.hold.Serve(now) {
 		return false
 	}
 	conn.mutex.Lock()
 	defer conn.mutex.Unlock()
-	conn.whole = true
-	return true
+	conn.whole = !conn.evicted
+	return conn.whole
 }
 
 // deliver notes that the whole answer to the current request is ready, and bounds the time to write it.
--- a/io/beryledge/callers.go
+++ b/io/beryledge/callers.go
@@ -216,6 +216,10 @@
 // readBody reads the whole body, so that a slow caller does not occupy a target and the
 // request can be sent again where that is allowed.
 func (call *call) readBody() bool {
+	if call.incoming.ContentLength > call.bodyLimit {
+		call.refuse(http.StatusRequestEntityTooLarge, berylspoke.ReasonMalformed, 0)
+		return false
+	}
 	call.beginBody()
 	err := call.body.Fill(call.hold, call.incoming.Body, call.incoming.ContentLength)
 	call.endBody()
