The own interface answers a caller without TLS again

What callers saw: since the bounds stand above TLS, plain HTTP at an address with a certificate was closed without an answer, where it had got 400.

Cause: the server answers it only if it sees the TLS connection itself.

Change: the TLS listener answers it.

--- a/io/berylserve/callers.go
+++ b/io/berylserve/callers.go
@@ -3,7 +3,6 @@
 // This file defines the HTTP server for callers, its limits and their authentication.
 
 import (
-	"crypto/tls"
 	"encoding/json"
 	"fmt"
 	"math"
@@ -57,13 +56,9 @@
 		return nil, errors.Wrap(err, "cannot listen on the callers' address")
 	}
 	if files := daemon.settings.CallTLS; files != nil {
-		certificate, err := tls.LoadX509KeyPair(files.CertificateFile, files.KeyFile)
-		if err != nil {
-			_ = listener.Close()
-			return nil, errors.Wrap(err, "certificate for callers cannot be loaded")
+		if listener, err = listenTLS(listener, files); err != nil {
+			return nil, err
 		}
-		// HTTP/2 would carry many requests on one connection, beside the bounds of it.
-		listener = tls.NewListener(listener, &tls.Config{Certificates: []tls.Certificate{certificate}, NextProtos: []string{"http/1.1"}})
 	}
 	server := &http.Server{
 		Handler:           berylingress.Handler(daemon.callerRoutes()),
