--- a/io/berylingress/ingress.go
+++ b/io/berylingress/ingress.go
@@ -69,7 +69,8 @@
 // New returns a bound without connections, whose metrics are in a set.
 func New(limits berylintake.Limits, set *metrics.Set, log *zap.Logger) *Ingress {
 	ingress := &Ingress{ledger: berylintake.NewLedger(limits), log: log}
-	for part := range parts {
+	// Answers are never refused here.
+	for part := range Answer {
 		ingress.refused[part] = set.NewCounter(fmt.Sprintf("berylspoke_intake_refused_total{part=%q}", part))
 		ingress.evicted[part] = set.NewCounter(fmt.Sprintf("berylspoke_intake_evicted_total{part=%q}", part))
 	}
--- a/io/berylpeer/handshakes.go
+++ b/io/berylpeer/handshakes.go
@@ -20,7 +20,7 @@
 	// unverifiedHandshakes is how many handshakes may be open before further ones have to prove the address that
 	// they come from, which takes a round trip and no memory.
 	unverifiedHandshakes = 32
-	// maxHandshakes bounds the open handshakes. Each takes some 30 KB until it fails.
+	// maxHandshakes bounds the open handshakes. Each takes buffers and goroutines until it fails.
 	maxHandshakes = 256
 	// handshakeLogInterval is the minimum time between two log lines on handshakes that are refused.
 	handshakeLogInterval = time.Second
