An answer whose status or version is not HTTP/1's is no answer

Callers saw: an engine's 200 of "HTTP/2.0", and statuses 600 and 999, as they were. Status 000 to 099 got them a 502, but of a panic ("invalid WriteHeader code") after the attempt had been reported as succeeded: its connection was kept, the engine counted as sound, and a repeatable request was not retried.

Cause: the parser of net/http takes any three characters that make a number, a sign too, as a status, and any version of two digits. What it returns was taken for valid.

Change: io/berylresponse says which heads are valid (version 1, status 100 to 599), and conn.readResponse of io/berylconn asks it for each head: of attempts, interim and skipped answers, probes and questions for a target's run. An invalid head is handled as no answer: nothing in it is believed, the connection is closed, the attempt is broken, a call that may not be repeated gets 502, any other is sent to another target.

Evidence: TestAnswersWithABrokenHeadAreNotPassedOn (12 broken heads, 6 sound ones, four routes), TestRequestIsRetriedAfterABrokenHead and TestProbesTakeNoBrokenHead.

--- a/io/berylconn/pool.go
+++ b/io/berylconn/pool.go
@@ -16,6 +16,8 @@
 
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
+
+	"berylspoke/io/berylresponse"
 )
 
 const (
@@ -226,13 +228,16 @@
 	return response.StatusCode, body, framed && !response.Close, nil
 }
 
-// readResponse reads the head of a response.
+// readResponse reads the head of a response, which is valid if there is no error.
 func (conn *conn) readResponse(request *http.Request) (response *http.Response, err error) {
 	err = conn.readHead(func() error {
 		response, err = http.ReadResponse(conn.reader, request)
 		return err
 	})
-	return response, err
+	if err != nil {
+		return nil, err
+	}
+	return response, berylresponse.CheckHead(response)
 }
 
 func (pool *Pool) discard(conn *conn) {
--- /dev/null
+++ b/io/berylresponse/head.go
@@ -0,0 +1,29 @@
+package berylresponse
+
+// This file defines which heads of responses are valid.
+
+import (
+	"net/http"
+
+	"github.com/pkg/errors"
+)
+
+// ErrInvalidHead means that the head of a response is not valid HTTP/1.
+var ErrInvalidHead = errors.New("response has an invalid head")
+
+// The range of valid statuses, of interim responses too.
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
+// CheckHead returns ErrInvalidHead, with what is wrong, unless the head of a response is valid.
+func CheckHead(response *http.Response) error {
+	switch {
+	case response.ProtoMajor != 1:
+		return errors.WithMessagef(ErrInvalidHead, "version %.20q", response.Proto)
+	case response.StatusCode < minStatus || response.StatusCode > maxStatus:
+		return errors.WithMessagef(ErrInvalidHead, "status %.20q", response.Status)
+	}
+	return nil
+}
