An answer with a blank or a control byte in a field's name is no answer

Callers saw: a 200 whose head held "X Odd: 1" or "X-Odd : 1", with that line dropped; with "Content-Length : 5" or "Transfer-Encoding : chunked" a body that was not the engine's (all bytes until the connection ended, the marks of chunks among them); and a 503 that promises that nothing ran, from such a head.

Cause: for compatibility, the parser of net/http accepts names with blanks, and does not understand them. It refuses control bytes and other signs in names and control bytes in values, but not in the reason phrase, where a lone carriage return hid a line.

Change: CheckHead also asks that each name is a token and that the reason phrase holds no control byte (golang.org/x/net/http/httpguts, a dependency already, now a direct one). The promise of a broken head is not believed: a call that may not be repeated gets 502.

--- a/io/berylresponse/head.go
+++ b/io/berylresponse/head.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"github.com/pkg/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 // ErrInvalidHead means that the head of a response is not valid HTTP/1.
@@ -24,6 +25,13 @@
 		return errors.WithMessagef(ErrInvalidHead, "version %.20q", response.Proto)
 	case response.StatusCode < minStatus || response.StatusCode > maxStatus:
 		return errors.WithMessagef(ErrInvalidHead, "status %.20q", response.Status)
+	case !httpguts.ValidHeaderFieldValue(response.Status):
+		return errors.WithMessagef(ErrInvalidHead, "reason phrase %.40q", response.Status)
+	}
+	for name := range response.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return errors.WithMessagef(ErrInvalidHead, "field name %.40q", name)
+		}
 	}
 	return nil
 }
