An answer without a length that ends while its request is written is not whole

Callers saw: 200 with a part of the body as the whole (MIXED). An engine answers a long upload at once, without a length, sends part of its body and resets the connection, or ends it, while the upload blocks.

Cause: a body over 2 KB is written by a goroutine of its own. A socket reports a reset's error once: the blocked write takes it, and the read sees a plain end, which is how a whole answer without a length ends too. With a plain end in place of the reset nothing reports an error.

Change: a response without framing whose body ends asks whether its request was written whole; if not, the read fails as a connection that broke off does. It is asked at the body itself, so that plain answers and streams have the same. The write is ended by a deadline, which does not fail a write that the kernel has accepted: no time to wait for, and a sound answer whose writer has not run yet is not refused.

Why this works: whoever has not got the request whole cannot have answered it whole; the exception, an engine that answers early without a length and reads on, cannot be told from one that broke off, and the call gets 502, which promises nothing.

--- a/io/berylconn/exchange.go
+++ b/io/berylconn/exchange.go
@@ -6,9 +6,12 @@
 	"context"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"berylspoke/io/berylresponse"
 )
 
 // SendError is the error of a request, with whether the target may have received it.
@@ -154,6 +157,7 @@
 		}
 		if matches(response, exchange.conn.asked) {
 			exchange.Response = response
+			berylresponse.RequireSent(response, sync.OnceValue(exchange.endWriting))
 			exchange.conn.setIdleTimeout(response.Header)
 			return nil
 		}
@@ -165,12 +169,18 @@
 	return errors.New("too many responses to other requests")
 }
 
-// Framed reports whether the response has a length or is chunked. The body of any other response
-// ends with its connection, so that its end does not show whether it is complete.
-func (exchange *Exchange) Framed() bool {
-	return exchange.Response.ContentLength >= 0 || len(exchange.Response.TransferEncoding) > 0
+// endWriting ends the writing of the request and returns why it was not written whole.
+func (exchange *Exchange) endWriting() error {
+	// A write that the kernel has accepted whole does not fail by the deadline.
+	if err := exchange.conn.SetWriteDeadline(time.Unix(1, 0)); err != nil {
+		return err
+	}
+	return <-exchange.written
 }
 
+// Framed reports whether the response has a length or is chunked.
+func (exchange *Exchange) Framed() bool { return berylresponse.Framed(exchange.Response) }
+
 // Buffered returns the number of bytes that can be read without blocking.
 func (exchange *Exchange) Buffered() int { return exchange.conn.reader.Buffered() }
 
--- a/io/berylconn/pool.go
+++ b/io/berylconn/pool.go
@@ -224,8 +224,7 @@
 	if err != nil {
 		return 0, nil, false, err
 	}
-	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
-	return response.StatusCode, body, framed && !response.Close, nil
+	return response.StatusCode, body, berylresponse.Framed(response) && !response.Close, nil
 }
 
 // readResponse reads the head of a response, which is valid if there is no error.
--- a/io/berylresponse/doc.go
+++ b/io/berylresponse/doc.go
@@ -1,4 +1,4 @@
-// Package berylresponse says which HTTP responses are valid.
+// Package berylresponse says which HTTP responses are valid, and which are complete.
 //
 // The parser of net/http accepts more than HTTP/1 allows: any three digits as a status, any version, and
 // names of fields with blanks, which it then does not understand: "Content-Length : 5" states no length to it.
