An answer without a length that ends before its request was received is not whole

Cause: that the kernel has accepted a request is no sign that its target has it.

Change: at the end of a response without framing, berylconn also asks the socket how much of the request is not acknowledged (SIOCOUTQ). The end of a connection acknowledges all that its target had received before, so that a sound answer leaves nothing, whatever the timing. Where a socket does not tell, nothing changes.

Remains: a target that has received the whole request and ends its answer early without a length, and lives on, is not told from one that answered whole.

--- a/io/berylconn/exchange.go
+++ b/io/berylconn/exchange.go
@@ -157,7 +157,7 @@
 		}
 		if matches(response, exchange.conn.asked) {
 			exchange.Response = response
-			berylresponse.RequireSent(response, sync.OnceValue(exchange.endWriting))
+			berylresponse.RequireSent(response, sync.OnceValue(exchange.checkReceived))
 			exchange.conn.setIdleTimeout(response.Header)
 			return nil
 		}
@@ -169,13 +169,23 @@
 	return errors.New("too many responses to other requests")
 }
 
-// endWriting ends the writing of the request and returns why it was not written whole.
-func (exchange *Exchange) endWriting() error {
+// errNotReceived means that the target has not received the request whole.
+var errNotReceived = errors.New("target has not received the whole request")
+
+// checkReceived ends the writing of the request, and returns an error if the target has not received it whole
+// at the end of its response.
+func (exchange *Exchange) checkReceived() error {
 	// A write that the kernel has accepted whole does not fail by the deadline.
 	if err := exchange.conn.SetWriteDeadline(time.Unix(1, 0)); err != nil {
 		return err
 	}
-	return <-exchange.written
+	if err := <-exchange.written; err != nil {
+		return err
+	}
+	if exchange.conn.unacknowledged() > 0 {
+		return errNotReceived
+	}
+	return nil
 }
 
 // Framed reports whether the response has a length or is chunked.
