Own interface: an answer of a target with a broken head is none

Callers saw: what the platform's did, at the own interface: statuses 600 and 999 and answers with broken names or versions as they were. By reading, a status below 100 is kept as the outcome of a call that ran, and each request for it panics in WriteHeader; that was not run end to end.

Cause: as at io/berylconn, net/http's parser was taken for a check. Reports of load, answers to probes and streams are read by the same clients.

Change: berylresponse.Transport is an http.Transport that asks CheckHead, also for names in interim responses, and refuses a switch of protocols that nobody asked for. All three clients of io/beryltarget use it. A call whose answer is broken may have run.

--- a/io/berylresponse/head.go
+++ b/io/berylresponse/head.go
@@ -28,7 +28,11 @@
 	case !httpguts.ValidHeaderFieldValue(response.Status):
 		return errors.WithMessagef(ErrInvalidHead, "reason phrase %.40q", response.Status)
 	}
-	for name := range response.Header {
+	return checkNames(response.Header)
+}
+
+func checkNames(header http.Header) error {
+	for name := range header {
 		if !httpguts.ValidHeaderFieldName(name) {
 			return errors.WithMessagef(ErrInvalidHead, "field name %.40q", name)
 		}
--- /dev/null
+++ b/io/berylresponse/transport.go
@@ -0,0 +1,37 @@
+package berylresponse
+
+// This file defines a transport of net/http whose responses are valid.
+
+import (
+	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+
+	"github.com/pkg/errors"
+)
+
+// Transport is an http.Transport that returns ErrInvalidHead in place of a response whose head, or that of an
+// interim response before it, is not valid.
+type Transport struct{ *http.Transport }
+
+var _ http.RoundTripper = Transport{}
+
+// RoundTrip implements http.RoundTripper.
+func (transport Transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
+		Got1xxResponse: func(_ int, header textproto.MIMEHeader) error { return checkNames(http.Header(header)) },
+	})
+	response, err := transport.Transport.RoundTrip(request.WithContext(ctx))
+	if err != nil {
+		return nil, err
+	}
+	err = CheckHead(response)
+	if err == nil && response.StatusCode == http.StatusSwitchingProtocols {
+		err = errors.WithMessage(ErrInvalidHead, "protocol that was not asked for")
+	}
+	if err != nil {
+		_ = response.Body.Close()
+		return nil, err
+	}
+	return response, nil
+}
--- /dev/null
+++ b/io/berylstand/heads.go
@@ -0,0 +1,94 @@
+package berylstand
+
+// This file defines answers with odd or broken heads.
+
+import (
+	_ "embed"
+	"encoding/json"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/tailscale/hujson"
+)
+
+//go:embed heads.hujson
+var headsText []byte
+
+// Head is the head of an answer that a target sends.
+type Head struct {
+	Case string `json:"case"`
+	// Head is the text without the last line. FIELDS in it stands for the fields of a sound answer, N for the
+	// length of the body.
+	Head string `json:"head"`
+	// Ends is set if the target closes the connection after the answer.
+	Ends bool `json:"ends"`
+	// Broken is set if the answer is none.
+	Broken bool `json:"broken"`
+}
+
+// Heads returns heads that are broken and odd ones that are sound.
+func Heads() []Head {
+	text, err := hujson.Standardize(append([]byte(nil), headsText...))
+	if err != nil {
+		panic(err) // the text is part of the program
+	}
+	var heads []Head
+	if err := json.Unmarshal(text, &heads); err != nil {
+		panic(err)
+	}
+	return heads
+}
+
+// text returns an answer with the head.
+func (head Head) text(fields, body string) string {
+	return strings.NewReplacer("FIELDS", fields, "N\r\n", strconv.Itoa(len(body))+"\r\n").Replace(head.Head) + "\r\n" + body
+}
+
+// keptTime is how long a HeadTarget waits for its connection to be closed after a broken answer.
+const keptTime = 300 * time.Millisecond
+
+// HeadTarget is a target whose answers have a certain head.
+type HeadTarget struct {
+	Head Head
+	// Fields returns the lines of the fields that a sound answer to a request has, each with its end.
+	Fields func(request *http.Request) string
+	Body   string
+	// Seen counts the requests, Kept the connections that were not closed after a broken answer.
+	Seen, Kept atomic.Int64
+}
+
+var _ http.Handler = (*HeadTarget)(nil)
+
+// ServeHTTP implements http.Handler.
+func (target *HeadTarget) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	_, _ = io.Copy(io.Discard, request.Body)
+	conn, buffered, err := writer.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	for {
+		target.Seen.Add(1)
+		_, _ = io.WriteString(conn, target.Head.text(target.Fields(request), target.Body))
+		if target.Head.Ends || target.Head.Broken {
+			break
+		}
+		if request, err = http.ReadRequest(buffered.Reader); err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+	}
+	if target.Head.Ends {
+		return
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(keptTime))
+	if _, err := conn.Read(make([]byte, 1)); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		target.Kept.Add(1)
+	}
+}
--- a/io/beryltarget/client.go
+++ b/io/beryltarget/client.go
@@ -16,6 +16,7 @@
 	"berylspoke"
 	"berylspoke/core/berylnode"
 	"berylspoke/io/berylconn"
+	"berylspoke/io/berylresponse"
 )
 
 // RequestHeader carries the request id to targets. It is none of the header names that
@@ -79,8 +80,10 @@
 	// Each stream and call opens a new connection. A middlebox may have dropped the
 	// state of a reused one; net/http would then hang or retry the request by itself,
 	// and whether it ran could not be determined.
-	newTransport := func() *http.Transport {
-		return &http.Transport{DialContext: client.dialOpen(dialer), DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes}
+	newTransport := func() http.RoundTripper {
+		return berylresponse.Transport{Transport: &http.Transport{
+			DialContext: client.dialOpen(dialer), DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
+		}}
 	}
 	client.streams = &http.Client{Transport: newTransport()}
 	client.calls = &http.Client{Transport: newTransport(), CheckRedirect: useLastResponse}
@@ -88,7 +91,7 @@
 		DialContext:     (&countingDialer{dialer, &client.ControlBytes}).dial,
 		IdleConnTimeout: 30 * time.Second, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
 	}
-	client.control = &http.Client{Transport: keepAlive}
+	client.control = &http.Client{Transport: berylresponse.Transport{Transport: keepAlive}}
 	return client
 }
 
