Own interface: an answer of the platform with a broken head is none

What happened: patches and lists of VMs counted whose head was not valid.

Cause and change: as at the store; the client uses berylresponse.Transport, over the connections of http.DefaultTransport as before.

Evidence: TestAnswersOfThePlatformWithABrokenHeadAreNone: 11 of 32 broken heads red on the parent, the others (by their status, or refused by the parser) and the 8 sound ones held. Now all pass.

--- a/io/berylplatform/client.go
+++ b/io/berylplatform/client.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"berylspoke"
+	"berylspoke/io/berylresponse"
 )
 
 const (
@@ -51,7 +52,10 @@
 
 // NewClient returns a client for the platform at the given address.
 func NewClient(address string) *Client {
-	return &Client{baseURL: "http://" + address, client: &http.Client{Timeout: watchWait + responseSlack}}
+	return &Client{baseURL: "http://" + address, client: &http.Client{
+		Timeout:   watchWait + responseSlack,
+		Transport: berylresponse.Transport{Transport: http.DefaultTransport.(*http.Transport)},
+	}}
 }
 
 // Patches returns the patches published after the given number. It waits for one, up to
