Own interface: callers take nothing from an answer with a broken head

What happened: the client of the own interface took addresses, outcomes and streams from an answer whose head is not valid. A relay or another process at a daemon's address may send one.

A call without a valid answer is settled by its id, as one without any.

--- a/io/berylcall/client.go
+++ b/io/berylcall/client.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"berylspoke"
+	"berylspoke/io/berylresponse"
 )
 
 const (
@@ -96,7 +97,7 @@
 // New returns a client that resolves addresses on its first request.
 func New(options Options) *Client {
 	transport := &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: maxHeaderBytes}
-	return &Client{options: options, http: &http.Client{Transport: transport}}
+	return &Client{options: options, http: &http.Client{Transport: berylresponse.Transport{Transport: transport}}}
 }
 
 // resolve returns the cached addresses. When they have expired, it asks the seeds and the
--- a/io/berylplatform/client.go
+++ b/io/berylplatform/client.go
@@ -53,8 +53,7 @@
 // NewClient returns a client for the platform at the given address.
 func NewClient(address string) *Client {
 	return &Client{baseURL: "http://" + address, client: &http.Client{
-		Timeout:   watchWait + responseSlack,
-		Transport: berylresponse.Transport{Transport: http.DefaultTransport.(*http.Transport)},
+		Timeout: watchWait + responseSlack, Transport: berylresponse.DefaultTransport,
 	}}
 }
 
--- a/io/berylresponse/transport.go
+++ b/io/berylresponse/transport.go
@@ -17,6 +17,9 @@
 
 var _ http.RoundTripper = Transport{}
 
+// DefaultTransport uses the connections of http.DefaultTransport.
+var DefaultTransport = Transport{http.DefaultTransport.(*http.Transport)}
+
 // RoundTrip implements http.RoundTripper.
 func (transport Transport) RoundTrip(request *http.Request) (*http.Response, error) {
 	written := make(chan error, 1)
