Load tool: counters in an answer with a broken head are not measured

What happened: a measurement took the counters of engines and daemons from answers whose head is not valid, statuses below 100 too.

The command has no test of its own for this.

--- a/cmd/berylspoke/dump.go
+++ b/cmd/berylspoke/dump.go
@@ -13,6 +13,8 @@
 
 	"github.com/google/subcommands"
 	"github.com/pkg/errors"
+
+	"berylspoke/io/berylresponse"
 )
 
 // tokenVariable is the environment variable with the operators' token. A flag would
@@ -52,7 +54,8 @@
 		return errors.Wrap(err, "cannot create the request to the daemon")
 	}
 	request.Header.Set("Authorization", "Bearer "+os.Getenv(tokenVariable))
-	response, err := http.DefaultClient.Do(request)
+	client := http.Client{Transport: berylresponse.DefaultTransport}
+	response, err := client.Do(request)
 	if err != nil {
 		return errors.Wrap(err, "request to the daemon failed")
 	}
--- a/io/berylload/measure.go
+++ b/io/berylload/measure.go
@@ -12,6 +12,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"berylspoke"
+	"berylspoke/io/berylresponse"
 	"berylspoke/io/berylserve"
 	"berylspoke/io/berylstand"
 )
@@ -170,7 +171,8 @@
 	if token != "" {
 		request.Header.Set("Authorization", "Bearer "+token)
 	}
-	response, err := http.DefaultClient.Do(request)
+	client := http.Client{Transport: berylresponse.DefaultTransport}
+	response, err := client.Do(request)
 	if err != nil {
 		return err
 	}
