A connection that ends before all was received keeps its plain end

Cause: Conn replaced the end by another error. net/http tells a connection that its server closed while idle by the plain end, and sends a request again only then, so that connections that are kept could not use it (control requests, the callers of the proofs).

Change: Conn records at the end what it replaced it by, and the end of a response without framing asks for it.

Evidence: TestAnswerThatEndsDuringTheUploadIsNotWhole in io/beryledge and io/beryltarget pass as before, once each with the race detector.

--- a/io/berylconn/exchange.go
+++ b/io/berylconn/exchange.go
@@ -156,7 +156,7 @@
 		}
 		if matches(response, exchange.conn.asked) {
 			exchange.Response = response
-			berylresponse.RequireSent(response, func() error { return <-exchange.written })
+			berylresponse.RequireSent(response, exchange.checkReceived)
 			exchange.conn.setIdleTimeout(response.Header)
 			return nil
 		}
@@ -168,6 +168,14 @@
 	return errors.New("too many responses to other requests")
 }
 
+// checkReceived returns an error if the target has not received the whole request at the end of its connection.
+func (exchange *Exchange) checkReceived() error {
+	if err := exchange.conn.CheckReceived(); err != nil {
+		return err
+	}
+	return <-exchange.written
+}
+
 // Framed reports whether the response has a length or is chunked.
 func (exchange *Exchange) Framed() bool { return berylresponse.Framed(exchange.Response) }
 
--- a/io/berylresponse/conn.go
+++ b/io/berylresponse/conn.go
@@ -1,6 +1,6 @@
 package berylresponse
 
-// This file defines connections whose end shows whether all that was written was received.
+// This file defines connections that tell at their end whether all that was written was received.
 
 import (
 	"io"
@@ -13,13 +13,18 @@
 	"golang.org/x/sys/unix"
 )
 
-// Conn is a connection that ends with io.ErrUnexpectedEOF in place of io.EOF if the other end has not received
-// all that was written. A socket reports a reset once, to a read or a write: the end alone does not show it.
+// ErrNotReceived means that a connection ended before its other end had received all that was written.
+var ErrNotReceived = errors.New("connection ended before all was received")
+
+// Conn is a connection that checks at its end whether all that was written was received. A socket reports a
+// reset once, to a read or a write, so that the end alone does not show it.
 type Conn struct {
 	net.Conn
 	// mutex is held during a write; failed is set once one has failed.
 	mutex  sync.Mutex
 	failed bool
+	// lost is set if the connection has ended and not all was received.
+	lost bool
 }
 
 // NewConn returns a Conn that takes over an open connection.
@@ -37,21 +42,29 @@
 // Read implements net.Conn. Nothing can be written once it has returned the end.
 func (conn *Conn) Read(buffer []byte) (int, error) {
 	count, err := conn.Conn.Read(buffer)
-	if err == io.EOF && !conn.received() {
-		err = errors.Wrap(io.ErrUnexpectedEOF, "connection ended before all was received")
+	if err == io.EOF {
+		conn.endWrites()
 	}
 	return count, err
 }
 
-// received ends the write that is under way, and reports whether all that was written was received.
-func (conn *Conn) received() bool {
+// endWrites ends the write that is under way, and records whether all that was written was received.
+func (conn *Conn) endWrites() {
 	// A write that the kernel has accepted whole does not fail by the deadline.
-	if conn.SetWriteDeadline(time.Unix(1, 0)) != nil {
-		return false
-	}
+	err := conn.SetWriteDeadline(time.Unix(1, 0))
 	conn.mutex.Lock()
 	defer conn.mutex.Unlock()
-	return !conn.failed && conn.unacknowledged() == 0
+	conn.lost = err != nil || conn.failed || conn.unacknowledged() > 0
+}
+
+// CheckReceived returns ErrNotReceived if the connection has ended and not all that was written was received.
+func (conn *Conn) CheckReceived() error {
+	conn.mutex.Lock()
+	defer conn.mutex.Unlock()
+	if conn.lost {
+		return ErrNotReceived
+	}
+	return nil
 }
 
 // unacknowledged returns the number of bytes written that the other end has not acknowledged, zero if that
--- a/io/berylresponse/transport.go
+++ b/io/berylresponse/transport.go
@@ -22,8 +22,10 @@
 
 // RoundTrip implements http.RoundTripper.
 func (transport Transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	var conn *Conn
 	written := make(chan error, 1)
 	ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { conn, _ = info.Conn.(*Conn) },
 		WroteRequest: func(info httptrace.WroteRequestInfo) {
 			// The transport may write a request again.
 			select {
@@ -49,6 +51,9 @@
 	RequireSent(response, func() error {
 		select {
 		case err := <-written:
+			if err == nil && conn != nil {
+				err = conn.CheckReceived()
+			}
 			return err
 		case <-ctx.Done():
 			return ctx.Err()
