Proofs: callers and judges take no broken answer

What happened: the stand-in for callers, which judges what the program answers, read with the parser that the program read with.

--- a/io/berylconn/pool.go
+++ b/io/berylconn/pool.go
@@ -227,16 +227,13 @@
 	return response.StatusCode, body, berylresponse.Framed(response) && !response.Close, nil
 }
 
-// readResponse reads the head of a response, which is valid if there is no error.
+// readResponse reads the head of a response.
 func (conn *conn) readResponse(request *http.Request) (response *http.Response, err error) {
 	err = conn.readHead(func() error {
-		response, err = http.ReadResponse(conn.reader, request)
+		response, err = berylresponse.Read(conn.reader, request)
 		return err
 	})
-	if err != nil {
-		return nil, err
-	}
-	return response, berylresponse.CheckHead(response)
+	return response, err
 }
 
 func (pool *Pool) discard(conn *conn) {
--- a/io/berylresponse/head.go
+++ b/io/berylresponse/head.go
@@ -3,6 +3,7 @@
 // This file defines which heads of responses are valid.
 
 import (
+	"bufio"
 	"net/http"
 
 	"github.com/pkg/errors"
@@ -18,6 +19,18 @@
 	maxStatus = 599
 )
 
+// Read reads the head of a response as http.ReadResponse does, and returns ErrInvalidHead unless it is valid.
+func Read(reader *bufio.Reader, request *http.Request) (*http.Response, error) {
+	response, err := http.ReadResponse(reader, request)
+	if err != nil {
+		return nil, err
+	}
+	if err := CheckHead(response); err != nil {
+		return nil, err
+	}
+	return response, nil
+}
+
 // CheckHead returns ErrInvalidHead, with what is wrong, unless the head of a response is valid.
 func CheckHead(response *http.Response) error {
 	switch {
--- a/soak/odd.go
+++ b/soak/odd.go
@@ -12,6 +12,7 @@
 
 	"github.com/pkg/errors"
 
+	"berylspoke/io/berylresponse"
 	"berylspoke/platform/beryldouble"
 )
 
@@ -132,7 +133,7 @@
 
 // knowsTarget reports whether the state dump of a process lists a target.
 func knowsTarget(vm beryldouble.VM, id string) bool {
-	client := http.Client{Timeout: time.Second}
+	client := http.Client{Timeout: time.Second, Transport: berylresponse.DefaultTransport}
 	response, err := client.Get("http://" + vm.OperatorsAddress() + "/state")
 	if err != nil {
 		return false
