Proofs: callers of the tests take no broken head

Why: these callers judge what the program answers, and read with net/http's parser, which takes more than HTTP/1 allows. They read with berylresponse.Read and berylresponse.Transport now. What is checked is the same; what is read as an answer is stricter.

--- a/cmd/berylspoke/edge_test.go
+++ b/cmd/berylspoke/edge_test.go
@@ -21,6 +21,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"berylspoke/io/berylresponse"
 	"berylspoke/platform/beryldouble"
 )
 
@@ -189,7 +190,7 @@
 			_, err := io.WriteString(conn, "POST /x/ HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a1\r\nContent-Length: 8\r\n\r\na letter")
 			var response *http.Response
 			if err == nil {
-				response, err = http.ReadResponse(reader, nil)
+				response, err = berylresponse.Read(reader, nil)
 			}
 			if err == nil {
 				_, err = io.Copy(io.Discard, response.Body)
--- a/crowds/crowd_test.go
+++ b/crowds/crowd_test.go
@@ -21,6 +21,8 @@
 
 	"github.com/stretchr/testify/require"
 	"github.com/tailscale/hujson"
+
+	"berylspoke/io/berylresponse"
 )
 
 const (
@@ -144,7 +146,7 @@
 		http.MethodGet, caller.crowd.Path, hostName, caller.id, caller.headers); err != nil {
 		return err
 	}
-	response, err := http.ReadResponse(bufio.NewReader(caller.conn), nil)
+	response, err := berylresponse.Read(bufio.NewReader(caller.conn), nil)
 	if err != nil {
 		return err
 	}
@@ -264,7 +266,7 @@
 		return false
 	}
 	_ = caller.conn.SetReadDeadline(time.Now().Add(answerTimeout))
-	response, err := http.ReadResponse(bufio.NewReader(caller.conn), nil)
+	response, err := berylresponse.Read(bufio.NewReader(caller.conn), nil)
 	if err != nil {
 		return false
 	}
@@ -281,7 +283,7 @@
 		return 0
 	}
 	_ = caller.conn.SetReadDeadline(time.Now().Add(sendTimeout))
-	response, err := http.ReadResponse(bufio.NewReader(caller.conn), nil)
+	response, err := berylresponse.Read(bufio.NewReader(caller.conn), nil)
 	if err != nil {
 		return 0
 	}
--- a/crowds/own_test.go
+++ b/crowds/own_test.go
@@ -18,6 +18,7 @@
 	"berylspoke"
 	"berylspoke/io/berylcall"
 	"berylspoke/io/berylfleet"
+	"berylspoke/io/berylresponse"
 	"berylspoke/io/berylsettings"
 )
 
@@ -70,7 +71,7 @@
 // checkOrdinary checks that an ordinary caller and an operator are answered.
 func (deployment *ownDeployment) checkOrdinary(name string) {
 	deployment.t.Helper()
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 5 * time.Second}
+	client := &http.Client{Transport: berylresponse.Transport{Transport: &http.Transport{DisableKeepAlives: true}}, Timeout: 5 * time.Second}
 	for _, get := range []struct{ address, key, path string }{
 		{deployment.settings.CallAddress, deployment.plan.Key("small-1"), "/v1/services/" + string(deployment.plan.PlainService) + "/calls/addresses/1"},
 		{deployment.settings.OperatorAddress, berylfleet.OperatorToken, "/ready"},
--- a/io/beryledge/closing_test.go
+++ b/io/beryledge/closing_test.go
@@ -25,6 +25,7 @@
 
 	"berylspoke"
 	"berylspoke/core/beryladmission"
+	"berylspoke/io/berylresponse"
 )
 
 // rawCaller is a connection of a caller that sends requests in parts.
@@ -54,7 +55,7 @@
 
 // answer reads one answer.
 func (caller *rawCaller) answer() (*http.Response, error) {
-	response, err := http.ReadResponse(caller.reader, nil)
+	response, err := berylresponse.Read(caller.reader, nil)
 	if err != nil {
 		return nil, err
 	}
--- a/io/beryledge/fakes_test.go
+++ b/io/beryledge/fakes_test.go
@@ -24,6 +24,7 @@
 
 	"berylspoke"
 	"berylspoke/core/berylgate"
+	"berylspoke/io/berylresponse"
 )
 
 // testDialect is a dialect with its own header names, so that these tests do not depend
@@ -457,7 +458,7 @@
 	request.Header.Set("X-Key", "k")
 	request.Header.Set("X-Left", "4000")
 	request.Header.Set("User-Agent", "")
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 20 * time.Second}
+	client := &http.Client{Transport: berylresponse.Transport{Transport: &http.Transport{DisableKeepAlives: true}}, Timeout: 20 * time.Second}
 	response, err := client.Do(request)
 	if err != nil {
 		return nil, "", err
--- a/io/beryledge/heads_test.go
+++ b/io/beryledge/heads_test.go
@@ -12,6 +12,7 @@
 
 	"berylspoke/core/berylgate"
 	"berylspoke/io/berylconn"
+	"berylspoke/io/berylresponse"
 	"berylspoke/io/berylstand"
 )
 
@@ -44,7 +45,7 @@
 				succeeded := daemon.meters.outcomes[berylgate.Succeeded].Get()
 				caller := dialRaw(t, daemon)
 				caller.write(t, rawRequest(path, "id"+path, "a letter"))
-				response, err := http.ReadResponse(caller.reader, nil)
+				response, err := berylresponse.Read(caller.reader, nil)
 				require.NoError(t, err, path)
 				body, err := io.ReadAll(response.Body)
 				require.NoError(t, err, path)
--- a/io/beryledge/overload_test.go
+++ b/io/beryledge/overload_test.go
@@ -17,6 +17,7 @@
 	"github.com/tailscale/hujson"
 
 	"berylspoke"
+	"berylspoke/io/berylresponse"
 )
 
 // fakeProcessor is the only core of a small VM: one goroutine uses it at a time.
@@ -218,7 +219,7 @@
 	if err != nil {
 		return 0, "", errors.New("cannot send")
 	}
-	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	response, err := berylresponse.Read(bufio.NewReader(conn), nil)
 	var timeout net.Error
 	switch {
 	case errors.As(err, &timeout) && timeout.Timeout():
--- a/io/beryledge/stop_test.go
+++ b/io/beryledge/stop_test.go
@@ -24,6 +24,7 @@
 	"berylspoke"
 	"berylspoke/core/berylgate"
 	"berylspoke/core/berylstop"
+	"berylspoke/io/berylresponse"
 )
 
 // startStopping runs a daemon with a time to stop within and targets by service. It returns the
@@ -125,7 +126,7 @@
 	}
 	request.Host = "h.example"
 	request.Header = http.Header{"X-Id": {id}, "X-Key": {"k"}, "X-Left": {strconv.Itoa(limit)}}
-	client := &http.Client{Transport: new(http.Transport)}
+	client := &http.Client{Transport: berylresponse.Transport{Transport: new(http.Transport)}}
 	defer client.CloseIdleConnections()
 	response, err := client.Do(request)
 	if err != nil {
--- a/io/beryledge/versions_test.go
+++ b/io/beryledge/versions_test.go
@@ -17,6 +17,7 @@
 	"berylspoke"
 	"berylspoke/core/berylgate"
 	"berylspoke/core/berylorigin"
+	"berylspoke/io/berylresponse"
 )
 
 // versionedEvents returns a handler that streams the events up to an id, with a text that names
@@ -142,7 +143,7 @@
 	} {
 		request.Header.Set(name, value)
 	}
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	client := &http.Client{Transport: berylresponse.Transport{Transport: &http.Transport{DisableKeepAlives: true}}}
 	response, err := client.Do(request)
 	require.NoError(t, err)
 	stream := testStream{id: sent.id, status: response.StatusCode, retryAfter: response.Header.Get("Retry-After"), close: func() {
--- a/io/berylingress/ingress_test.go
+++ b/io/berylingress/ingress_test.go
@@ -17,6 +17,7 @@
 	"pgregory.net/rapid"
 
 	"berylspoke/core/berylintake"
+	"berylspoke/io/berylresponse"
 )
 
 func newIngress(limits berylintake.Limits) *Ingress {
@@ -98,7 +99,7 @@
 	}
 	defer func() { _ = server.Close() }()
 	go func() { _ = server.Serve(ingress.Listen(listener)) }()
-	client := &http.Client{Transport: new(http.Transport)}
+	client := &http.Client{Transport: berylresponse.Transport{Transport: new(http.Transport)}}
 	for range 3 {
 		response, err := client.Post("http://"+listener.Addr().String(), "text/plain", strings.NewReader(strings.Repeat("b", 1<<20)))
 		require.NoError(t, err)
--- a/io/berylserve/stop_test.go
+++ b/io/berylserve/stop_test.go
@@ -14,6 +14,7 @@
 
 	"berylspoke"
 	"berylspoke/core/berylconfig"
+	"berylspoke/io/berylresponse"
 	"berylspoke/io/berylsettings"
 )
 
@@ -66,7 +67,7 @@
 	stopped := make(chan struct{})
 	var calls sync.WaitGroup
 	failures := make(chan error, 1000)
-	client := &http.Client{Transport: new(http.Transport)}
+	client := &http.Client{Transport: berylresponse.Transport{Transport: new(http.Transport)}}
 	begun := time.Now()
 	go func() {
 		daemon.Stop(t.Context())
