Lines of a target's head count as what they take in memory

Cause: a head had 64 KiB at most, but a line of five bytes takes some 200 bytes once it is parsed. The bound counted what is read, not what is kept.

Change: a line of a head counts 192 bytes more than it has, as a line of a caller's head does (io/berylingress). A head of 64 KiB in one line is read as before; one of five-byte lines has 332 of them.

Evidence: TestAnswersWithoutEnd in crowds/, a real process and ten kinds of answers without end, three routes, ordinary callers beside them; nothing of such an answer is passed on.

--- a/crowds/edge_test.go
+++ b/crowds/edge_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"berylspoke/io/berylresponse"
 	"berylspoke/platform/beryldouble"
 )
 
@@ -36,6 +37,10 @@
 	largeAnswerBytes = 5 << 20
 	// slowAnswer is how long the targets of one service take.
 	slowAnswer = 40 * time.Second
+	// faultyTargets is the number of targets of the service whose targets are faulty, faultyTimeout the timeout
+	// of its routes.
+	faultyTargets = 16
+	faultyTimeout = 6 * time.Second
 	// basePort is the first port of the process.
 	basePort = 8700
 	// peersPortOffset is the offset of the port of the peers.
@@ -50,6 +55,8 @@
 	mutex sync.Mutex
 	// ran holds the ids of the requests that have run.
 	ran map[string]bool
+	// faulty are targets that no other test uses.
+	faulty []*beryldouble.Target
 }
 
 // startDeployment starts a deployment and waits until it is ready.
@@ -70,6 +77,13 @@
 		require.NoError(t, err)
 		t.Cleanup(target.Crash)
 	}
+	for i := range faultyTargets {
+		options := beryldouble.TargetOptions{ID: fmt.Sprint("faulty-", i), Service: "faulty", FailureDomain: "north-a", Slots: 64}
+		target, err := beryldouble.StartTarget(store, options, beryldouble.Observer{OnRun: deployment.recordRun, OnArrival: func(beryldouble.Arrival) {}})
+		require.NoError(t, err)
+		t.Cleanup(target.Crash)
+		deployment.faulty = append(deployment.faulty, target)
+	}
 	own := os.Getpid()
 	deployment.vm = beryldouble.VM{
 		Name: "vm-1", Host: fmt.Sprintf("127.%d.%d.1", 192+own%60, own/60%256), FailureDomain: "north-a", Region: "north",
@@ -95,11 +109,12 @@
 	}
 	return beryldouble.Configuration{
 		Version: 1, Host: hostName, TokensPerSecond: 400_000,
-		Services: []beryldouble.Service{{Name: "engines", Slots: 64, CacheCapacity: 400_000, EventTokens: 8}, {Name: "desks"}, {Name: "slow"}, {Name: "large"}},
+		Services: []beryldouble.Service{{Name: "engines", Slots: 64, CacheCapacity: 400_000, EventTokens: 8}, {Name: "desks"}, {Name: "slow"}, {Name: "large"}, {Name: "faulty"}},
 		Routes: []beryldouble.Route{
 			route("draft", "streaming", "engines", time.Minute), route("look", "idempotent", "desks", time.Minute),
 			route("book", "non_idempotent", "desks", time.Minute), route("slow", "non_idempotent", "slow", time.Minute),
-			route("large", "idempotent", "large", time.Minute),
+			route("large", "idempotent", "large", time.Minute), route("faulty-look", "idempotent", "faulty", faultyTimeout),
+			route("faulty-book", "non_idempotent", "faulty", faultyTimeout), route("faulty-draft", "streaming", "faulty", faultyTimeout),
 		},
 		Organisations: []beryldouble.Organisation{{Name: "organisation-1", Keys: []string{apiKey}}},
 	}
@@ -137,7 +152,7 @@
 	for _, line := range strings.Fields(lines) {
 		request.Header[strings.TrimSuffix(line, ":")] = []string{""}
 	}
-	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: waitTimeout}
+	client := http.Client{Transport: berylresponse.Transport{Transport: &http.Transport{DisableKeepAlives: true}}, Timeout: waitTimeout}
 	response, err := client.Do(request)
 	if err != nil {
 		return 0, nil, err
@@ -161,7 +176,7 @@
 	for _, get := range []string{
 		deployment.vm.ReadyAddress() + "/readyz", deployment.vm.ResolveAddress() + "/resolve?zone=north-a", deployment.vm.OperatorsAddress() + "/metrics",
 	} {
-		client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 5 * time.Second}
+		client := http.Client{Transport: berylresponse.Transport{Transport: &http.Transport{DisableKeepAlives: true}}, Timeout: 5 * time.Second}
 		require.Eventually(deployment.t, func() bool {
 			response, err := client.Get("http://" + get)
 			if err != nil {
--- a/io/berylconn/limits.go
+++ b/io/berylconn/limits.go
@@ -3,6 +3,7 @@
 // This file defines bounds on what targets send: bytes may come without end, in a head or a body.
 
 import (
+	"bytes"
 	"io"
 	"sync/atomic"
 
@@ -12,8 +13,10 @@
 )
 
 const (
-	// maxHeadBytes bounds the head of a response, and each of those before it that are skipped.
+	// maxHeadBytes bounds the head of a response, and each of those before it that are skipped. Each line
+	// counts as lineBytes more, which is about what a parsed one takes.
 	maxHeadBytes = 64 << 10
+	lineBytes    = 192
 	// maxAskBytes bounds the body of the response to a small request.
 	maxAskBytes = 256 << 10
 	// minReadBytes is the size of the buffer that a body is read into at first.
@@ -120,6 +123,9 @@
 		return 0, ErrTooLarge
 	}
 	count, err := conn.Conn.Read(buffer[:min(len(buffer), conn.headLeft)])
-	conn.headLeft -= count
+	// The last bytes may be those of a body, whose lines bound nothing as no more of the head is read.
+	conn.headLeft = max(conn.headLeft-count-lineBytes*bytes.Count(buffer[:count], newline), 0)
 	return count, err
 }
+
+var newline = []byte("\n")
