Crowds: a real process passes on no answer with a broken head

One process as built, and a service whose answers have the 40 heads of io/berylstand, on three kinds of routes.

--- a/crowds/answers_test.go
+++ b/crowds/answers_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"berylspoke/io/berylstand"
 	"berylspoke/platform/beryldouble"
 )
 
@@ -38,7 +39,7 @@
 			for caller := range endlessCallers {
 				callers.Go(func() {
 					for number := 0; time.Now().Before(end); number++ {
-						path := []string{"/faulty-look/x", "/faulty-book/x", "/faulty-draft/x"}[number%3]
+						path := faultyPaths[number%len(faultyPaths)]
 						status, body, err := deployment.post(path, fmt.Sprintf("endless-%d-%d", caller, number), "", strings.NewReader("a letter"))
 						if err == nil && status == http.StatusOK {
 							t.Errorf("%d bytes of an answer without end are passed on as whole", len(body))
@@ -62,3 +63,40 @@
 		})
 	}
 }
+
+// soundFields returns the fields of a sound answer.
+func soundFields(request *http.Request) string {
+	id := request.Header.Get("Attempt-Id")
+	return fmt.Sprintf("Attempt-Id: %s\r\nServer-Seal: crowds:%s\r\n", id, id)
+}
+
+// faultyPaths are paths of each kind of route whose targets are faulty.
+var faultyPaths = []string{"/faulty-book/x", "/faulty-look/x", "/faulty-draft/x"}
+
+// Guards against answers with a broken head that a process passes on.
+func TestAnswersWithABrokenHead(t *testing.T) {
+	deployment := startDeployment(t, memoryMB)
+	const body = "id: 0\ndata: text\n\nid: 1\ndata: end\n\n"
+	for number, head := range berylstand.Heads() {
+		faulty := &berylstand.HeadTarget{Head: head, Body: body, Fields: soundFields}
+		for _, target := range deployment.faulty {
+			target.SetAnswers(faulty)
+		}
+		for _, path := range faultyPaths {
+			status, answer, err := deployment.post(path, fmt.Sprintf("head-%d%s", number, path), "", strings.NewReader("a letter"))
+			require.NoError(t, err, "%s, %s", head.Case, path)
+			if head.Broken {
+				require.Equal(t, http.StatusBadGateway, status, "%s, %s: %q", head.Case, path, answer)
+				continue
+			}
+			require.Equal(t, http.StatusOK, status, "%s, %s", head.Case, path)
+			require.Equal(t, body, string(answer), "%s, %s", head.Case, path)
+		}
+		// Targets that failed are paused.
+		time.Sleep(pausedTime)
+	}
+	deployment.check("heads", memoryMB, descriptors)
+}
+
+// pausedTime is longer than targets are paused after a failure.
+const pausedTime = 300 * time.Millisecond
