--- a/crowds/answers_test.go
+++ b/crowds/answers_test.go
@@ -100,3 +100,44 @@
 
 // pausedTime is longer than targets are paused after a failure.
 const pausedTime = 300 * time.Millisecond
+
+// Guards against a part of an answer that a process passes on as the whole, as its target ends the connection
+// while the request is still being written to it.
+func TestAnswersThatEndDuringTheUpload(t *testing.T) {
+	deployment := startDeployment(t, smallestMB)
+	for _, target := range deployment.faulty {
+		target.Deregister()
+	}
+	for number, upload := range berylstand.Uploads() {
+		faulty := &berylstand.UploadTarget{
+			Upload: upload, Fields: soundFields, Halves: [2]string{"id: 0\ndata: text\n\n", "id: 1\ndata: end\n\n"},
+		}
+		address, err := faulty.Listen()
+		require.NoError(t, err)
+		target, err := beryldouble.StartTarget(deployment.store, beryldouble.TargetOptions{
+			ID: fmt.Sprint("upload-", number), Service: "faulty", FailureDomain: "north-a", Slots: 64, Advertise: func(string) string { return address },
+		}, beryldouble.Observer{OnRun: deployment.recordRun, OnArrival: func(beryldouble.Arrival) {}})
+		require.NoError(t, err)
+		faulty.Reports = fmt.Sprintf(`{"born":%d}`, target.Born())
+		for _, path := range faultyPaths {
+			seen := faulty.Seen.Load()
+			for attempt := 0; faulty.Seen.Load() == seen; attempt++ {
+				require.Less(t, attempt, 100, "%s, %s", upload.Case, path)
+				id := fmt.Sprintf("upload-%d-%d%s", number, attempt, path)
+				status, answer, err := deployment.post(path, id, "", strings.NewReader(strings.Repeat("u", upload.BodyBytes)))
+				switch {
+				case faulty.Seen.Load() == seen:
+					time.Sleep(50 * time.Millisecond)
+				case upload.Half:
+					require.True(t, err != nil || status == http.StatusBadGateway, "%s, %s: %d, %q", upload.Case, path, status, answer)
+				default:
+					require.NoError(t, err, "%s, %s", upload.Case, path)
+					require.Equal(t, http.StatusOK, status, "%s, %s", upload.Case, path)
+					require.Equal(t, faulty.Halves[0]+faulty.Halves[1], string(answer), "%s, %s", upload.Case, path)
+				}
+			}
+		}
+		target.Deregister()
+		faulty.Close()
+	}
+}
--- a/crowds/edge_test.go
+++ b/crowds/edge_test.go
@@ -51,6 +51,7 @@
 type deployment struct {
 	*process
 	t     *testing.T
+	store *beryldouble.Store
 	vm    beryldouble.VM
 	mutex sync.Mutex
 	// ran holds the ids of the requests that have run.
@@ -65,7 +66,7 @@
 	store, err := beryldouble.NewStore()
 	require.NoError(t, err)
 	t.Cleanup(store.Close)
-	deployment := &deployment{t: t, ran: make(map[string]bool)}
+	deployment := &deployment{t: t, store: store, ran: make(map[string]bool)}
 	require.NoError(t, configuration().Publish(store))
 	for _, options := range []beryldouble.TargetOptions{
 		{ID: "engine", Service: "engines", FailureDomain: "north-a", Slots: 64, Events: 4, EventInterval: 5 * time.Millisecond},
