A probe takes no interim answer for the answer

What happened: of an answer that follows an interim one (103), probes and questions for a target's run read the interim one: a target that told its run counted as one that does not tell it, and for a stream that goes on as the expected one.

Cause: interim answers were skipped for requests only.

Change: probes and questions skip them too, as many as a request does.

Evidence: TestProbesTakeNoBrokenHead plays the sound heads as well; "after an interim answer" was red on the parent (103 instead of 200), the others held.

--- a/io/berylconn/pool.go
+++ b/io/berylconn/pool.go
@@ -216,7 +216,7 @@
 	if err := request.Write(conn); err != nil {
 		return 0, nil, false, err
 	}
-	response, err := conn.readResponse(request)
+	response, err := conn.readFinalResponse(request)
 	if err != nil {
 		return 0, nil, false, err
 	}
@@ -236,6 +236,17 @@
 	return response, err
 }
 
+// readFinalResponse reads the head of the next response that is not an interim one.
+func (conn *conn) readFinalResponse(request *http.Request) (*http.Response, error) {
+	for range maxResponses {
+		response, err := conn.readResponse(request)
+		if err != nil || response.StatusCode >= http.StatusOK {
+			return response, err
+		}
+	}
+	return nil, errors.New("too many interim responses")
+}
+
 func (pool *Pool) discard(conn *conn) {
 	_ = conn.Close()
 	pool.release(conn.address)
--- a/io/beryledge/heads_test.go
+++ b/io/beryledge/heads_test.go
@@ -86,18 +86,21 @@
 	}
 }
 
-// Guards against a probe, or a question for what a target is, that an answer with a broken head answers.
+// Guards against a probe, or a question for what a target is, that an answer with a broken head answers, or an
+// interim one.
 func TestProbesTakeNoBrokenHead(t *testing.T) {
 	for _, test := range berylstand.Heads() {
-		if !test.Broken {
-			continue
-		}
 		t.Run(test.Case, func(t *testing.T) {
 			t.Parallel()
 			target := newHeadTarget(t, "d", test)
 			pool := berylconn.NewPool(0)
 			request := &http.Request{Method: http.MethodGet, Host: target.address(), URL: &url.URL{Path: "/report"}, Header: make(http.Header)}
 			probed := pool.Probe(t.Context(), target.address(), request)
+			if !test.Broken {
+				require.Equal(t, http.StatusOK, probed.Status)
+				require.Equal(t, headBody, string(probed.Body))
+				return
+			}
 			require.Zero(t, probed.Status)
 			require.Empty(t, probed.Body)
 			_, err := pool.Send(t.Context(), berylconn.SendOptions{
