What is no answer ends an attempt however short it is

What happened: since the check for chunks in HTTP/1.0 the first eight bytes of an answer are awaited, to know its version. A target that sends fewer, "x" and a line's end, held the request until its deadline, where the parser had refused the line at once; and the error of the first read was lost to a second one.

Change: no more is awaited than shows that the answer does not begin with "HTTP/1.0", and an error of that read ends the attempt.

--- a/io/beryledge/heads_test.go
+++ b/io/beryledge/heads_test.go
@@ -115,6 +115,30 @@
 	}
 }
 
+// Guards against an attempt that goes on until its deadline though what its target sent is no answer, however
+// short it is.
+func TestShortGarbageEndsAnAttemptAtOnce(t *testing.T) {
+	target := newTestTarget(t, "d", func(writer http.ResponseWriter, request *http.Request) {
+		conn, _, err := writer.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		_, _ = io.WriteString(conn, map[string]string{"id-1": "x\r\n", "id-2": "HTTP\r\n"}[request.Header.Get("X-Id")])
+		_, _ = conn.Read(make([]byte, 1))
+	})
+	daemon, _ := startServing(t, map[string]*testTarget{"desk": target})
+	for _, id := range []string{"id-1", "id-2"} {
+		sent := time.Now()
+		response, _, err := send(t, daemon, http.MethodPost, "/file/x", id, "")
+		require.NoError(t, err)
+		require.Equal(t, http.StatusBadGateway, response.StatusCode)
+		require.Less(t, time.Since(sent), time.Second)
+		// A target that failed is paused.
+		time.Sleep(300 * time.Millisecond)
+	}
+}
+
 // Guards against the marks of chunks that callers get as a body: HTTP/1.0 has no chunks, and its parser does
 // not understand them.
 func TestChunksInHTTP10AreNotPassedOn(t *testing.T) {
--- a/io/berylresponse/head.go
+++ b/io/berylresponse/head.go
@@ -28,8 +28,10 @@
 // Read reads the head of a response as http.ReadResponse does, and returns ErrInvalidHead unless it is valid.
 // Nothing can be read after the body of a response of HTTP/1.0.
 func Read(reader *bufio.Reader, request *http.Request) (*http.Response, error) {
-	begin, err := reader.Peek(len(oldVersion))
-	old := err == nil && string(begin) == oldVersion
+	old, err := begins(reader, oldVersion)
+	if err != nil {
+		return nil, err
+	}
 	if old {
 		_, _ = reader.Discard(len(oldVersion))
 		reader = bufio.NewReader(io.MultiReader(strings.NewReader("HTTP/1.1"), reader))
@@ -50,6 +52,23 @@
 	return response, nil
 }
 
+// begins reports whether what is read next begins with a text. It waits for no more than shows that it does not.
+func begins(reader *bufio.Reader, text string) (bool, error) {
+	for at := range len(text) {
+		begin, err := reader.Peek(at + 1)
+		if err == io.EOF {
+			err = io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return false, err
+		}
+		if begin[at] != text[at] {
+			return false, nil
+		}
+	}
+	return true, nil
+}
+
 // CheckHead returns ErrInvalidHead, with what is wrong, unless the head of a response is valid.
 func CheckHead(response *http.Response) error {
 	switch {
