Test: a connection that is closed late is not taken for a kept one

Why: the target of broken heads gave the program 300 ms to close its connection, which a busy machine may take without a fault.

--- a/io/berylstand/heads.go
+++ b/io/berylstand/heads.go
@@ -55,8 +55,8 @@
 	return strings.NewReplacer("FIELDS", fields, "N\r\n", strconv.Itoa(len(body))+"\r\n").Replace(head.Head) + "\r\n" + body
 }
 
-// keptTime is how long a HeadTarget waits for its connection to be closed after a broken answer.
-const keptTime = 300 * time.Millisecond
+// closeTimeout is how long a HeadTarget waits for its connection to be closed after a broken answer.
+const closeTimeout = 5 * time.Second
 
 // HeadTarget is a target whose answers have a certain head.
 type HeadTarget struct {
@@ -64,8 +64,8 @@
 	// Fields returns the lines of the fields that a sound answer to a request has, each with its end.
 	Fields func(request *http.Request) string
 	Body   string
-	// Seen counts the requests, Kept the connections that were not closed after a broken answer.
-	Seen, Kept atomic.Int64
+	// Seen counts the requests, Closed the connections that were closed after a broken answer.
+	Seen, Closed atomic.Int64
 }
 
 var _ http.Handler = (*HeadTarget)(nil)
@@ -92,8 +92,8 @@
 	if target.Head.Ends {
 		return
 	}
-	_ = conn.SetReadDeadline(time.Now().Add(keptTime))
-	if _, err := conn.Read(make([]byte, 1)); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
-		target.Kept.Add(1)
+	_ = conn.SetReadDeadline(time.Now().Add(closeTimeout))
+	if _, err := conn.Read(make([]byte, 1)); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		target.Closed.Add(1)
 	}
 }
