--- a/io/beryledge/heads_test.go
+++ b/io/beryledge/heads_test.go
@@ -143,7 +143,7 @@
 
 // Guards against the marks of chunks that callers get as a body: HTTP/1.0 has no chunks, and its parser does
 // not understand them.
-func TestChunksInHTTP10AreNotPassedOn(t *testing.T) {
+func TestChunksOfAnOldVersionAreNotPassedOn(t *testing.T) {
 	head := berylstand.Head{Head: "HTTP/1.0 200 OK\r\nFIELDSTransfer-Encoding: chunked\r\n", Ends: true, Broken: true}
 	desk, engine := newHeadTarget(t, "d", head), newHeadTarget(t, "e", head)
 	desk.Body, engine.Body = "4\r\ndone\r\n0\r\n\r\n", "12\r\nid: 1\ndata: text\n\n\r\n0\r\n\r\n"
